limits, placement: order by priority and time of full value; striped ranges

Change: waiting requests run by priority, then by the end of their time of full value; what would be late is refused at once while others can be in time. Shards of numbered keys are dealt out by what each target lacks. Also: keys pass to a new run of a target with a higher fence; the coordinator reads the operator's document every 700 ms, since a watch can go silent; callers that leave end their idempotent attempts. Ruled out: the age of a request from its deadline header, which callers jitter by 15%.

--- a/common/log.c
+++ b/common/log.c
@@ -2,10 +2,12 @@
 #include "common/clk.h"
 
 #include <glib.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LOG_LINE_BYTES 1024
 
@@ -19,6 +21,19 @@
 	[LOG_ERROR] = "error",
 };
 
+/* Lines that standard output did not take, or the limit left out. */
+static unsigned long dropped;
+
+static void write_text(const char *text, size_t len)
+{
+	struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+	/* A full pipe is seen here; a file or terminal is always ready. */
+	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, text, len) < 0)
+		dropped++;
+}
+
 static GLogWriterOutput write_line(GLogLevelFlags flags,
 				   const GLogField *fields, gsize count,
 				   gpointer data)
@@ -28,7 +43,7 @@
 	for (gsize i = 0; i < count; i++) {
 		if (strcmp(fields[i].key, "MESSAGE") != 0)
 			continue;
-		fprintf(stderr, "%s\n", (const char *)fields[i].value);
+		write_text(fields[i].value, strlen(fields[i].value));
 	}
 	return G_LOG_WRITER_HANDLED;
 }
@@ -56,22 +71,78 @@
 	snprintf(buf + len, size - len, ".%03d", (int)(now % 1000));
 }
 
-void log_event(enum log_level level, const char *event, const char *fmt, ...)
+static void write_event(enum log_level level, const char *event,
+			const char *fmt, va_list ap)
 {
 	char line[LOG_LINE_BYTES];
 	char when[40];
+	size_t len;
+
+	format_time(when, sizeof(when));
+	len = (size_t)snprintf(line, sizeof(line),
+			       "time=%s level=%s node=%s event=%s ", when,
+			       level_names[level], node_name, event);
+	vsnprintf(line + len, sizeof(line) - len, fmt, ap);
+	len = strlen(line);
+	if (len > sizeof(line) - 2)
+		len = sizeof(line) - 2;
+	line[len] = '\n';
+	line[len + 1] = '\0';
+	g_log_structured("mpin", G_LOG_LEVEL_MESSAGE, "MESSAGE", "%s", line);
+}
+
+static void report_dropped(void)
+{
+	unsigned long count = dropped;
+
+	if (!count)
+		return;
+	dropped = 0;
+	log_event(LOG_WARN, "log_dropped", "lines=%lu", count);
+}
+
+void log_event(enum log_level level, const char *event, const char *fmt, ...)
+{
 	va_list ap;
-	int len;
 
 	if (level < lowest_level)
 		return;
-	format_time(when, sizeof(when));
-	len = snprintf(line, sizeof(line), "time=%s level=%s node=%s event=%s ",
-		       when, level_names[level], node_name, event);
 	va_start(ap, fmt);
-	vsnprintf(line + len, sizeof(line) - (size_t)len, fmt, ap);
+	write_event(level, event, fmt, ap);
+	va_end(ap);
+}
+
+/* Lines about requests in the present second. */
+static int64_t request_second;
+static unsigned request_lines;
+
+int log_request_on(enum log_level level)
+{
+	int64_t second = clk_ms() / 1000;
+
+	if (level < lowest_level)
+		return 0;
+	if (second != request_second) {
+		request_second = second;
+		request_lines = 0;
+		report_dropped();
+	}
+	if (request_lines < LOG_REQUEST_LINES)
+		return 1;
+	dropped++;
+	return 0;
+}
+
+void log_request(enum log_level level, const char *event, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (!log_request_on(level))
+		return;
+	request_lines++;
+	va_start(ap, fmt);
+	write_event(level, event, fmt, ap);
 	va_end(ap);
-	g_log_structured("mpin", G_LOG_LEVEL_MESSAGE, "MESSAGE", "%s", line);
 }
 
 const char *log_quote(const char *s)
--- a/daemon/holds.c
+++ b/daemon/holds.c
@@ -116,6 +116,18 @@
 	}
 }
 
+/*
+ * Fences in the map were given out to the target that the map names. Another
+ * one, or another run of it, needs the higher ones that come with its name.
+ */
+static int map_names_target(struct node *n, const struct announcement *a)
+{
+	const struct map_node *m = map_find_node(node_map(n), mem_id(n->mem));
+	const Wire__Target *t = m ? m->info->target : NULL;
+
+	return t && t->born_ms == a->born_ms && strcmp(t->id, a->id) == 0;
+}
+
 void node_hold_answer(struct node *n, const struct announcement *a,
 		      struct announce_answer *answer)
 {
@@ -130,7 +142,7 @@
 	hold_answer_begin(&n->hold);
 	stop_releasing(n);
 	node_hold_tick(n, now_ms);
-	if (!s || !s->key_numbers ||
+	if (!s || !s->key_numbers || !map_names_target(n, a) ||
 	    mem_right_end(n->mem, now_ms, &end_ms) != ERR_OK)
 		return;
 	answer->time_ms = hold_time_ms(
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -210,6 +210,9 @@
 
 	(void)events;
 	node_target_tick(n, now_ms);
+	if (n->feed && coord_active(n->coord) &&
+	    doc_feed_age_ms(n->feed) >= NODE_DOCUMENT_POLL_MS)
+		doc_feed_poll(n->feed);
 	if (n->stop == NODE_LEAVING && mem_is_detached(n->mem) &&
 	    now_ms - n->stop_ms > NODE_DETACHED_MS)
 		on_left(n);
@@ -313,7 +316,8 @@
 		(uint64_t)clk_wall_ms() << 20 | (uint64_t)(random() & 0xfffff);
 	n->interface = set->interface == SET_PLATFORM ? &platform_interface
 						      : &interface_own;
-	hold_init(&n->hold, clk_ms(),
+	n->announced_ms = clk_ms();
+	hold_init(&n->hold, n->announced_ms,
 		  own_times_for(set_grant_ms(set)).grant_ms);
 	cnt_init(&n->cnt);
 	ev_timer_init(&n->timer, on_tick, NODE_TICK_S, NODE_TICK_S);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -26,6 +26,11 @@
 #define NODE_PAUSE_MS 1000
 /* A stopping node without grant and coordinator waits this long for one. */
 #define NODE_DETACHED_MS 5000
+/*
+ * The coordinator reads the operators' document so often, and passes it on. A
+ * third of the time within which a document is to be in force.
+ */
+#define NODE_DOCUMENT_POLL_MS 700
 /* Replies to a node that does not read any more are not waited for. */
 #define NODE_UNSENT_MS 3000
 
@@ -62,7 +67,8 @@
 	int control_up;
 
 	Wire__Target *target; /* as announced; NULL if there is none */
-	int64_t announced_ms;
+	int64_t announced_ms; /* when it last did; at first, the start */
+	int silence_told; /* that it never did since the start */
 	int64_t tick_ms;
 	int target_leaving; /* it finishes what it runs, gets nothing new */
 	int target_left;    /* it said so, not only that it will */
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -14,7 +14,8 @@
 	       strcmp(a->address, b->address) == 0 && a->port == b->port &&
 	       a->concurrency == b->concurrency &&
 	       a->connections == b->connections && a->checks == b->checks &&
-	       strcmp(a->id, b->id) == 0 && a->holds == b->holds;
+	       strcmp(a->id, b->id) == 0 && a->born_ms == b->born_ms &&
+	       a->holds == b->holds;
 }
 
 /* The strings are borrowed. */
@@ -30,6 +31,7 @@
 	t->id = a->id;
 	t->holds = a->takes_holds;
 	t->cold_ms = a->cold_ms;
+	t->born_ms = a->born_ms;
 }
 
 /*
@@ -153,6 +155,12 @@
 		n->announced_ms = now_ms;
 	n->tick_ms = now_ms;
 	node_hold_tick(n, now_ms);
+	/* Its place was kept for a restarted daemon; it does not come back. */
+	if (!n->target && !n->silence_told && mem_id(n->mem) &&
+	    now_ms - n->announced_ms > silence_ms(n)) {
+		n->silence_told = 1;
+		mem_set_target(n->mem, NULL);
+	}
 	if (!n->target)
 		return;
 	if (n->target_leaving && !gate_in_flight(n->gate) &&
--- a/limits/adm.c
+++ b/limits/adm.c
@@ -9,6 +9,10 @@
 /* Weight of one ended request in the average service time. */
 #define ADM_SERVICE_WEIGHT 0.05
 #define ADM_RETRY_MIN_MS 1
+/* Late requests wait for at most limit / ADM_LATE_PART places. */
+#define ADM_LATE_PART 4
+/* Estimates of the wait are off by about this much. */
+#define ADM_LATE_SLACK_MS 20
 
 void adm_init(struct adm *a, uint32_t limit, uint32_t queue,
 	      double tenant_share)
@@ -77,25 +81,110 @@
 	return a->service_ms * (ahead + 1.0) / servers;
 }
 
-enum adm_verdict adm_submit(struct adm *a, struct adm_item *item,
-			    const char *tenant, int64_t now_ms,
-			    int64_t deadline_ms)
+static int is_late(const struct adm_rank *r, int64_t now_ms)
+{
+	return r->value_ms <= now_ms;
+}
+
+/* Does x run before y, which arrived earlier? */
+static int runs_before(const struct adm_rank *x, const struct adm_rank *y,
+		       int64_t now_ms)
+{
+	if (x->priority != y->priority)
+		return x->priority < y->priority;
+	if (is_late(x, now_ms) != is_late(y, now_ms))
+		return is_late(y, now_ms);
+	return x->value_ms < y->value_ms;
+}
+
+/* The queued item that the new one runs before; NULL: behind all. */
+static struct adm_item *place_of(const struct adm *a,
+				 const struct adm_rank *rank, int64_t now_ms,
+				 uint32_t *ahead)
+{
+	struct adm_item *other;
+
+	*ahead = 0;
+	DL_FOREACH(a->head, other) {
+		if (runs_before(rank, &other->rank, now_ms))
+			return other;
+		(*ahead)++;
+	}
+	return NULL;
+}
+
+/* Would it wait for nothing, or only be late because it waits? */
+static int is_hopeless(const struct adm *a, const struct adm_item *item,
+		       uint32_t ahead, int64_t now_ms)
+{
+	double done =
+		(double)now_ms + expected_wait_ms(a, ahead) + a->service_ms;
+
+	if (done > (double)item->deadline_ms)
+		return 1;
+	if (item->rank.value_ms == INT64_MAX)
+		return 0;
+	/* Late work fills gaps, but does not queue up. */
+	if (is_late(&item->rank, now_ms))
+		return ahead > a->limit / ADM_LATE_PART;
+	return done > (double)item->rank.value_ms + ADM_LATE_SLACK_MS;
+}
+
+/* The last item gives way to one that runs before it. */
+static void displace_last(struct adm *a)
+{
+	struct adm_item *last = a->head ? a->head->prev : NULL;
+
+	while (last && last->displaced && last != a->head)
+		last = last->prev;
+	if (last)
+		last->displaced = 1;
+}
+
+static enum adm_verdict take_place(struct adm *a, struct adm_item *item,
+				   struct adm_tenant *t,
+				   struct adm_item *before, int runs)
+{
+	t->places++;
+	item->tenant = t;
+	if (runs) {
+		item->state = ADM_RUNNING;
+		item->started_ms = item->arrived_ms;
+		a->running++;
+		return ADM_RUN;
+	}
+	item->state = ADM_QUEUED;
+	a->queued++;
+	if (before)
+		DL_PREPEND_ELEM(a->head, before, item);
+	else
+		DL_APPEND(a->head, item);
+	return ADM_QUEUE;
+}
+
+enum adm_verdict adm_submit_ranked(struct adm *a, struct adm_item *item,
+				   const char *tenant, int64_t now_ms,
+				   int64_t deadline_ms,
+				   const struct adm_rank *rank)
 {
 	int runs = a->running < a->limit && a->queued == 0;
+	struct adm_item *before;
 	struct adm_tenant *t;
-	double wait;
+	uint32_t ahead;
 
 	item->arrived_ms = now_ms;
 	item->started_ms = 0;
 	item->deadline_ms = deadline_ms;
+	item->rank = *rank;
 	item->tenant = NULL;
 	item->state = ADM_NONE;
+	item->displaced = 0;
 	if (now_ms >= deadline_ms)
 		return ADM_SHED;
-	if (!runs && a->queued >= a->queue)
+	before = place_of(a, rank, now_ms, &ahead);
+	if (!runs && a->queued >= a->queue && (!before || !a->queue))
 		return ADM_SHED;
-	wait = runs ? 0 : expected_wait_ms(a, a->queued);
-	if (wait + a->service_ms > (double)(deadline_ms - now_ms) && !runs)
+	if (!runs && is_hopeless(a, item, ahead, now_ms))
 		return ADM_SHED;
 	t = tenant_get(a, tenant);
 	if (!t)
@@ -104,18 +193,18 @@
 		tenant_put(a, t);
 		return ADM_SHED;
 	}
-	t->places++;
-	item->tenant = t;
-	if (runs) {
-		item->state = ADM_RUNNING;
-		item->started_ms = now_ms;
-		a->running++;
-		return ADM_RUN;
-	}
-	item->state = ADM_QUEUED;
-	a->queued++;
-	DL_APPEND(a->head, item);
-	return ADM_QUEUE;
+	if (!runs && a->queued >= a->queue)
+		displace_last(a);
+	return take_place(a, item, t, before, runs);
+}
+
+enum adm_verdict adm_submit(struct adm *a, struct adm_item *item,
+			    const char *tenant, int64_t now_ms,
+			    int64_t deadline_ms)
+{
+	static const struct adm_rank plain = { 0, INT64_MAX };
+
+	return adm_submit_ranked(a, item, tenant, now_ms, deadline_ms, &plain);
 }
 
 static void item_release(struct adm *a, struct adm_item *item)
@@ -150,7 +239,7 @@
 		return NULL;
 	DL_FOREACH(a->head, item) {
 		/* adm_expire returns the others. */
-		if (item->deadline_ms > now_ms)
+		if (item->deadline_ms > now_ms && !item->displaced)
 			break;
 	}
 	if (!item)
@@ -163,12 +252,25 @@
 	return item;
 }
 
+/* Is it late while another one of its rank can still be in time? */
+static int is_overtaken(const struct adm *a, const struct adm_item *item,
+			int64_t now_ms)
+{
+	const struct adm_item *first = a->head;
+
+	if (item->rank.value_ms == INT64_MAX ||
+	    item->rank.value_ms > now_ms + (int64_t)(a->service_ms / 2))
+		return 0;
+	return a->queued > 1 && first != item && !is_late(&first->rank, now_ms);
+}
+
 struct adm_item *adm_expire(struct adm *a, int64_t now_ms)
 {
 	struct adm_item *item;
 
 	DL_FOREACH(a->head, item) {
-		if (item->deadline_ms <= now_ms)
+		if (item->deadline_ms <= now_ms || item->displaced ||
+		    is_overtaken(a, item, now_ms))
 			break;
 	}
 	if (item)
--- a/limits/adm.h
+++ b/limits/adm.h
@@ -9,6 +9,9 @@
  * a bound on one tenant's share of both. Pure: the time is an argument, in
  * milliseconds of one clock.
  *
+ * Waiting requests run in the order of their rank, equal ones in the order of
+ * their arrival.
+ *
  * Invariants: running <= limit (after a fall of the limit: running does not
  * grow); queued <= queue; an item is in exactly one of running, queue, none.
  */
@@ -19,6 +22,15 @@
 	ADM_SHED,  /* refused; see adm_retry_after_ms */
 };
 
+/*
+ * Order of waiting requests: by priority, then those whose answer can still
+ * have its full value before those whose cannot, then by the end of that time.
+ */
+struct adm_rank {
+	uint32_t priority; /* 0 is the highest */
+	int64_t value_ms;  /* end of the time of full value; INT64_MAX: none */
+};
+
 enum adm_state { ADM_NONE, ADM_QUEUED, ADM_RUNNING };
 
 /* Embedded in the caller's request. */
@@ -26,8 +38,10 @@
 	int64_t arrived_ms;
 	int64_t started_ms; /* when it became running */
 	int64_t deadline_ms;
+	struct adm_rank rank;
 	struct adm_tenant *tenant;
 	enum adm_state state;
+	int displaced; /* another one took its place: adm_expire returns it */
 	struct adm_item *prev;
 	struct adm_item *next;
 };
@@ -62,11 +76,24 @@
 enum adm_verdict adm_submit(struct adm *a, struct adm_item *item,
 			    const char *tenant, int64_t now_ms,
 			    int64_t deadline_ms);
+/*
+ * Same with a rank. A request that would wait past the time of its full value
+ * is refused if others wait, so that capacity goes to those that are in time;
+ * a full queue gives up its last request for one that comes before it.
+ */
+enum adm_verdict adm_submit_ranked(struct adm *a, struct adm_item *item,
+				   const char *tenant, int64_t now_ms,
+				   int64_t deadline_ms,
+				   const struct adm_rank *rank);
 /* A running request ended. */
 void adm_done(struct adm *a, struct adm_item *item, int64_t now_ms);
 /* Next queued request to hand over, now running; NULL if none may run. */
 struct adm_item *adm_next(struct adm *a, int64_t now_ms);
-/* A queued request whose deadline has passed, removed; NULL if none. */
+/*
+ * A queued request that is not worth waiting any more, removed; NULL if none:
+ * its deadline has passed, another took its place, or its answer would be late
+ * while others can still be in time.
+ */
 struct adm_item *adm_expire(struct adm *a, int64_t now_ms);
 /* Removes a queued item (cancelled). */
 void adm_remove(struct adm *a, struct adm_item *item);
--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -2,6 +2,7 @@
 #include "common/clk.h"
 #include "common/guard.h"
 #include "common/log.h"
+#include "protocol/wire.h"
 #include "transport/addr.h"
 
 #include <stdio.h>
@@ -143,6 +144,49 @@
 	return s ? s->restart_grace_ms : 0;
 }
 
+static int same_run(const Wire__Target *a, const Wire__Target *b)
+{
+	return a && b && a->born_ms == b->born_ms && strcmp(a->id, b->id) == 0;
+}
+
+/*
+ * Keys that a target holds by itself pass to another target, or another run of
+ * it, only with a higher fence. Written together with the target's name.
+ */
+static void renew_fences(struct coord *c, struct co_member *m,
+			 const Wire__Target *before)
+{
+	const Wire__Target *t = m->info->target;
+
+	if (!t || !t->holds || same_run(before, t))
+		return;
+	for (uint32_t s = 0; s < c->map.slot_count && s < c->slot_count; s++) {
+		if (c->map.slots[s].owner == m->id && !c->slots[s].changing)
+			co_queue_slot(c, s, m->id, "target");
+	}
+}
+
+/* Takes over what a node says of itself, and what follows for its slots. */
+static enum err take_info(struct coord *c, struct co_member *m,
+			  const Wire__Node *n, int keep_target)
+{
+	Wire__Target *before = m->info->target;
+	Wire__Node info = *n;
+	enum err e = ERR_OK;
+
+	before = before ? wire_copy_target(before) : NULL;
+	/* A new process of the node has not heard its target yet. */
+	if (keep_target && !info.target)
+		info.target = before;
+	if (co_member_set_info(m, &info))
+		renew_fences(c, m, before);
+	else
+		e = ERR_NOMEM;
+	if (before)
+		wire__target__free_unpacked(before, NULL);
+	return e;
+}
+
 static enum err join_again(struct coord *c, struct co_conn *k,
 			   struct co_member *m, const Wire__Node *n)
 {
@@ -167,7 +211,9 @@
 		co_conn_close(m->conn);
 	k->member = m;
 	m->conn = k;
-	if (!co_member_set_info(m, n))
+	if (restarted)
+		reset_slots_of(c, m->id);
+	if (take_info(c, m, n, restarted) != ERR_OK)
 		return ERR_NOMEM;
 	m->dirty = 1;
 	m->doc_sent = 0;
@@ -178,7 +224,6 @@
 		m->lost = 0;
 		/* Its slots wait until its target has announced itself. */
 		m->restart_until_ms = n->target ? 0 : clk_ms() + wait;
-		reset_slots_of(c, m->id);
 		queue_join(c, m);
 		return ERR_OK;
 	}
@@ -297,7 +342,7 @@
 	Wire__Node info = *m->info;
 
 	info.target = t->gone ? NULL : t->target;
-	if (!co_member_set_info(m, &info))
+	if (take_info(c, m, &info, 0) != ERR_OK)
 		return;
 	m->dirty = 1;
 	c->place_soon = 1;
--- a/membership/doc_feed.c
+++ b/membership/doc_feed.c
@@ -138,6 +138,12 @@
 	return ERR_OK;
 }
 
+void doc_feed_poll(struct doc_feed *f)
+{
+	if (!f->reading && !ev_is_active(&f->timer))
+		read_soon(f, 0);
+}
+
 /* The store has ended its calls, or ends them without callbacks. */
 void doc_feed_free(struct doc_feed *f)
 {
--- a/membership/doc_feed.h
+++ b/membership/doc_feed.h
@@ -24,6 +24,11 @@
 		      struct store *store, const struct doc_source *source,
 		      const struct doc_feed_ops *ops, void *priv);
 void doc_feed_free(struct doc_feed *f);
+/*
+ * Reads the value now, whatever the watch says: a watch can go silent without
+ * an error. For the one node that passes documents on to the others.
+ */
+void doc_feed_poll(struct doc_feed *f);
 /* Milliseconds since the store last answered; INT64_MAX: never. */
 int64_t doc_feed_age_ms(const struct doc_feed *f);
 
--- a/placement/ranges.c
+++ b/placement/ranges.c
@@ -113,14 +113,11 @@
 	return (b->share - b->load) / (b->share > 0 ? b->share : 1);
 }
 
-/* The neighbour's target if it has room, else the one that lacks most. */
-static struct bin *choose_bin(struct pass *p, size_t i)
+/* The target that lacks most; neighbours then mostly have other targets. */
+static struct bin *choose_bin(struct pass *p)
 {
-	struct bin *best = i ? find_bin(p, p->owners[i - 1]) : NULL;
+	struct bin *best = NULL;
 
-	if (best && may_get(best->node) && best->load < best->share)
-		return best;
-	best = NULL;
 	for (size_t k = 0; k < p->bin_count; k++) {
 		struct bin *b = &p->bins[k];
 
@@ -137,7 +134,7 @@
 {
 	struct bin *b = find_bin(p, p->slots[i].to);
 
-	return b && may_get(b->node) ? b : choose_bin(p, i);
+	return b && may_get(b->node) ? b : choose_bin(p);
 }
 
 static enum err move_forced(struct pass *p, const struct place_node *nodes,
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -1951,12 +1951,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "born_ms",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Target, leaving),
+    offsetof(Wire__Target, born_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1965,13 +1965,13 @@
 };
 static const unsigned wire__target__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  9,   /* field[9] = born_ms */
   5,   /* field[5] = checks */
   8,   /* field[8] = cold_ms */
   3,   /* field[3] = concurrency */
   4,   /* field[4] = connections */
   7,   /* field[7] = holds */
   6,   /* field[6] = id */
-  9,   /* field[9] = leaving */
   2,   /* field[2] = port */
   0,   /* field[0] = service */
 };
@@ -4125,7 +4125,7 @@
   (ProtobufCMessageInit) wire__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__forward__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wire__forward__field_descriptors[16] =
 {
   {
     "attempt",
@@ -4296,12 +4296,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "repeat",
+    "value_ms",
     15,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Forward, value_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_value",
+    16,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__Forward, repeat),
+    offsetof(Wire__Forward, has_value),
     NULL,
     NULL,
     0,             /* flags */
@@ -4313,6 +4325,7 @@
   8,   /* field[8] = body */
   11,   /* field[11] = caller */
   2,   /* field[2] = deadline_ms */
+  15,   /* field[15] = has_value */
   7,   /* field[7] = headers */
   10,   /* field[10] = idempotent */
   4,   /* field[4] = key */
@@ -4320,15 +4333,15 @@
   5,   /* field[5] = method */
   6,   /* field[6] = path */
   12,   /* field[12] = priority */
-  14,   /* field[14] = repeat */
   13,   /* field[13] = request_id */
   3,   /* field[3] = service */
   9,   /* field[9] = tenant */
+  14,   /* field[14] = value_ms */
 };
 static const ProtobufCIntRange wire__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wire__forward__descriptor =
 {
@@ -4338,7 +4351,7 @@
   "Wire__Forward",
   "wire",
   sizeof(Wire__Forward),
-  15,
+  16,
   wire__forward__field_descriptors,
   wire__forward__field_indices_by_name,
   1,  wire__forward__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -122,9 +122,9 @@
    */
   uint32_t cold_ms;
   /*
-   * finishes what it runs, gets nothing new
+   * wall clock of its start; 0: not stated
    */
-  protobuf_c_boolean leaving;
+  int64_t born_ms;
 };
 #define WIRE__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__target__descriptor) \
@@ -660,13 +660,17 @@
    */
   char *request_id;
   /*
-   * an earlier send of it may have reached a target
+   * until its answer has less than its full value
    */
-  protobuf_c_boolean repeat;
+  int32_t value_ms;
+  /*
+   * value_ms is known
+   */
+  protobuf_c_boolean has_value;
 };
 #define WIRE__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__forward__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Wire__ForwardReply
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -196,7 +196,9 @@
 
 	(void)events;
 	while ((item = adm_expire(&g->adm, clk_ms())))
-		gate_call_fail(call_of(item), OUTCOME_NOT_RUN, ERR_DEADLINE);
+		gate_call_fail(call_of(item), OUTCOME_NOT_RUN,
+			       item->deadline_ms <= clk_ms() ? ERR_DEADLINE
+							     : ERR_SHED);
 	if (!g->adm.queued)
 		ev_timer_stop(loop, w);
 }
@@ -382,9 +384,14 @@
 {
 	struct gate *g = c->g;
 
+	struct adm_rank rank = { c->f->priority, INT64_MAX };
+	int64_t now_ms = clk_ms();
+
+	if (c->f->has_value)
+		rank.value_ms = now_ms + c->f->value_ms;
 	set_limits(g, c->f->service);
-	switch (adm_submit(&g->adm, &c->item, c->f->tenant, clk_ms(),
-			   c->deadline_ms)) {
+	switch (adm_submit_ranked(&g->adm, &c->item, c->f->tenant, now_ms,
+				  c->deadline_ms, &rank)) {
 	case ADM_RUN:
 		gate_call_start(c);
 		break;
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -330,6 +330,30 @@
 	return ++g->silent >= GATE_SILENT_CALLS;
 }
 
+/* What the target did with the request, where that was no success. */
+static void log_target(const struct gate_call *c,
+		       const Wire__ForwardReply *reply, unsigned status)
+{
+	const struct gate *g = c->g;
+
+	if (status && status < 500 && reply->outcome == OUTCOME_ANSWERED)
+		return;
+	log_request(LOG_INFO, "target_end",
+		    "id=%s attempt=%016llx service=%s key=%s target=%s "
+		    "outcome=%s error=%s status=%u ran_ms=%lld left_ms=%lld "
+		    "waited_ms=%lld running=%u queued=%u places=%u sends=%u",
+		    LOG_Q(c->f->request_id), (unsigned long long)c->f->attempt,
+		    LOG_Q(c->f->service), LOG_Q(c->f->key),
+		    g->target ? LOG_Q(g->target->id) : "-",
+		    outcome_name(reply->outcome), err_name(reply->error),
+		    status,
+		    c->sent_ns ? (long long)((clk_ns() - c->sent_ns) / 1000000)
+			       : -1,
+		    (long long)(c->deadline_ms - clk_ms()),
+		    (long long)(c->item.started_ms - c->item.arrived_ms),
+		    g->started, g->adm.queued, g->adm.limit, c->http.sends);
+}
+
 static void end_answered(struct gate_call *c)
 {
 	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
@@ -343,6 +367,7 @@
 	}
 	classify_answer(c, &a, &reply);
 	sample(c, &reply);
+	log_target(c, &reply, reply.status);
 	if (reply.outcome == OUTCOME_ANSWERED) {
 		reply.headers = a.list;
 		reply.n_headers = a.count;
@@ -357,17 +382,18 @@
 
 static void end_failed(struct gate_call *c)
 {
+	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
+
 	if (!c->http.handed) {
 		gate_call_fail(c, OUTCOME_NOT_RUN, unsent_error(c));
 		return;
 	}
 	judge_failed(&c->g->judge, clk_ms());
-	if (c->http.error == ERR_TIMEOUT) {
-		Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
-
-		reply.outcome = OUTCOME_UNKNOWN;
+	reply.outcome = OUTCOME_UNKNOWN;
+	reply.error = c->http.error;
+	log_target(c, &reply, 0);
+	if (c->http.error == ERR_TIMEOUT)
 		sample(c, &reply);
-	}
 	gate_call_fail(c, OUTCOME_UNKNOWN, c->http.error);
 }
 
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -77,6 +77,22 @@
 	in_route(q);
 }
 
+/*
+ * Nobody waits for the answer any more: the attempt is broken off where that
+ * does no harm. The answer that libmicrohttpd still needs promises nothing.
+ */
+static void on_gone(struct httpd_request *r, void *priv)
+{
+	struct ingress *in = priv;
+
+	if (!r->priv)
+		return;
+	cnt_add(in->cnt, "in_abandoned", "", 1);
+	in_detach(r->priv);
+	in_request_free(r->priv);
+	httpd_answer_text(r, 504, "text/plain", "abandoned\n");
+}
+
 /* The connection ended; a request that is still here has no asker any more. */
 static void on_over(struct httpd_request *r, void *priv)
 {
@@ -91,6 +107,7 @@
 
 static const struct httpd_ops http_ops = {
 	.request = on_request,
+	.gone = on_gone,
 	.over = on_over,
 };
 
--- a/routing/ingress_answer.c
+++ b/routing/ingress_answer.c
@@ -1,5 +1,6 @@
 #include "routing/ingress_priv.h"
 #include "common/clk.h"
+#include "common/log.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -86,6 +87,34 @@
 	cnt_add(c, "in_errors", labels, 1);
 }
 
+/*
+ * Answers in time after one try are of no interest but for debugging; all
+ * others tell what decided them.
+ */
+static void log_end(const struct in_request *q, enum wire_outcome outcome,
+		    enum err error, unsigned status)
+{
+	int64_t ms = (clk_ns() - q->arrived_ns) / 1000000;
+	int plain = outcome == OUTCOME_ANSWERED && status < 500 &&
+		    q->tries <= 1 && (!q->target_ms || ms <= q->target_ms);
+	struct view *v = q->in->view;
+
+	log_request(plain ? LOG_DEBUG : LOG_INFO, "request_end",
+		    "id=%s attempt=%016llx service=%s key=%s owner=%s "
+		    "outcome=%s error=%s status=%u tries=%u arrivals=%u "
+		    "took_ms=%lld left_ms=%lld map_revision=%llu "
+		    "doc_revision=%llu",
+		    LOG_Q(q->f.request_id), (unsigned long long)q->f.attempt,
+		    LOG_Q(q->service), q->key ? LOG_Q(q->key) : "-",
+		    LOG_Q(q->owner_name), outcome_name(outcome),
+		    err_name(error), status, q->tries, q->arrivals,
+		    (long long)ms, (long long)(q->deadline_ms - clk_ms()),
+		    (unsigned long long)v->ops->map(v)->rev,
+		    (unsigned long long)(v->ops->doc(v)
+						 ? v->ops->doc(v)->revision
+						 : 0));
+}
+
 static void send_answer(struct in_request *q, unsigned status,
 			const struct answer_headers *h, const void *body,
 			size_t len)
@@ -134,6 +163,7 @@
 	add_own(&h, q, OUTCOME_ANSWERED);
 	add_close(&h, q, 0);
 	count(q, OUTCOME_ANSWERED, ERR_OK);
+	log_end(q, OUTCOME_ANSWERED, ERR_OK, reply->status);
 	if (length) {
 		httpd_answer_head(q->http, reply->status, h.list, h.count,
 				  strtoull(length, NULL, 10));
@@ -205,6 +235,7 @@
 
 	in_detach(q);
 	count(q, outcome, error);
+	log_end(q, outcome, error, status);
 	if (headers_init(&h, 0) != ERR_OK) {
 		httpd_answer_text(q->http, status, "text/plain", "no_memory\n");
 		in_request_free(q);
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -76,10 +76,19 @@
 	return q->deadline_ms - clk_ms();
 }
 
+static int64_t waited_ms(const struct in_request *q)
+{
+	return (clk_ns() - q->arrived_ns) / 1000000;
+}
+
 /* Ends the request; an earlier try that may have run decides the outcome. */
 static void give_up(struct in_request *q, enum err error,
 		    uint32_t retry_after_ms)
 {
+	/* Spread, so that callers refused together do not return together. */
+	if (retry_after_ms)
+		retry_after_ms = (uint32_t)(retry_after_ms *
+					    g_random_double_range(0.7, 1.5));
 	in_answer_error(q, q->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
 			error, retry_after_ms);
 }
@@ -94,13 +103,24 @@
 }
 
 /*
- * How long a request may wait for an owner that is on its way. A quarter of
- * the time within which its answer has its full value; a caller that is told
- * earlier when to come back is served sooner than one that waits.
+ * How long a request may wait for an owner. Where the slot is moving between
+ * live nodes, the new owner has it within an announcement's period, and an
+ * answer after the time of full value still counts for something. Where the
+ * owner is lost, its hold has to run out first: the caller is told to return.
  */
-static int64_t owner_patience(const struct in_request *q)
+static int64_t owner_patience(const struct in_request *q, enum err error)
 {
-	return q->target_ms ? q->target_ms / 4 : INT64_MAX;
+	if (!q->target_ms)
+		return INT64_MAX;
+	switch (error) {
+	case ERR_RELEASING:
+	case ERR_NO_GRANT:
+		return q->target_ms;
+	case ERR_NOT_OWNER:
+		return q->target_ms / 2;
+	default:
+		return q->target_ms / 8;
+	}
 }
 
 /* The key's owner is not known, not ready or another: no load was added. */
@@ -111,7 +131,7 @@
 
 	if (!q->waiting_ms)
 		q->waiting_ms = now_ms;
-	if (left <= 0 || now_ms - q->waiting_ms >= owner_patience(q)) {
+	if (left <= 0 || now_ms - q->waiting_ms >= owner_patience(q, error)) {
 		give_up(q, error, 0);
 		return;
 	}
@@ -140,7 +160,8 @@
 {
 	int64_t pause = backoff_ms(q);
 
-	if (pause >= time_left(q)) {
+	if (pause >= time_left(q) ||
+	    (q->target_ms && waited_ms(q) + pause >= q->target_ms / 2)) {
 		give_up(q, reply->error, reply->retry_after_ms);
 		return;
 	}
@@ -437,6 +458,8 @@
 		q->f.attempt = ++in->next_attempt;
 	q->f.map_rev = q->map_rev;
 	q->f.deadline_ms = (uint32_t)time_left(q);
+	q->f.has_value = q->target_ms != 0;
+	q->f.value_ms = (int32_t)q->target_ms - (int32_t)waited_ms(q);
 	if (!q->keyed) {
 		q->chosen = 1;
 		choose_sent(&in->choose, q->owner);
--- a/standins/target.c
+++ b/standins/target.c
@@ -481,7 +481,10 @@
 	http->priv = NULL;
 }
 
-static const struct httpd_ops server_ops = { on_request, on_over };
+static const struct httpd_ops server_ops = {
+	.request = on_request,
+	.over = on_over,
+};
 
 static void set_announce_timer(struct target *t, int64_t ms)
 {
--- a/transport/httpd.c
+++ b/transport/httpd.c
@@ -94,6 +94,7 @@
 
 static void request_free(struct httpd_request *r)
 {
+	ev_io_stop(r->server->loop, &r->gone);
 	DL_DELETE(r->server->requests, r);
 	if (r->response)
 		MHD_destroy_response(r->response);
@@ -114,6 +115,36 @@
 	return ok;
 }
 
+/*
+ * While a request waits for its answer, libmicrohttpd does not look at the
+ * connection. Bytes of a next request are left where they are.
+ */
+static void on_gone(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct httpd_request *r = w->data;
+	char byte;
+	ssize_t n = recv(w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	(void)events;
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	ev_io_stop(loop, w);
+	if (n <= 0)
+		r->server->ops->gone(r, r->server->priv);
+}
+
+static void watch_caller(struct httpd_request *r)
+{
+	const union MHD_ConnectionInfo *ci = MHD_get_connection_info(
+		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	if (!r->server->ops->gone || !ci)
+		return;
+	ev_io_init(&r->gone, on_gone, ci->connect_fd, EV_READ);
+	r->gone.data = r;
+	ev_io_start(r->server->loop, &r->gone);
+}
+
 static enum MHD_Result dispatch(struct httpd_request *r)
 {
 	struct httpd *d = r->server;
@@ -128,6 +159,7 @@
 		return queue_response(r);
 	r->suspended = 1;
 	MHD_suspend_connection(r->conn);
+	watch_caller(r);
 	return MHD_YES;
 }
 
@@ -443,6 +475,7 @@
 	r->answered = 1;
 	r->status = status;
 	r->response = response;
+	ev_io_stop(r->server->loop, &r->gone);
 	resume(r);
 }
 
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -29,6 +29,7 @@
 	enum err error;
 	void *priv; /* the callee's */
 
+	ev_io gone; /* sees the caller leave while the answer is awaited */
 	int dispatched;
 	int suspended;
 	int answered;
@@ -46,6 +47,11 @@
 struct httpd_ops {
 	/* A whole request. Answer now or later, exactly once. */
 	void (*request)(struct httpd_request *r, void *priv);
+	/*
+	 * The caller has closed its connection before the answer. The answer
+	 * that is still due reaches nobody. May be NULL.
+	 */
+	void (*gone)(struct httpd_request *r, void *priv);
 	/*
 	 * The request is over, after the answer was sent or the connection
 	 * broke; r is freed after this. May be NULL.
