daemon: a planned stop with a notice for callers; settings read again

Change: with stop.notice_ms, new requests are served until readiness checks have sent callers elsewhere, then refused; the process ends by itself before the grace is over. SIGHUP and a changed file read the settings again on the platform.

--- a/config/opt.h
+++ b/config/opt.h
@@ -38,6 +38,7 @@
 	int (*check)(const char *s); /* OPT_TEXT, may be NULL; true: valid */
 	const char *allowed;	     /* OPT_TEXT: what check accepts */
 	int power_of_two;
+	int live; /* may change while the program runs */
 	const char *meaning;
 };
 
--- a/config/set.c
+++ b/config/set.c
@@ -150,6 +150,7 @@
 	  .min = 0,
 	  .max = 1,
 	  .number = 0.1,
+	  .live = 1,
 	  .meaning = "retries of the fleet as a share of the requests for "
 		     "one service" },
 	{ .name = "retries.slack",
@@ -158,6 +159,7 @@
 	  .min = 0,
 	  .max = 1000000,
 	  .number = 50,
+	  .live = 1,
 	  .meaning = "retries of the fleet beyond that in one window" },
 	{ .name = "retries.window_ms",
 	  .type = OPT_TIME,
@@ -165,6 +167,7 @@
 	  .min = 100,
 	  .max = 600000,
 	  .number = 10000,
+	  .live = 1,
 	  .meaning = "window of the two limits above" },
 	{ .name = "stop.grace_ms",
 	  .type = OPT_TIME,
@@ -172,7 +175,17 @@
 	  .min = 100,
 	  .max = 600000,
 	  .number = 30000,
+	  .live = 1,
 	  .meaning = "time between SIGTERM and the end of the process" },
+	{ .name = "stop.notice_ms",
+	  .type = OPT_TIME,
+	  F(notice_ms),
+	  .min = 0,
+	  .max = 600000,
+	  .live = 1,
+	  .meaning = "new requests are served for so long after SIGTERM, "
+		     "while readiness checks send callers elsewhere; 0: "
+		     "until the slots have moved" },
 	{ .name = "limits.max_callers",
 	  .type = OPT_INT,
 	  F(max_callers),
@@ -193,6 +206,7 @@
 	  .min = 1,
 	  .max = 65536,
 	  .number = 1024,
+	  .live = 1,
 	  .meaning = "requests that the ingress holds at one time" },
 	{ .name = "limits.stale_ms",
 	  .type = OPT_TIME,
@@ -200,6 +214,7 @@
 	  .min = 0,
 	  .max = 600000,
 	  .number = 5000,
+	  .live = 1,
 	  .meaning = "requests are refused when map and document have not "
 		     "been confirmed for so long; 0: never" },
 	{ .name = "log.level",
@@ -207,6 +222,7 @@
 	  F(log_level),
 	  .number = LOG_INFO,
 	  .choices = log_levels,
+	  .live = 1,
 	  .meaning = "lowest level that is logged" },
 };
 
@@ -405,6 +421,28 @@
 	return set_parse(s, text, len, path, problems);
 }
 
+int set_reload(struct settings *s, const struct settings *newer,
+	       struct buf *rest)
+{
+	int taken = 0;
+
+	for (size_t i = 0; i < TABLE_COUNT; i++) {
+		const struct opt *o = &table[i];
+		char *field = (char *)s + o->offset;
+		const char *from = (const char *)newer + o->offset;
+
+		if (!memcmp(field, from, o->size))
+			continue;
+		if (o->live) {
+			memcpy(field, from, o->size);
+			taken++;
+		} else {
+			buf_addf(rest, "%s%s", rest->len ? " " : "", o->name);
+		}
+	}
+	return taken;
+}
+
 void set_describe(struct buf *out)
 {
 	for (size_t i = 0; i < TABLE_COUNT; i++)
--- a/config/set.h
+++ b/config/set.h
@@ -57,7 +57,8 @@
 	int retry_slack;    /* retries beyond that in one window */
 	int retry_window_ms;
 	/* [stop] */
-	int grace_ms; /* after SIGTERM the process may live so long */
+	int grace_ms;  /* after SIGTERM the process may live so long */
+	int notice_ms; /* callers are served so long after SIGTERM, at least */
 	/* [limits] */
 	int max_callers;    /* open connections of callers */
 	int max_body_bytes; /* upper bound for the document's limits */
@@ -88,6 +89,13 @@
  */
 #define SET_GRANT_ANNOUNCEMENTS 4
 int set_grant_ms(const struct settings *s);
+/*
+ * Takes over from the newer settings what can change while a daemon runs.
+ * Names of settings that differ and need a restart are appended to rest,
+ * separated by blanks. Returns how many were taken over.
+ */
+int set_reload(struct settings *s, const struct settings *newer,
+	       struct buf *rest);
 /* The peer port that other daemons use. */
 unsigned set_peer_port(const struct settings *s);
 /* Table of all settings with type, range, default and meaning, as text. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,4 +1,5 @@
 #include "daemon/node.h"
+#include "common/buf.h"
 #include "common/guard.h"
 #include "common/log.h"
 
@@ -8,6 +9,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/random.h>
+#include <sys/stat.h>
+#include <time.h>
 
 #define EXIT_USAGE 2
 
@@ -59,24 +62,94 @@
 static const struct argp argp = { options, parse_option, NULL, doc,
 				  NULL,	   NULL,	 NULL };
 
-static void on_stop(struct ev_loop *loop, ev_signal *w, int events)
+/* The file is looked at so often, since it may change without a signal. */
+#define SETTINGS_PERIOD_S 5.
+
+struct daemon {
+	struct node node;
+	struct settings *set;
+	const char *path;	 /* of the settings file */
+	struct timespec changed; /* of the file, as read last */
+	ev_timer timer;
+};
+
+static int read_settings(struct settings *set, const char *path,
+			 struct buf *problems)
+{
+	return set_read(set, path, problems) == ERR_OK;
+}
+
+/* Settings that need a restart keep their old values until then. */
+static void reload(struct daemon *d)
 {
+	struct settings newer;
+	struct buf text;
+	int taken;
+
+	buf_init(&text);
+	if (!read_settings(&newer, d->path, &text)) {
+		log_error("settings_refused", "problems=%s",
+			  LOG_Q(buf_text(&text)));
+		buf_finish(&text);
+		return;
+	}
+	taken = set_reload(d->set, &newer, &text);
+	log_setup(d->set->name, d->set->log_level);
+	log_info("settings_reloaded", "changed=%d need_restart=%s", taken,
+		 text.len ? LOG_Q(buf_text(&text)) : "-");
+	buf_finish(&text);
+}
+
+static int file_changed(struct daemon *d)
+{
+	struct stat st;
+
+	if (stat(d->path, &st) < 0)
+		return 0;
+	if (st.st_mtim.tv_sec == d->changed.tv_sec &&
+	    st.st_mtim.tv_nsec == d->changed.tv_nsec)
+		return 0;
+	d->changed = st.st_mtim;
+	return 1;
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	if (file_changed(w->data))
+		reload(w->data);
+}
+
+/*
+ * SIGHUP restarts a daemon of the product's own interface; a platform sends it
+ * when the settings have changed.
+ */
+static void on_signal(struct ev_loop *loop, ev_signal *w, int events)
+{
+	struct daemon *d = w->data;
+
 	(void)loop;
 	(void)events;
-	node_stop(w->data, w->signum == SIGHUP);
+	if (w->signum == SIGHUP && d->set->interface == SET_PLATFORM) {
+		file_changed(d);
+		reload(d);
+		return;
+	}
+	node_stop(&d->node, w->signum == SIGHUP);
 }
 
-static int read_settings(struct settings *set, const char *path)
+static int read_or_complain(struct settings *set, const char *path)
 {
 	struct buf problems;
-	enum err e;
+	int ok;
 
 	buf_init(&problems);
-	e = set_read(set, path, &problems);
-	if (e != ERR_OK)
+	ok = read_settings(set, path, &problems);
+	if (!ok)
 		fputs(buf_text(&problems), stderr);
 	buf_finish(&problems);
-	return e == ERR_OK;
+	return ok;
 }
 
 static int describe_settings(void)
@@ -90,32 +163,38 @@
 	return 0;
 }
 
-static int run(const struct settings *set)
+static int run(struct settings *set, const char *path)
 {
 	static const int signals[] = { SIGTERM, SIGINT, SIGHUP };
 	struct ev_loop *loop = ev_default_loop(0);
 	struct err_info info = { ERR_OK, "" };
 	ev_signal watchers[3];
-	struct node node;
+	struct daemon d = { .set = set, .path = path };
 	int status = 1;
 
-	if (node_init(&node, loop, set, &info) != ERR_OK) {
+	file_changed(&d);
+	ev_timer_init(&d.timer, on_timer, SETTINGS_PERIOD_S, SETTINGS_PERIOD_S);
+	d.timer.data = &d;
+	if (node_init(&d.node, loop, set, &info) != ERR_OK) {
 		log_error("start_failed", "error=%s detail=%s",
 			  err_name(info.code), LOG_Q(info.detail));
 		goto out;
 	}
 	for (int i = 0; i < 3; i++) {
-		ev_signal_init(&watchers[i], on_stop, signals[i]);
-		watchers[i].data = &node;
+		ev_signal_init(&watchers[i], on_signal, signals[i]);
+		watchers[i].data = &d;
 		ev_signal_start(loop, &watchers[i]);
 	}
-	log_info("started", "address=%s http=%d peer=%d admin=%d", set->address,
-		 set->http_port, set->peer_port, set->admin_port);
+	if (set->interface == SET_PLATFORM)
+		ev_timer_start(loop, &d.timer);
+	log_info("started", "address=%s http=%d peer=%d admin=%d interface=%s",
+		 set->address, set->http_port, set->peer_port, set->admin_port,
+		 d.node.interface->name);
 	ev_run(loop, 0);
-	log_info("stopped", "restart=%d", node.restarting);
+	log_info("stopped", "restart=%d", d.node.restarting);
 	status = 0;
 out:
-	node_finish(&node);
+	node_finish(&d.node);
 	ev_loop_destroy(loop);
 	return status;
 }
@@ -132,7 +211,7 @@
 		return EXIT_USAGE;
 	if (args.describe)
 		return describe_settings();
-	if (!read_settings(&set, args.config))
+	if (!read_or_complain(&set, args.config))
 		return EXIT_USAGE;
 	if (args.check)
 		return 0;
@@ -142,7 +221,7 @@
 	guard_from_environment();
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	status = run(&set);
+	status = run(&set, args.config);
 	curl_global_cleanup();
 	return status;
 }
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -91,18 +91,31 @@
 	}
 }
 
-static void on_left(void *priv)
+/* Nothing new from here on; the process ends when nothing is open. */
+static void start_finishing(struct node *n)
 {
-	struct node *n = priv;
-
 	if (n->stop != NODE_LEAVING)
 		return;
 	n->stop = NODE_FINISHING;
 	n->finishing_ms = clk_ms();
 	release_all(n);
 	ingress_quiesce(n->ingress);
-	log_info("finishing", "open=%u in_flight=%u", ingress_open(n->ingress),
-		 gate_in_flight(n->gate));
+	if (n->set->notice_ms) {
+		ingress_refuse(n->ingress);
+		gate_quiesce(n->gate);
+	}
+	log_info("finishing", "open=%u in_flight=%u slots_left=%d",
+		 ingress_open(n->ingress), gate_in_flight(n->gate),
+		 n->slots_left);
+}
+
+static void on_left(void *priv)
+{
+	struct node *n = priv;
+
+	n->slots_left = 1;
+	if (!n->set->notice_ms)
+		start_finishing(n);
 }
 
 static enum err on_held(uint32_t slot, uint64_t fence, int64_t now_ms,
@@ -203,24 +216,60 @@
 
 /* ---- life ---- */
 
+/*
+ * With a notice, callers are served until it is over, and the slots have until
+ * half of the grace to move; what has not moved by then waits for the next
+ * process, or for the end of this node's grant.
+ */
+static void stop_tick(struct node *n, int64_t now_ms)
+{
+	int64_t age_ms = now_ms - n->stop_ms;
+	int64_t latest_ms = n->set->grace_ms / 2;
+
+	if (!n->set->notice_ms) {
+		if (mem_is_detached(n->mem) && age_ms > NODE_DETACHED_MS)
+			start_finishing(n);
+		return;
+	}
+	if (latest_ms < n->set->notice_ms)
+		latest_ms = n->set->notice_ms;
+	if (age_ms >= latest_ms ||
+	    (n->slots_left && age_ms >= n->set->notice_ms))
+		start_finishing(n);
+}
+
+static void finish_tick(struct node *n, int64_t now_ms)
+{
+	unsigned open = ingress_open(n->ingress);
+	unsigned in_flight = gate_in_flight(n->gate);
+	int late =
+		n->set->notice_ms &&
+		now_ms - n->stop_ms >= n->set->grace_ms - NODE_GRACE_MARGIN_MS;
+
+	if (late && (open || in_flight))
+		log_warn("stop_cut_off", "open=%u in_flight=%u", open,
+			 in_flight);
+	if (late || (!open && !in_flight &&
+		     (!peers_unsent(n->peers) ||
+		      now_ms - n->finishing_ms > NODE_UNSENT_MS)))
+		ev_break(n->loop, EVBREAK_ALL);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct node *n = w->data;
 	int64_t now_ms = clk_ms();
 
+	(void)loop;
 	(void)events;
 	node_target_tick(n, now_ms);
 	if (n->feed && coord_active(n->coord) &&
 	    doc_feed_age_ms(n->feed) >= NODE_DOCUMENT_POLL_MS)
 		doc_feed_poll(n->feed);
-	if (n->stop == NODE_LEAVING && mem_is_detached(n->mem) &&
-	    now_ms - n->stop_ms > NODE_DETACHED_MS)
-		on_left(n);
-	if (n->stop == NODE_FINISHING && !ingress_open(n->ingress) &&
-	    !gate_in_flight(n->gate) &&
-	    (!peers_unsent(n->peers) ||
-	     now_ms - n->finishing_ms > NODE_UNSENT_MS))
-		ev_break(loop, EVBREAK_ALL);
+	if (n->stop == NODE_LEAVING)
+		stop_tick(n, now_ms);
+	if (n->stop == NODE_FINISHING)
+		finish_tick(n, now_ms);
 }
 
 static enum err start_store(struct node *n, struct err_info *info)
@@ -376,6 +425,10 @@
 	n->stop = NODE_LEAVING;
 	n->stop_ms = clk_ms();
 	n->restarting = restart;
-	log_info("stopping", "restart=%d", restart);
+	log_info("stopping", "restart=%d open=%u in_flight=%u", restart,
+		 ingress_open(n->ingress), gate_in_flight(n->gate));
+	/* The others choose this node's target no more. */
+	if (n->set->notice_ms)
+		node_target_leaving(n);
 	mem_leave(n->mem, restart);
 }
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -31,6 +31,11 @@
  * third of the time within which a document is to be in force.
  */
 #define NODE_DOCUMENT_POLL_MS 700
+/*
+ * A stop with a notice ends this long before the process would be killed, so
+ * that the last answers are sent.
+ */
+#define NODE_GRACE_MARGIN_MS 250
 /* Replies to a node that does not read any more are not waited for. */
 #define NODE_UNSENT_MS 3000
 
@@ -80,6 +85,7 @@
 	enum node_stop stop;
 	int64_t stop_ms; /* when the planned stop began */
 	int64_t finishing_ms;
+	int slots_left; /* the coordinator has let this node go */
 	int restarting;
 	ev_timer timer;
 };
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -328,6 +328,8 @@
 
 	if (e != ERR_OK)
 		return e;
+	if (g->quiesced)
+		return ERR_NO_TARGET;
 	if (!f->deadline_ms)
 		return ERR_DEADLINE;
 	e = check_owner(g, f, slot);
@@ -531,6 +533,11 @@
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_NO_TARGET);
 }
 
+void gate_quiesce(struct gate *g)
+{
+	g->quiesced = 1;
+}
+
 int64_t gate_answer_age_ms(const struct gate *g)
 {
 	return g->answered_ms ? clk_ms() - g->answered_ms : INT64_MAX;
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -46,6 +46,8 @@
 
 /* The target is to get no new work, but for slots that it still owns. */
 void gate_target_leaving(struct gate *g);
+/* Takes nothing new at all; what it has goes on. */
+void gate_quiesce(struct gate *g);
 /* 1 if nothing of a slot that is being released is in flight. */
 int gate_slot_is_empty(const struct gate *g, uint32_t slot);
 /* Milliseconds since the target last answered; INT64_MAX: never. */
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -60,6 +60,7 @@
 	void *priv;
 	struct httpc client;
 	Wire__Target *target; /* owned; NULL: none */
+	int quiesced;
 	int leaving;	      /* the target gets no new work without a key */
 	int64_t answered_ms;  /* when it last answered; 0 never */
 	int lost_reported;
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -47,7 +47,7 @@
 
 static enum err check_ingress(const struct ingress *in, const struct doc *doc)
 {
-	if (in->open > in->max_open)
+	if (in->open > in->max_open || in->refusing)
 		return ERR_SHED;
 	return doc ? ERR_OK : ERR_STALE;
 }
@@ -171,6 +171,11 @@
 	httpd_quiesce(&in->http);
 }
 
+void ingress_refuse(struct ingress *in)
+{
+	in->refusing = 1;
+}
+
 unsigned ingress_open(const struct ingress *in)
 {
 	return in->open;
--- a/routing/ingress.h
+++ b/routing/ingress.h
@@ -23,6 +23,8 @@
 void ingress_free(struct ingress *in);
 /* Stops accepting connections; requests under way go on. */
 void ingress_quiesce(struct ingress *in);
+/* New requests are refused from now on; those under way go on. */
+void ingress_refuse(struct ingress *in);
 /* Requests that have not been answered. */
 unsigned ingress_open(const struct ingress *in);
 /* The map or the document changed: wakes requests that wait for it. */
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -106,6 +106,7 @@
 	unsigned max_open;
 	uint64_t next_attempt;
 	int quiesced;
+	int refusing;
 };
 
 /* ingress.c */
