membership: a node whose earlier process held office elects itself

Cause: after all processes were killed, the record named a process that had ended; every node waited 1.6 to 3.1 s before it replaced the record. Change: a node that reads a record of an earlier run of itself replaces it at once. The announced concurrency is used as it is on the platform: the adaptive limit took slow calls of the target for queueing and fell to 9 of 18 places.

--- a/config/set.c
+++ b/config/set.c
@@ -137,6 +137,12 @@
 	  .max = 60000,
 	  .meaning = "longest time a target holds keys after an "
 		     "announcement; 0: it holds none" },
+	{ .name = "target.adapt_concurrency",
+	  .type = OPT_BOOL,
+	  F(adapt_concurrency),
+	  .number = 1,
+	  .meaning = "send fewer requests at a time than the target "
+		     "announced when its answers slow down" },
 	{ .name = "ownership.grant_ms",
 	  .type = OPT_TIME,
 	  F(grant_ms),
--- a/config/set.h
+++ b/config/set.h
@@ -50,6 +50,7 @@
 	 * targets hold none and go by the fence of each request.
 	 */
 	int hold_max_ms;
+	int adapt_concurrency; /* use less than announced if answers slow */
 	/* [ownership] */
 	int grant_ms; /* as set; 0: see set_grant_ms */
 	/* [retries] */
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -346,6 +346,7 @@
 	    peers_new(&n->peers, n->loop, v, n->gate, &n->cnt, n->set->name,
 		      n->incarnation) != ERR_OK)
 		return err_set(info, ERR_NOMEM, "routing");
+	gate_set_adaptive(n->gate, n->set->adapt_concurrency);
 	return ingress_new(&n->ingress, n->loop, n->set, n->interface->dialect,
 			   v, n->gate, n->peers, &n->cnt, n->incarnation, info);
 }
--- a/membership/mem_find.c
+++ b/membership/mem_find.c
@@ -201,6 +201,17 @@
 		}
 		r.mod_revision = kv->mod_revision;
 	}
+	/*
+	 * The record is of an earlier process of this node, which has ended:
+	 * nobody is in office, and no other node can know it sooner.
+	 */
+	if (result->count && r.incarnation != m->config.incarnation &&
+	    strcmp(r.node, m->config.set->name) == 0 &&
+	    r.peer_port == set_peer_port(m->config.set) &&
+	    strcmp(r.address, m->config.set->address) == 0) {
+		m->config.ops->elect(&r, m->config.priv);
+		return;
+	}
 	if (r.term > m->coordinator.term) {
 		mem_follow(m, r.term, r.address, r.peer_port);
 		snprintf(m->coordinator.node, sizeof(m->coordinator.node), "%s",
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -18,6 +18,16 @@
 
 static void on_expiry(struct ev_loop *loop, ev_timer *w, int events);
 
+uint32_t gate_limit(const struct gate *g)
+{
+	return g->fixed ? g->conc.max : conc_limit(&g->conc);
+}
+
+void gate_set_adaptive(struct gate *g, int adaptive)
+{
+	g->fixed = !adaptive;
+}
+
 enum err gate_new(struct gate **out, struct ev_loop *loop, struct view *view,
 		  struct cnt *cnt, const struct dialect *dialect,
 		  const struct gate_ops *ops, void *priv)
@@ -252,8 +262,7 @@
 	} else {
 		conc_set_max(&g->conc, places);
 	}
-	adm_set(&g->adm, conc_limit(&g->conc), g->adm.queue,
-		g->adm.tenant_share);
+	adm_set(&g->adm, gate_limit(g), g->adm.queue, g->adm.tenant_share);
 }
 
 void gate_set_target(struct gate *g, const Wire__Target *t)
@@ -379,7 +388,7 @@
 	uint32_t queue = s ? s->queue : GATE_DEFAULT_QUEUE;
 	double share = s ? s->tenant_share : GATE_DEFAULT_SHARE;
 
-	adm_set(&g->adm, conc_limit(&g->conc), queue, share);
+	adm_set(&g->adm, gate_limit(g), queue, share);
 }
 
 static void admit(struct gate_call *c)
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -44,6 +44,8 @@
 		  const struct gate_ops *ops, void *priv);
 void gate_free(struct gate *g);
 
+/* 0: as many requests at a time as the target announced, always. */
+void gate_set_adaptive(struct gate *g, int adaptive);
 /* The target is to get no new work, but for slots that it still owns. */
 void gate_target_leaving(struct gate *g);
 /* Takes nothing new at all; what it has goes on. */
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -298,8 +298,7 @@
 		return;
 	conc_sample(&g->conc, us, c->in_flight,
 		    reply->error == ERR_TARGET_REFUSED);
-	adm_set(&g->adm, conc_limit(&g->conc), g->adm.queue,
-		g->adm.tenant_share);
+	adm_set(&g->adm, gate_limit(g), g->adm.queue, g->adm.tenant_share);
 	if (reply->outcome != OUTCOME_ANSWERED)
 		return;
 	hist_add(&g->latency, us);
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -60,6 +60,7 @@
 	void *priv;
 	struct httpc client;
 	Wire__Target *target; /* owned; NULL: none */
+	int fixed; /* the announced concurrency is used, not conc's */
 	int quiesced;
 	int leaving;	      /* the target gets no new work without a key */
 	int64_t answered_ms;  /* when it last answered; 0 never */
@@ -84,6 +85,9 @@
 
 /* gate.c */
 
+/* Requests that may be at the target now. */
+uint32_t gate_limit(const struct gate *g);
+
 /*
  * Ends a call: accounts for it, runs its callback, frees it. reply needs
  * outcome and error, and the answer's parts for OUTCOME_ANSWERED.
