--- a/daemon/holds.c
+++ b/daemon/holds.c
@@ -75,34 +75,140 @@
 		a->rows[a->row_count++] = *r;
 }
 
+/* How much an answer is cut down to fit. */
+enum answer_form {
+	ANSWER_WHOLE,
+	ANSWER_ONE_FENCE, /* neighbours with different fences are joined */
+	ANSWER_COLD,	  /* and without handovers, so that all are joined */
+	ANSWER_FORMS
+};
+
+/*
+ * Never below one that the target has seen: it would refuse the row. An earlier
+ * process of this daemon may have given it a higher one than the map's.
+ */
+static uint64_t fence_of(struct node *n, const struct map_service *s,
+			 uint32_t slot)
+{
+	uint64_t given = hold_fence(&n->hold, slot);
+	uint64_t fence = node_map(n)->slots[slot].fence;
+	uint64_t reported;
+	uint32_t first, last;
+
+	map_slot_numbers(s, slot, &first, &last);
+	reported = hold_reported_fence(&n->hold, first, last);
+	if (given > fence)
+		fence = given;
+	return reported > fence ? reported : fence;
+}
+
+static int is_given(struct node *n, uint32_t slot)
+{
+	return node_map(n)->slots[slot].owner == mem_id(n->mem) &&
+	       !hold_is_releasing(&n->hold, slot);
+}
+
+static uint64_t highest_fence(struct node *n, const struct map_service *s)
+{
+	uint64_t highest = 0;
+
+	for (uint32_t i = 0; i < s->shards; i++) {
+		uint32_t slot = s->first_slot + i;
+
+		if (is_given(n, slot) && fence_of(n, s, slot) > highest)
+			highest = fence_of(n, s, slot);
+	}
+	return highest;
+}
+
 /* A handover is of use only until the target has the keys. */
-static void fill_row(struct node *n, const struct map_slot *s, uint32_t first,
-		     uint32_t last, struct hold_row *r)
+static void fill_row(struct node *n, uint32_t slot, uint64_t fence,
+		     enum answer_form form, struct hold_row *r)
 {
-	memset(r, 0, sizeof(*r));
-	r->first = first;
-	r->last = last;
-	r->fence = s->fence;
-	if (s->handover && strlen(s->handover) < sizeof(r->handover) &&
-	    !hold_has(&n->hold, first, last, s->fence))
-		memcpy(r->handover, s->handover, strlen(s->handover) + 1);
+	const char *handover = node_map(n)->slots[slot].handover;
+
+	r->fence = fence;
+	if (form != ANSWER_COLD && handover &&
+	    strlen(handover) < sizeof(r->handover) &&
+	    !hold_has(&n->hold, r->first, r->last,
+		      node_map(n)->slots[slot].fence))
+		memcpy(r->handover, handover, strlen(handover) + 1);
 }
 
-static void give_slot(struct node *n, const struct map_service *s,
-		      uint32_t slot, int64_t now_ms, struct announce_answer *a)
+static void fill_rows(struct node *n, const struct map_service *s,
+		      enum answer_form form, struct announce_answer *a)
 {
-	const struct map_slot *m = &node_map(n)->slots[slot];
-	struct hold_row row;
-	uint32_t first, last;
+	uint64_t highest = form == ANSWER_WHOLE ? 0 : highest_fence(n, s);
 
-	if (m->owner != mem_id(n->mem) || hold_is_releasing(&n->hold, slot))
-		return;
-	map_slot_numbers(s, slot, &first, &last);
-	if (hold_answer_add(&n->hold, slot, first, last, m->fence, now_ms,
-			    a->time_ms) != ERR_OK)
-		return;
-	fill_row(n, m, first, last, &row);
-	add_row(a, &row);
+	a->row_count = 0;
+	for (uint32_t i = 0; i < s->shards; i++) {
+		uint32_t slot = s->first_slot + i;
+		struct hold_row row = { 0 };
+
+		if (!is_given(n, slot))
+			continue;
+		map_slot_numbers(s, slot, &row.first, &row.last);
+		fill_row(n, slot, highest ? highest : fence_of(n, s, slot),
+			 form, &row);
+		add_row(a, &row);
+	}
+}
+
+static int fits(struct node *n, const struct announce_answer *a)
+{
+	size_t max = n->interface->answer_max_bytes;
+	struct buf b;
+	int ok;
+
+	if (!max)
+		return 1;
+	buf_init(&b);
+	n->interface->write_answer(a, &b);
+	ok = b.len <= max;
+	buf_finish(&b);
+	return ok;
+}
+
+/* An answer that is too long counts as none, and the target loses all. */
+static void fit_rows(struct node *n, const struct map_service *s,
+		     struct announce_answer *a)
+{
+	size_t all;
+
+	for (int form = 0; form < ANSWER_FORMS; form++) {
+		fill_rows(n, s, (enum answer_form)form, a);
+		if (fits(n, a))
+			return;
+	}
+	all = a->row_count;
+	while (a->row_count && !fits(n, a))
+		a->row_count--;
+	log_error("target_rows_cut", "rows=%zu of=%zu", a->row_count, all);
+}
+
+/* What the rows give counts as held from now on. */
+static void note_rows(struct node *n, const struct map_service *s,
+		      const struct announce_answer *a, int64_t now_ms)
+{
+	size_t r = 0;
+
+	for (uint32_t i = 0; i < s->shards; i++) {
+		uint32_t slot = s->first_slot + i;
+		uint32_t first, last;
+
+		if (!is_given(n, slot))
+			continue;
+		map_slot_numbers(s, slot, &first, &last);
+		while (r < a->row_count && a->rows[r].last < first)
+			r++;
+		if (r == a->row_count || a->rows[r].first > first)
+			continue;
+		if (hold_answer_add(&n->hold, slot, first, last,
+				    a->rows[r].fence, now_ms,
+				    a->time_ms) != ERR_OK)
+			log_error("hold_add_failed", "slot=%u error=%s", slot,
+				  err_name(ERR_NOMEM));
+	}
 }
 
 /* The gate takes no new work for what the answer leaves out. */
@@ -154,8 +260,8 @@
 	if (!answer->time_ms)
 		return;
 	answer->has_holds = 1;
-	for (uint32_t i = 0; i < s->shards; i++)
-		give_slot(n, s, s->first_slot + i, now_ms, answer);
+	fit_rows(n, s, answer);
+	note_rows(n, s, answer, now_ms);
 	log_debug("target_holds", "rows=%zu time_ms=%lld map_revision=%llu",
 		  answer->row_count, (long long)answer->time_ms,
 		  (unsigned long long)m->rev);
--- a/daemon/interface.h
+++ b/daemon/interface.h
@@ -64,6 +64,7 @@
 				      size_t len, struct announcement *out,
 				      struct err_info *info);
 	void (*write_answer)(const struct announce_answer *a, struct buf *out);
+	size_t answer_max_bytes; /* a longer answer is no answer; 0: no limit */
 	/* Path of readiness checks. */
 	const char *ready_path;
 };
--- a/ownership/hold.c
+++ b/ownership/hold.c
@@ -44,6 +44,7 @@
 		s->end_ms = 0;
 		s->given = 0;
 		s->reported = 0;
+		s->fence = 0;
 		s->handover[0] = 0;
 	}
 	free(h->rows);
@@ -199,13 +200,33 @@
 	return ERR_OK;
 }
 
+uint64_t hold_fence(const struct hold *h, uint32_t slot)
+{
+	const struct hold_slot *s = find(h, slot);
+
+	return s ? s->fence : 0;
+}
+
+uint64_t hold_reported_fence(const struct hold *h, uint32_t first,
+			     uint32_t last)
+{
+	uint64_t fence = 0;
+
+	for (size_t i = 0; i < h->row_count; i++) {
+		if (overlaps(&h->rows[i], first, last) &&
+		    h->rows[i].fence > fence)
+			fence = h->rows[i].fence;
+	}
+	return fence;
+}
+
 int hold_has(const struct hold *h, uint32_t first, uint32_t last,
 	     uint64_t fence)
 {
 	for (size_t i = 0; i < h->row_count; i++) {
 		const struct hold_row *r = &h->rows[i];
 
-		if (r->fence == fence && r->first <= first && last <= r->last)
+		if (r->fence >= fence && r->first <= first && last <= r->last)
 			return 1;
 	}
 	return 0;
@@ -217,7 +238,7 @@
 	const struct hold_slot *s = find(h, slot);
 	int64_t end;
 
-	if (!s || !s->given || s->fence != fence)
+	if (!s || !s->given || s->fence < fence)
 		return 0;
 	/* The target counts from earlier, and its clock may run fast. */
 	end = s->end_ms -
--- a/ownership/hold.h
+++ b/ownership/hold.h
@@ -94,7 +94,16 @@
 enum err hold_answer_add(struct hold *h, uint32_t slot, uint32_t first,
 			 uint32_t last, uint64_t fence, int64_t now_ms,
 			 int64_t time_ms);
-/* 1 if the target says that it holds the whole slot with this fence. */
+/*
+ * The fence under which the slot was last given to this run of the target, 0
+ * if it was not. A higher fence than the map's is as good: it is below that of
+ * any later change of the map, and stays in use once it was given.
+ */
+uint64_t hold_fence(const struct hold *h, uint32_t slot);
+/* The highest fence under which the target says it holds one of the keys. */
+uint64_t hold_reported_fence(const struct hold *h, uint32_t first,
+			     uint32_t last);
+/* 1 if the target says that it holds the whole slot, at least so fenced. */
 int hold_has(const struct hold *h, uint32_t first, uint32_t last,
 	     uint64_t fence);
 
--- a/placement/choose.c
+++ b/placement/choose.c
@@ -6,7 +6,9 @@
 
 /*
  * Round trips, and what the volume between data centres costs expressed as
- * time: requests leave their data centre when that saves more than this.
+ * time: requests leave their data centre when that saves more than this. A
+ * second of waiting is worth about as much to a caller as 60 KB between
+ * regions cost the operator.
  */
 static const struct {
 	double base_ms;
@@ -14,8 +16,8 @@
 } distances[CHOOSE_DISTANCES] = {
 	[CHOOSE_SAME_VM] = { 0, 0 },
 	[CHOOSE_SAME_DATA_CENTRE] = { 1, 0 },
-	[CHOOSE_SAME_REGION] = { 25, 1 },
-	[CHOOSE_FAR] = { 45, 1.5 },
+	[CHOOSE_SAME_REGION] = { 15, 6 },
+	[CHOOSE_FAR] = { 35, 15 },
 };
 
 /* Latency of a target that has not answered yet. */
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -39,6 +39,7 @@
 struct in_share {
 	char service[64];
 	struct share share;
+	double answer_bytes; /* moving average */
 	UT_hash_handle hh;
 };
 
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -9,6 +9,10 @@
 #define IN_MAP_WAIT_MS 20
 #define IN_BACKOFF_MS 10
 #define IN_BACKOFF_MAX_MS 320
+/* Headers of a forwarded request and its answer. */
+#define IN_HEADER_BYTES 1024
+/* Weight of one answer in the average size. */
+#define IN_ANSWER_WEIGHT 0.05
 
 static void on_reply(const Wire__ForwardReply *reply, void *priv);
 
@@ -327,6 +331,15 @@
 	}
 }
 
+static void note_size(struct in_request *q, size_t bytes)
+{
+	struct in_share *s = share_of(q->in, q->service);
+
+	if (s)
+		s->answer_bytes +=
+			IN_ANSWER_WEIGHT * ((double)bytes - s->answer_bytes);
+}
+
 /* What the try tells about its target. */
 static void note_end(struct in_request *q, const Wire__ForwardReply *reply)
 {
@@ -339,6 +352,8 @@
 		load.places = l->places;
 		load.latency_us = l->latency_us;
 	}
+	if (reply->outcome == OUTCOME_ANSWERED)
+		note_size(q, reply->body.len);
 	q->arrivals += reply->arrived || reply->outcome == OUTCOME_UNKNOWN;
 	if (!q->chosen)
 		return;
@@ -418,6 +433,15 @@
 						   : CHOOSE_FAR;
 }
 
+/* Volume of the request and its answer, headers included. */
+static size_t expected_bytes(const struct in_request *q)
+{
+	const struct in_share *s = share_of(q->in, q->service);
+
+	return q->f.body.len + IN_HEADER_BYTES +
+	       (size_t)(s ? s->answer_bytes : 0);
+}
+
 /* Best target of a service without keys; 0 if there is none. */
 static uint32_t choose_target(struct in_request *q, const struct map *m)
 {
@@ -440,8 +464,8 @@
 		list[count].distance = distance_of(q, n->info);
 		list[count++].places = t->concurrency;
 	}
-	best = choose_pick(&q->in->choose, list, count, q->f.body.len, clk_ms(),
-			   g_random_double(), NULL);
+	best = choose_pick(&q->in->choose, list, count, expected_bytes(q),
+			   clk_ms(), g_random_double(), NULL);
 	id = best < count ? list[best].id : 0;
 	free(list);
 	return id;
