--- a/daemon/node.c
+++ b/daemon/node.c
@@ -428,8 +428,5 @@
 	n->restarting = restart;
 	log_info("stopping", "restart=%d open=%u in_flight=%u", restart,
 		 ingress_open(n->ingress), gate_in_flight(n->gate));
-	/* The others choose this node's target no more. */
-	if (n->set->notice_ms)
-		node_target_leaving(n);
 	mem_leave(n->mem, restart);
 }
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -95,7 +95,7 @@
 	}
 	note_run(n, a);
 	n->announced_ms = clk_ms();
-	if (a->leaving || n->target_left || n->stop != NODE_RUNNING)
+	if (a->leaving || n->target_left)
 		node_target_leaving(n);
 	else
 		take_target(n, a);
--- a/limits/adm.c
+++ b/limits/adm.c
@@ -11,8 +11,11 @@
 #define ADM_RETRY_MIN_MS 1
 /* Late requests wait for at most limit / ADM_LATE_PART places. */
 #define ADM_LATE_PART 4
-/* Estimates of the wait are off by about this much. */
-#define ADM_LATE_SLACK_MS 20
+/*
+ * Part of the average service time by which single ones exceed it often; a
+ * request that is in time only on average is late every other time.
+ */
+#define ADM_VALUE_MARGIN 0.15
 
 void adm_init(struct adm *a, uint32_t limit, uint32_t queue,
 	      double tenant_share)
@@ -127,7 +130,8 @@
 	/* Late work fills gaps, but does not queue up. */
 	if (is_late(&item->rank, now_ms))
 		return ahead > a->limit / ADM_LATE_PART;
-	return done > (double)item->rank.value_ms + ADM_LATE_SLACK_MS;
+	return done + a->service_ms * ADM_VALUE_MARGIN >
+	       (double)item->rank.value_ms;
 }
 
 /* The last item gives way to one that runs before it. */
