--- a/bench/load.sh
+++ b/bench/load.sh
@@ -64,7 +64,8 @@
 	for node in "${node_names[@]}"; do
 		us=$(curl -sf --max-time 5 \
 			"http://127.0.0.1:$(admin_port "$node")/metrics" |
-			awk '$1 ~ /^process_cpu_us/ { print $2 }')
+			awk '$1 == "monsoonpin_process_cpu_seconds_total" \
+				{ printf "%d", $2 * 1e6 }')
 		[ -n "$us" ] || return 1
 		total=$((total + us))
 	done
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -211,8 +211,17 @@
 		at = time.monotonic()
 		values = {"at": at}
 		for line in get(self.admin_port(name), "/metrics")[1].splitlines():
+			if line.startswith("#"):
+				continue
 			key, _, value = line.rpartition(" ")
-			values[key] = float(value)
+			name, brace, labels = key.partition("{")
+			name = name.removeprefix("monsoonpin_")
+			name = name.removesuffix("_total")
+			# Times are worked with in microseconds here.
+			if name == "process_cpu_seconds":
+				name = "process_cpu_us"
+				value = float(value) * 1e6
+			values[name + brace + labels] = float(value)
 		return values
 
 	def scrape_all(self):
--- a/common/cnt.c
+++ b/common/cnt.c
@@ -81,6 +81,16 @@
 		s->value = n;
 }
 
+void cnt_gauge(struct cnt *c, const char *name, const char *labels, uint64_t n)
+{
+	struct cnt_series *s = find_or_add(c, name, labels);
+
+	if (!s)
+		return;
+	s->value = n;
+	s->gauge = 1;
+}
+
 void cnt_sample(struct cnt *c, const char *name, const char *labels,
 		uint64_t value)
 {
@@ -107,37 +117,118 @@
 	return s ? s->value : 0;
 }
 
-static void write_hist(const struct cnt_series *s, struct buf *out)
+/* Upper bounds of the buckets, in microseconds: from one hop to a deadline. */
+static const uint64_t bounds_us[] = { 1000,    2000,	5000,	 10000,
+				      20000,   50000,	100000,	 200000,
+				      500000,  1000000, 2000000, 5000000,
+				      10000000 };
+
+/* Name without its unit, and the unit's length in microseconds; 0: none. */
+static uint64_t split_unit(const char *name, size_t len, size_t *base)
+{
+	*base = len;
+	if (len > 3 && !strncmp(name + len - 3, "_us", 3)) {
+		*base = len - 3;
+		return 1;
+	}
+	if (len > 3 && !strncmp(name + len - 3, "_ms", 3)) {
+		*base = len - 3;
+		return 1000;
+	}
+	return 0;
+}
+
+static const char *type_of(const struct cnt_series *s)
+{
+	if (s->hist)
+		return "histogram";
+	return s->gauge ? "gauge" : "counter";
+}
+
+/* One series while it is written. */
+struct writer {
+	struct buf *out;
+	char name[CNT_KEY_BYTES]; /* of the series before, as written */
+	const char *labels;	  /* without braces, "" if there are none */
+	int labels_len;
+};
+
+static void begin_series(struct writer *w, const struct cnt_series *s,
+			 uint64_t *unit_us)
 {
-	static const struct {
-		const char *name;
-		double q;
-	} quantiles[] = { { "0.5", 0.5 }, { "0.9", 0.9 }, { "0.99", 0.99 } };
 	const char *brace = strchr(s->key, '{');
-	int len = brace ? (int)(brace - s->key) : (int)strlen(s->key);
-	const char *labels = brace ? brace + 1 : "}";
-	const char *comma = brace ? "," : "";
+	size_t len = brace ? (size_t)(brace - s->key) : strlen(s->key);
+	char name[CNT_KEY_BYTES];
+	size_t base;
+
+	*unit_us = split_unit(s->key, len, &base);
+	snprintf(name, sizeof(name), "monsoonpin_%.*s%s%s", (int)base, s->key,
+		 *unit_us ? "_seconds" : "",
+		 s->hist || s->gauge ? "" : "_total");
+	if (strcmp(name, w->name) != 0)
+		buf_addf(w->out, "# TYPE %s %s\n", name, type_of(s));
+	memcpy(w->name, name, sizeof(name));
+	w->labels = brace ? brace + 1 : "";
+	w->labels_len = brace ? (int)strlen(brace) - 2 : 0;
+}
+
+static void write_value(struct writer *w, const char *suffix, uint64_t value,
+			uint64_t unit_us)
+{
+	const char *open = w->labels_len ? "{" : "";
+	const char *close = w->labels_len ? "}" : "";
+
+	buf_addf(w->out, "%s%s%s%.*s%s ", w->name, suffix, open, w->labels_len,
+		 w->labels, close);
+	if (unit_us)
+		buf_addf(w->out, "%.6f\n",
+			 (double)value * (double)unit_us / 1e6);
+	else
+		buf_addf(w->out, "%llu\n", (unsigned long long)value);
+}
 
-	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
-		buf_addf(out, "%.*s{quantile=\"%s\"%s%s %llu\n", len, s->key,
-			 quantiles[i].name, comma, labels,
-			 (unsigned long long)hist_quantile(s->hist,
-							   quantiles[i].q));
-	buf_addf(out, "%.*s_count%s %llu\n", len, s->key, brace ? brace : "",
-		 (unsigned long long)s->hist->count);
-	buf_addf(out, "%.*s_sum%s %llu\n", len, s->key, brace ? brace : "",
-		 (unsigned long long)s->hist->sum);
+static void write_bucket(struct writer *w, const char *bound, uint64_t count)
+{
+	buf_addf(w->out, "%s_bucket{%.*s%sle=\"%s\"} %llu\n", w->name,
+		 w->labels_len, w->labels, w->labels_len ? "," : "", bound,
+		 (unsigned long long)count);
+}
+
+static void write_hist(struct writer *w, const struct cnt_series *s,
+		       uint64_t unit_us)
+{
+	for (size_t i = 0; i < sizeof(bounds_us) / sizeof(bounds_us[0]); i++) {
+		char bound[32];
+
+		snprintf(bound, sizeof(bound), "%g",
+			 (double)bounds_us[i] / 1e6);
+		write_bucket(
+			w, bound,
+			hist_count_to(s->hist,
+				      bounds_us[i] / (unit_us ? unit_us : 1)));
+	}
+	write_bucket(w, "+Inf", s->hist->count);
+	write_value(w, "_sum", s->hist->sum, unit_us);
+	write_value(w, "_count", s->hist->count, 0);
+}
+
+static int by_key(struct cnt_series *a, struct cnt_series *b)
+{
+	return strcmp(a->key, b->key);
 }
 
-void cnt_write(const struct cnt *c, struct buf *out)
+void cnt_write(struct cnt *c, struct buf *out)
 {
+	struct writer w = { .out = out };
 	struct cnt_series *s, *tmp;
+	uint64_t unit_us;
 
+	HASH_SORT(c->series, by_key);
 	HASH_ITER(hh, c->series, s, tmp) {
+		begin_series(&w, s, &unit_us);
 		if (s->hist)
-			write_hist(s, out);
+			write_hist(&w, s, unit_us);
 		else
-			buf_addf(out, "%s %llu\n", s->key,
-				 (unsigned long long)s->value);
+			write_value(&w, "", s->value, unit_us);
 	}
 }
--- a/common/hist.c
+++ b/common/hist.c
@@ -55,6 +55,15 @@
 		h->bucket[i] += other->bucket[i];
 }
 
+uint64_t hist_count_to(const struct hist *h, uint64_t value)
+{
+	uint64_t count = 0;
+
+	for (unsigned i = 0; i < HIST_BUCKETS && upper_bound(i) <= value; i++)
+		count += h->bucket[i];
+	return count;
+}
+
 uint64_t hist_quantile(const struct hist *h, double q)
 {
 	uint64_t rank = (uint64_t)ceil(q * (double)h->count);
--- a/common/hist.h
+++ b/common/hist.h
@@ -21,6 +21,8 @@
 void hist_init(struct hist *h);
 void hist_add(struct hist *h, uint64_t value);
 void hist_merge(struct hist *h, const struct hist *other);
+/* Values up to this one, within the width of a bucket. */
+uint64_t hist_count_to(const struct hist *h, uint64_t value);
 /* Upper bound of the bucket that holds quantile q, 0 < q <= 1; 0 if empty. */
 uint64_t hist_quantile(const struct hist *h, double q);
 
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -60,7 +60,7 @@
 	cnt_set(&n->cnt, "process_cpu_us", "",
 		(uint64_t)(u.ru_utime.tv_sec + u.ru_stime.tv_sec) * 1000000 +
 			(uint64_t)(u.ru_utime.tv_usec + u.ru_stime.tv_usec));
-	cnt_set(&n->cnt, "process_resident_bytes", "", resident_bytes());
+	cnt_gauge(&n->cnt, "process_resident_bytes", "", resident_bytes());
 }
 
 /* Bytes of datagrams include the IP and UDP headers, those of TCP do not. */
@@ -85,7 +85,7 @@
 	cnt_set(&n->cnt, "store_failures", "", s->failures);
 	cnt_set(&n->cnt, "store_bytes_in", "", s->bytes_in);
 	cnt_set(&n->cnt, "store_bytes_out", "", s->bytes_out);
-	cnt_set(&n->cnt, "coordinator", "", (uint64_t)coord_active(n->coord));
+	cnt_gauge(&n->cnt, "coordinator", "", (uint64_t)coord_active(n->coord));
 }
 
 static void handle_metrics(struct node *n, struct httpd_request *r)
--- /dev/null
+++ b/test/unit/test_dialect.c
@@ -0,0 +1,268 @@
+#include "platform/platform.h"
+#include "routing/gate.h"
+#include "test/unit/fake.h"
+#include "transport/httpc.h"
+
+/*
+ * The gate with a platform's headers, in front of a target that answers in
+ * proper and improper ways.
+ */
+
+#define ID "9c41d07be2a35f68"
+#define SEALED                                 \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID \
+	"\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+
+struct fixture {
+	struct ev_loop *loop;
+	struct fake_view view;
+	struct fake_target target;
+	struct cnt cnt;
+	struct gate *gate;
+	unsigned refused; /* target_lost calls with a refused connection */
+	unsigned silent;
+};
+
+static void on_released(uint32_t slot, void *priv)
+{
+	(void)slot;
+	(void)priv;
+}
+
+static void on_target_lost(int refused, void *priv)
+{
+	struct fixture *f = priv;
+
+	if (refused)
+		f->refused++;
+	else
+		f->silent++;
+}
+
+static const struct gate_ops gate_ops = {
+	.released = on_released,
+	.target_lost = on_target_lost,
+};
+
+static void setup(struct fixture *f)
+{
+	Wire__Target a;
+
+	memset(f, 0, sizeof(*f));
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	fake_view_init(&f->view);
+	fake_target_init(&f->target, f->loop);
+	cnt_init(&f->cnt);
+	g_assert_cmpint(gate_new(&f->gate, f->loop, &f->view.view, &f->cnt,
+				 &platform_dialect, &gate_ops, f),
+			==, ERR_OK);
+	gate_set_adaptive(f->gate, 0);
+	a = fake_announcement(&f->target, 2);
+	a.service = "desk";
+	a.id = "i-7";
+	gate_set_target(f->gate, &a);
+}
+
+static void teardown(struct fixture *f)
+{
+	gate_free(f->gate);
+	fake_target_finish(&f->target);
+	fake_view_finish(&f->view);
+	cnt_finish(&f->cnt);
+	ev_loop_destroy(f->loop);
+}
+
+/* A request for a service without keys. */
+static Wire__Forward forward(uint64_t attempt, int idempotent)
+{
+	Wire__Forward m = fake_forward(attempt, "POST");
+
+	m.service = "desk";
+	m.key = "";
+	m.caller = "cal";
+	m.request_id = ID;
+	m.idempotent = idempotent;
+	return m;
+}
+
+static void call(struct fixture *f, struct fake_reply *r, uint64_t attempt)
+{
+	Wire__Forward m = forward(attempt, 0);
+
+	memset(r, 0, sizeof(*r));
+	gate_submit(f->gate, &m, fake_on_reply, r);
+	fake_wait(f->loop, &r->count, 1);
+}
+
+/* Guards against a target that cannot tell for whom and for how long it works.
+ */
+static void test_headers(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+
+	setup(&f);
+	f.target.answer = SEALED;
+	call(&f, &r, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	g_assert_cmpstr(r.body, ==, "ok");
+	g_assert_nonnull(strstr(f.target.last, "\r\nX-Expected-Instance: i-7"));
+	g_assert_nonnull(strstr(f.target.last, "\r\nX-Caller-Service: cal"));
+	g_assert_nonnull(strstr(f.target.last, "\r\nX-Deadline-Remaining: "));
+	g_assert_null(strstr(f.target.last, "Monsoonpin"));
+	teardown(&f);
+}
+
+/*
+ * Guards against bytes that pass for this request's answer: a late answer to
+ * another request, a success without the target's seal, an encoded body, and
+ * bytes that are no answer at all.
+ */
+static void test_no_answer(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: 0000000000000000\r\n"
+		"X-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		"\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n"
+		"Content-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		"\r\nX-Server-Seal: s\r\nContent-Encoding: gzip\r\n"
+		"Content-Length: 2\r\n\r\nok",
+		"\x01\x02\x03 this is nothing\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		struct fake_reply r;
+		struct fixture f;
+
+		setup(&f);
+		f.target.answer = answers[i];
+		f.target.mode = FAKE_ANSWER_CUT;
+		call(&f, &r, 1);
+		g_assert_cmpint(r.outcome, ==, OUTCOME_UNKNOWN);
+		teardown(&f);
+	}
+}
+
+/* Guards against an answer without a length that is lost, or cut unnoticed. */
+static void test_unframed(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+
+	setup(&f);
+	f.target.answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+			  "\r\nX-Server-Seal: s\r\n\r\nwhole";
+	f.target.mode = FAKE_ANSWER_CUT;
+	call(&f, &r, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	g_assert_cmpstr(r.body, ==, "whole");
+	f.target.answer =
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		"\r\nX-Server-Seal: s\r\nContent-Length: 9\r\n\r\ncut";
+	call(&f, &r, 2);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_UNKNOWN);
+	teardown(&f);
+}
+
+/* Guards against a promise "not run" that the target did not give. */
+static void test_refusals(void)
+{
+	static const struct {
+		const char *answer;
+		enum wire_outcome outcome;
+	} cases[] = {
+		{ "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
+		  "Content-Length: 0\r\n\r\n",
+		  OUTCOME_NOT_RUN },
+		{ "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
+		  OUTCOME_NOT_RUN },
+		{ "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+		  OUTCOME_ANSWERED },
+		{ "HTTP/1.1 500 No\r\nX-Attempt-Id: " ID
+		  "\r\nX-Server-Seal: s\r\nContent-Length: 0\r\n\r\n",
+		  OUTCOME_ANSWERED },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_reply r;
+		struct fixture f;
+
+		setup(&f);
+		f.target.answer = cases[i].answer;
+		call(&f, &r, 1);
+		g_assert_cmpint(r.outcome, ==, cases[i].outcome);
+		teardown(&f);
+	}
+}
+
+/* Guards against work that goes on for callers that have left. */
+static void test_cancel(void)
+{
+	Wire__Forward idempotent = forward(1, 1);
+	Wire__Forward once = forward(2, 0);
+	struct fake_reply a = { 0 }, b = { 0 };
+	struct fixture f;
+
+	setup(&f);
+	f.target.mode = FAKE_SILENT;
+	gate_submit(f.gate, &idempotent, fake_on_reply, &a);
+	gate_submit(f.gate, &once, fake_on_reply, &b);
+	fake_wait(f.loop, &f.target.runs, 2);
+	g_assert_cmpuint(gate_in_flight(f.gate), ==, 2);
+	gate_forget(f.gate, fake_on_reply, &a);
+	g_assert_cmpuint(gate_in_flight(f.gate), ==, 1);
+	/* What must run once at most goes on: it may be done already. */
+	gate_forget(f.gate, fake_on_reply, &b);
+	g_assert_cmpuint(gate_in_flight(f.gate), ==, 1);
+	g_assert_cmpuint(a.count + b.count, ==, 0);
+	teardown(&f);
+}
+
+/* Guards against new work for a target that leaves. */
+static void test_leaving(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+
+	setup(&f);
+	f.target.answer = SEALED;
+	gate_target_leaving(f.gate);
+	call(&f, &r, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpint(r.error, ==, ERR_NO_TARGET);
+	g_assert_cmpuint(f.target.runs, ==, 0);
+	teardown(&f);
+}
+
+/* Guards against a request without a key that runs where keys have owners. */
+static void test_key_required(void)
+{
+	Wire__Forward m = forward(1, 0);
+	struct fake_reply r = { 0 };
+	struct fixture f;
+
+	setup(&f);
+	m.service = FAKE_SERVICE;
+	gate_submit(f.gate, &m, fake_on_reply, &r);
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpint(r.error, ==, ERR_NO_KEY);
+	teardown(&f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_test_add_func("/dialect/headers", test_headers);
+	g_test_add_func("/dialect/no_answer", test_no_answer);
+	g_test_add_func("/dialect/unframed", test_unframed);
+	g_test_add_func("/dialect/refusals", test_refusals);
+	g_test_add_func("/dialect/cancel", test_cancel);
+	g_test_add_func("/dialect/leaving", test_leaving);
+	g_test_add_func("/dialect/key_required", test_key_required);
+	return g_test_run();
+}
--- a/test/unit/test_limits.c
+++ b/test/unit/test_limits.c
@@ -1,8 +1,10 @@
 #include "limits/adm.h"
 #include "limits/budget.h"
 #include "limits/conc.h"
+#include "limits/share.h"
 
 #include <glib.h>
+#include <string.h>
 
 #define FAR 1000000
 
@@ -198,6 +200,166 @@
 	g_assert_true(c.base_us == 1000);
 }
 
+/* Guards against calls of running work that wait behind new work. */
+static void test_adm_rank(void)
+{
+	const struct adm_rank low = { 2, 1000 };
+	const struct adm_rank late = { 1, 10 };
+	const struct adm_rank high = { 1, 900 };
+	const struct adm_rank urgent = { 1, 300 };
+	struct adm a;
+	struct adm_item it[5];
+
+	adm_init(&a, 1, 8, 1.0);
+	adm_submit(&a, &it[0], "t", 0, FAR);
+	adm_submit_ranked(&a, &it[1], "t", 0, FAR, &low);
+	adm_submit_ranked(&a, &it[2], "t", 0, FAR, &high);
+	adm_submit_ranked(&a, &it[3], "t", 0, FAR, &urgent);
+	adm_submit_ranked(&a, &it[4], "t", 20, FAR, &late);
+	adm_done(&a, &it[0], 21);
+	g_assert_true(adm_next(&a, 21) == &it[3]);
+	adm_done(&a, &it[3], 22);
+	g_assert_true(adm_next(&a, 22) == &it[2]);
+	adm_done(&a, &it[2], 23);
+	g_assert_true(adm_next(&a, 23) == &it[4]);
+	adm_done(&a, &it[4], 24);
+	g_assert_true(adm_next(&a, 24) == &it[1]);
+	adm_done(&a, &it[1], 25);
+	adm_finish(&a);
+}
+
+/* Guards against a full queue of low rank that keeps high rank out. */
+static void test_adm_displaced(void)
+{
+	const struct adm_rank low = { 2, 5000 };
+	const struct adm_rank high = { 1, 5000 };
+	struct adm a;
+	struct adm_item it[4];
+
+	adm_init(&a, 1, 2, 1.0);
+	adm_submit(&a, &it[0], "t", 0, FAR);
+	adm_submit_ranked(&a, &it[1], "t", 0, FAR, &low);
+	adm_submit_ranked(&a, &it[2], "t", 0, FAR, &low);
+	g_assert_true(adm_submit_ranked(&a, &it[3], "t", 0, FAR, &high) ==
+		      ADM_QUEUE);
+	g_assert_true(adm_expire(&a, 1) == &it[2]);
+	g_assert_null(adm_expire(&a, 1));
+	adm_done(&a, &it[0], 2);
+	g_assert_true(adm_next(&a, 2) == &it[3]);
+	adm_remove(&a, &it[1]);
+	adm_done(&a, &it[3], 3);
+	adm_finish(&a);
+}
+
+#define SIM_PLACES 18
+#define SIM_REQUESTS 6000
+#define SIM_VALUE_MS 400
+
+/* Requests that end within SIM_VALUE_MS of their arrival. */
+static unsigned in_time(int ranked, double per_ms, double work_ms)
+{
+	static struct adm_item items[SIM_REQUESTS];
+	static int64_t done_ms[SIM_REQUESTS];
+	GRand *rand = g_rand_new_with_seed(3);
+	unsigned good = 0;
+	unsigned next = 0;
+	double due = 0;
+	struct adm a;
+
+	memset(done_ms, 0, sizeof(done_ms));
+	adm_init(&a, SIM_PLACES, 64, 1.0);
+	for (int64_t now = 0; next < SIM_REQUESTS || a.running; now++) {
+		struct adm_item *item;
+
+		for (unsigned i = 0; i < next; i++) {
+			if (items[i].state != ADM_RUNNING || done_ms[i] > now)
+				continue;
+			adm_done(&a, &items[i], now);
+			good += now - items[i].arrived_ms <= SIM_VALUE_MS;
+		}
+		while (adm_expire(&a, now))
+			;
+		while ((item = adm_next(&a, now)))
+			done_ms[item - items] =
+				now +
+				(int64_t)(work_ms *
+					  g_rand_double_range(rand, 0.7, 1.3));
+		for (due += per_ms; due >= 1 && next < SIM_REQUESTS; due--) {
+			struct adm_rank rank = { 1, now + SIM_VALUE_MS };
+			enum adm_verdict v;
+
+			item = &items[next++];
+			v = ranked ? adm_submit_ranked(&a, item, "t", now,
+						       now + 2500, &rank)
+				   : adm_submit(&a, item, "t", now, now + 2500);
+			if (v == ADM_RUN)
+				done_ms[item - items] =
+					now +
+					(int64_t)(work_ms *
+						  g_rand_double_range(rand, 0.7,
+								      1.3));
+		}
+	}
+	adm_finish(&a);
+	g_rand_free(rand);
+	return good;
+}
+
+/*
+ * Load: 1.3 times what a target can run, for a minute. Guards against a queue
+ * that makes every answer late; compared with first come, first served.
+ */
+static void test_adm_overload(void)
+{
+	/* 18 places x 1 / 200 ms = 0.09 a ms. */
+	unsigned plain = in_time(0, 0.117, 200);
+	unsigned ranked = in_time(1, 0.117, 200);
+
+	g_assert_cmpuint(ranked, >, plain * 2);
+	/* Capacity is 77% of the requests; nine in ten of that are in time. */
+	g_assert_cmpuint(ranked, >, SIM_REQUESTS * 69 / 100);
+}
+
+/* Guards against refusals while there is room: 0.8 of the capacity. */
+static void test_adm_below_capacity(void)
+{
+	g_assert_cmpuint(in_time(1, 0.072, 200), >, SIM_REQUESTS * 99 / 100);
+}
+
+/*
+ * Load: all requests of all nodes fail and ask to be repeated. Guards against
+ * shares that add up to more than the fleet's budget in some window.
+ */
+static void test_share_fleet(void)
+{
+	enum { NODES = 18, WINDOW_S = 10, PER_S = 40 };
+	struct share shares[NODES];
+	double ratio = 0.2, slack = 60;
+	unsigned taken[60] = { 0 };
+
+	for (int n = 0; n < NODES; n++)
+		share_init(&shares[n]);
+	for (int s = 0; s < 60; s++) {
+		for (int n = 0; n < NODES; n++) {
+			for (int i = 0; i < PER_S; i++) {
+				share_request(&shares[n], ratio, slack, NODES);
+				taken[s] += (unsigned)share_take(&shares[n]);
+			}
+		}
+	}
+	for (int s = 0; s + WINDOW_S <= 60; s++) {
+		unsigned sum = 0;
+
+		for (int i = 0; i < WINDOW_S; i++)
+			sum += taken[s + i];
+		g_assert_cmpuint(
+			sum, <=,
+			(unsigned)(ratio * NODES * PER_S * WINDOW_S + slack));
+	}
+	/* And it is of use: a tenth of the requests at least. */
+	g_assert_cmpuint(taken[30], >, NODES * PER_S / 10);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -206,6 +368,11 @@
 	g_test_add_func("/adm/tenant-share", test_adm_tenant_share);
 	g_test_add_func("/adm/deadline", test_adm_deadline);
 	g_test_add_func("/adm/limit-falls", test_adm_limit_falls);
+	g_test_add_func("/adm/rank", test_adm_rank);
+	g_test_add_func("/adm/displaced", test_adm_displaced);
+	g_test_add_func("/adm/overload", test_adm_overload);
+	g_test_add_func("/adm/below_capacity", test_adm_below_capacity);
+	g_test_add_func("/share/fleet", test_share_fleet);
 	g_test_add_func("/budget/outage", test_budget);
 	g_test_add_func("/budget/cap", test_budget_cap);
 	g_test_add_func("/conc/range", test_conc_range);
--- /dev/null
+++ b/test/unit/test_platform.c
@@ -0,0 +1,470 @@
+#include "common/clk.h"
+#include "membership/doc_feed.h"
+#include "platform/document.h"
+#include "platform/kv.h"
+#include "platform/platform.h"
+#include "protocol/frame.h"
+#include "standins/common_kvsrv.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Generous: only a test that hangs comes near it. */
+#define HANG_MS 30000
+#define CALL_TIMEOUT_MS 500
+
+/* The store driver against its stand-in, in one process and loop. */
+struct fixture {
+	struct ev_loop *loop;
+	struct kvsrv srv;
+	struct store *store;
+};
+
+struct result {
+	int done;
+	enum err e;
+	int64_t number;
+	size_t count;
+	char *keys; /* joined by blanks */
+};
+
+static void setup(struct fixture *f)
+{
+	char endpoint[64];
+
+	f->loop = ev_loop_new(0);
+	g_assert_cmpint(kvsrv_init(&f->srv, f->loop, "127.0.0.1", 0, NULL), ==,
+			ERR_OK);
+	g_snprintf(endpoint, sizeof(endpoint), "http://127.0.0.1:%u",
+		   httpd_port(&f->srv.httpd));
+	g_assert_cmpint(
+		kv_open(&f->store, f->loop, endpoint, CALL_TIMEOUT_MS, NULL),
+		==, ERR_OK);
+}
+
+static void teardown(struct fixture *f)
+{
+	f->store->ops->finish(f->store);
+	kvsrv_finish(&f->srv);
+	ev_loop_destroy(f->loop);
+}
+
+static void wait_for(struct ev_loop *loop, const int *flag, int n)
+{
+	int64_t limit = clk_ms() + HANG_MS;
+
+	while (*flag < n && clk_ms() < limit)
+		ev_run(loop, EVRUN_ONCE);
+	g_assert_cmpint(*flag, >=, n);
+}
+
+static void on_range(enum err e, const struct store_range *range, void *priv)
+{
+	struct result *r = priv;
+	GString *keys = g_string_new("");
+
+	r->done = 1;
+	r->e = e;
+	r->count = range->count;
+	r->number = range->revision;
+	for (size_t i = 0; i < range->count; i++)
+		g_string_append_printf(keys, "%s ", range->kvs[i].key);
+	r->keys = g_string_free(keys, FALSE);
+}
+
+static void on_txn(enum err e, int64_t revision, void *priv)
+{
+	struct result *r = priv;
+
+	r->done = 1;
+	r->e = e;
+	r->number = revision;
+}
+
+static struct result range(struct fixture *f, const char *key, int prefix)
+{
+	struct result r = { 0 };
+
+	f->store->ops->range(f->store, key, prefix, on_range, &r);
+	wait_for(f->loop, &r.done, 1);
+	return r;
+}
+
+static struct result put(struct fixture *f, const char *key, int64_t expected,
+			 int64_t lease)
+{
+	struct store_compare c = { key, expected };
+	struct store_put p = { key, (const uint8_t *)"v", 1, lease };
+	struct result r = { 0 };
+
+	f->store->ops->txn(f->store, &c, 1, &p, 1, on_txn, &r);
+	wait_for(f->loop, &r.done, 1);
+	return r;
+}
+
+/* Guards against comparisons that do not bind, and lost keys. */
+static void test_txn(void)
+{
+	struct fixture f;
+	struct result r;
+	int64_t first;
+
+	setup(&f);
+	r = put(&f, "/m/a", 0, 0);
+	g_assert_cmpint(r.e, ==, ERR_OK);
+	first = r.number;
+	g_assert_cmpint(put(&f, "/m/a", 0, 0).e, ==, ERR_CONFLICT);
+	g_assert_cmpint(put(&f, "/m/a", first, 0).e, ==, ERR_OK);
+	r = range(&f, "/m/a", 0);
+	g_assert_cmpint(r.e, ==, ERR_OK);
+	g_assert_cmpuint(r.count, ==, 1);
+	g_free(r.keys);
+	r = range(&f, "/m/none", 0);
+	g_assert_cmpint(r.e, ==, ERR_OK);
+	g_assert_cmpuint(r.count, ==, 0);
+	g_free(r.keys);
+	/* No such lease: nothing is written. */
+	g_assert_cmpint(put(&f, "/m/b", 0, 99).e, ==, ERR_NOT_FOUND);
+	teardown(&f);
+}
+
+/* Guards against a range of several pages that misses keys. */
+static void test_pages(void)
+{
+	struct fixture f;
+	struct result r;
+
+	setup(&f);
+	f.srv.page_items = 2;
+	for (int i = 0; i < 5; i++) {
+		char key[16];
+
+		g_snprintf(key, sizeof(key), "/m/%d", i);
+		kvsrv_put(&f.srv, key, "v", 1);
+	}
+	kvsrv_put(&f.srv, "/other", "v", 1);
+	r = range(&f, "/m/", 1);
+	g_assert_cmpint(r.e, ==, ERR_OK);
+	g_assert_cmpstr(r.keys, ==, "/m/0 /m/1 /m/2 /m/3 /m/4 ");
+	g_free(r.keys);
+	teardown(&f);
+}
+
+/*
+ * Guards against an outage that passes as a conflict or as done, and against
+ * a write that was done and is called not done.
+ */
+static void test_outage(void)
+{
+	struct fixture f;
+	struct result r;
+
+	setup(&f);
+	kvsrv_set_mode(&f.srv, KVSRV_REFUSE);
+	g_assert_cmpint(put(&f, "/m/a", 0, 0).e, ==, ERR_STORE_DOWN);
+	kvsrv_set_mode(&f.srv, KVSRV_SILENT);
+	g_assert_cmpint(put(&f, "/m/a", 0, 0).e, ==, ERR_TIMEOUT);
+	kvsrv_set_mode(&f.srv, KVSRV_UP);
+	f.srv.lose_count = 1;
+	g_assert_cmpint(put(&f, "/m/a", 0, 0).e, ==, ERR_TIMEOUT);
+	r = range(&f, "/m/a", 0);
+	g_assert_cmpuint(r.count, ==, 1);
+	g_free(r.keys);
+	teardown(&f);
+}
+
+/* Guards against a transaction that the store would refuse for its size. */
+static void test_too_many_entries(void)
+{
+	struct store_put puts[KV_MAX_ENTRIES + 1];
+	struct result r = { 0 };
+	struct fixture f;
+
+	setup(&f);
+	memset(puts, 0, sizeof(puts));
+	for (size_t i = 0; i < G_N_ELEMENTS(puts); i++)
+		puts[i].key = "/m/x";
+	f.store->ops->txn(f.store, NULL, 0, puts, G_N_ELEMENTS(puts), on_txn,
+			  &r);
+	wait_for(f.loop, &r.done, 1);
+	g_assert_cmpint(r.e, ==, ERR_TOO_LARGE);
+	g_assert_cmpuint(f.srv.calls, ==, 0);
+	teardown(&f);
+}
+
+/* ---- the operator's document ---- */
+
+#define CONFIG(routes, services)                                          \
+	"{\"version\":\"0000000c\",\"routes\":{\"columns\":[\"name\","    \
+	"\"host\",\"pathPrefix\",\"kind\",\"timeout\",\"targetLatency\"," \
+	"\"priority\",\"service\",\"maxAttempts\",\"weightedClusters\"]," \
+	"\"rows\":[" routes "]},\"services\":{\"columns\":[\"name\","     \
+	"\"sharded\",\"warm\"],\"rows\":[" services "]}}"
+#define SERVICES "[\"cal\",true,\"2s\"],[\"desk\",null,null]"
+
+struct feed {
+	int count;
+	struct doc doc;
+	struct doc_sections sections;
+};
+
+static void on_take(struct doc *doc, struct doc_sections *sections, void *priv)
+{
+	struct feed *f = priv;
+
+	if (f->count) {
+		doc_finish(&f->doc);
+		doc_sections_finish(&f->sections);
+	}
+	f->doc = *doc;
+	f->sections = *sections;
+	f->count++;
+}
+
+static const struct doc_feed_ops feed_ops = { .take = on_take };
+
+static void put_config(struct fixture *f, const char *text)
+{
+	kvsrv_put(&f->srv, platform_document.key, text, strlen(text));
+}
+
+/*
+ * Guards against a version that is missed after a gap in the history, an older
+ * one that replaces a newer one, and an invalid one that disturbs the last.
+ */
+static void test_feed(void)
+{
+	const struct doc_route *r;
+	struct doc_feed *feed;
+	struct feed got = { 0 };
+	uint64_t revision;
+	struct fixture f;
+
+	setup(&f);
+	g_assert_cmpint(doc_feed_new(&feed, f.loop, f.store, &platform_document,
+				     &feed_ops, &got),
+			==, ERR_OK);
+	put_config(&f, CONFIG("[\"r1\",\"a.example\",\"/p/\",\"idempotent\","
+			      "\"1200ms\",\"0.4s\",2,\"cal\",2,null],"
+			      "[\"r2\",\"a.example\",\"/p/q/\",\"upload\","
+			      "null,null,1,null,3,[{\"service\":\"cal\","
+			      "\"weight\":90},{\"service\":\"desk\","
+			      "\"weight\":10}]]",
+			      SERVICES));
+	wait_for(f.loop, &got.count, 1);
+	r = doc_find_route(&got.doc, "A.example:8080", "/p/x");
+	g_assert_nonnull(r);
+	g_assert_cmpstr(r->name, ==, "r1");
+	g_assert_cmpuint(r->timeout_ms, ==, 1200);
+	g_assert_cmpuint(r->target_ms, ==, 400);
+	g_assert_cmpint(r->kind, ==, DOC_KIND_IDEMPOTENT);
+	r = doc_find_route(&got.doc, "a.example", "/p/q/x");
+	g_assert_cmpstr(r->name, ==, "r2");
+	g_assert_cmpint(r->kind, ==, DOC_KIND_ONCE);
+	g_assert_cmpuint(r->part_count, ==, 2);
+	g_assert_cmpuint(r->parts[0].weight, ==, 90);
+	g_assert_null(doc_find_route(&got.doc, "b.example", "/p/x"));
+	g_assert_true(doc_find(&got.doc, "cal")->keyed);
+	g_assert_cmpint(doc_find(&got.doc, "cal")->key_source, ==,
+			DOC_KEY_NUMBER);
+	g_assert_false(doc_find(&got.doc, "desk")->keyed);
+	revision = got.doc.revision;
+	/* Invalid ones leave the last in force; a gap is read over. */
+	put_config(&f, "{\"version\":\"0000000d\",\"rou");
+	put_config(&f, CONFIG("[\"r1\",\"a.example\",\"/p/\",\"sometimes\","
+			      "null,null,2,\"cal\",2,null]",
+			      SERVICES));
+	kvsrv_compact(&f.srv);
+	put_config(&f, CONFIG("[\"r3\",\"a.example\",\"/z/\",\"idempotent\","
+			      "null,null,2,\"cal\",2,null]",
+			      SERVICES));
+	wait_for(f.loop, &got.count, 2);
+	g_assert_cmpuint(got.doc.revision, >, revision);
+	g_assert_null(doc_find_route(&got.doc, "a.example", "/p/x"));
+	g_assert_nonnull(doc_find_route(&got.doc, "a.example", "/z/x"));
+	doc_feed_free(feed);
+	doc_finish(&got.doc);
+	doc_sections_finish(&got.sections);
+	teardown(&f);
+}
+
+/* Guards against configurations that are taken although parts are missing. */
+static void test_malformed_documents(void)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"routes\":{},\"services\":{}}",
+		CONFIG("[\"r1\",\"a.example\",\"/p/\",\"idempotent\",\"soon\","
+		       "null,2,\"cal\",2,null]",
+		       SERVICES),
+		CONFIG("[\"r1\",\"a.example\",\"/p/\",\"idempotent\",null,"
+		       "null,2,\"unknown\",2,null]",
+		       SERVICES),
+		CONFIG("[\"r1\",\"a.example\",\"/p/\",\"idempotent\",null,"
+		       "null,2,null,2,[{\"weight\":1}]]",
+		       SERVICES),
+		CONFIG("[\"r1\",\"a.example\",\"/p/\",\"idempotent\",null,"
+		       "null,2,\"cal\",0,null]",
+		       SERVICES),
+		CONFIG("[\"r1\",\"a.example\",\"/p/\",\"idempotent\",null,"
+		       "null,2,\"cal\",2,null],"
+		       "[\"r2\",\"a.example\",\"/p/\",\"idempotent\",null,"
+		       "null,2,\"cal\",2,null]",
+		       SERVICES),
+		CONFIG("[7]", SERVICES),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct doc_sections sections;
+		struct buf problems;
+		struct doc doc;
+
+		buf_init(&problems);
+		g_assert_cmpint(
+			platform_document.read((const uint8_t *)texts[i],
+					       strlen(texts[i]), &doc,
+					       &sections, &problems),
+			!=, ERR_OK);
+		g_assert_cmpuint(problems.len, >, 0);
+		buf_finish(&problems);
+	}
+}
+
+/* ---- calls of targets ---- */
+
+#define BEAT(fields)                                                       \
+	"{\"service\":\"cal\",\"address\":\"10.1.0.8:8301\",\"slots\":18," \
+	"\"state\":\"ready\",\"sequence\":4" fields "}"
+
+/* Guards against announcements that are read wrongly. */
+static void test_announcement(void)
+{
+	static struct announcement a;
+	static const char text[] =
+		BEAT(",\"coldRemaining\":\"1.5s\",\"born\":1700000000000,"
+		     "\"holds\":[[0,4095,7]],"
+		     "\"released\":[[4096,8191,\"5c0e7a21d94b36f8\"]]");
+
+	g_assert_cmpint(
+		platform_read_announcement("i-1", text, strlen(text), &a, NULL),
+		==, ERR_OK);
+	g_assert_cmpstr(a.id, ==, "i-1");
+	g_assert_cmpstr(a.address, ==, "10.1.0.8");
+	g_assert_cmpuint(a.port, ==, 8301);
+	g_assert_cmpuint(a.concurrency, ==, 18);
+	g_assert_cmpuint(a.cold_ms, ==, 1500);
+	g_assert_cmpint(a.born_ms, ==, 1700000000000);
+	g_assert_cmpuint(a.held_count, ==, 1);
+	g_assert_cmpuint(a.held[0].fence, ==, 7);
+	g_assert_cmpuint(a.released_count, ==, 1);
+	g_assert_cmpstr(a.released[0].handover, ==, "5c0e7a21d94b36f8");
+	g_assert_false(a.leaving);
+}
+
+/* Guards against a foreign writer's call that names a target to use. */
+static void test_malformed_announcements(void)
+{
+	static const char *const texts[] = {
+		"",
+		"7",
+		"{\"service\":\"cal\"}",
+		"{\"service\":7,\"address\":\"10.1.0.8:8301\",\"slots\":18,"
+		"\"state\":\"ready\",\"sequence\":4}",
+		"{\"service\":\"cal\",\"address\":\"nowhere\",\"slots\":18,"
+		"\"state\":\"ready\",\"sequence\":4}",
+		"{\"service\":\"cal\",\"address\":\"10.1.0.8:8301\","
+		"\"slots\":\"18\",\"state\":\"ready\",\"sequence\":4}",
+		"{\"service\":\"cal\",\"address\":\"10.1.0.8:8301\","
+		"\"slots\":18,\"state\":\"sleepy\",\"sequence\":4}",
+		BEAT(",\"holds\":[[5,4,1]]"),
+		BEAT(",\"holds\":[[0,65536,1]]"),
+		BEAT(",\"holds\":[[0,1,\"x\"]]"),
+		BEAT(",\"released\":[[0,1,\"a\\\"b\"]]"),
+		BEAT(",\"released\":7"),
+		BEAT(",\"born\":\"yesterday\""),
+		BEAT(",\"coldRemaining\":\"later\""),
+	};
+	static struct announcement a;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct err_info info = { ERR_OK, "" };
+
+		g_assert_cmpint(platform_read_announcement("i-1", texts[i],
+							   strlen(texts[i]), &a,
+							   &info),
+				!=, ERR_OK);
+		g_assert_cmpuint(strlen(info.detail), >, 0);
+	}
+}
+
+/* Guards against paths that pass for another call. */
+static void test_target_calls(void)
+{
+	char id[16];
+
+	g_assert_cmpint(platform_target_call("POST",
+					     "/api/instances/i-7/heartbeat", id,
+					     sizeof(id)),
+			==, TARGET_CALL_ANNOUNCE);
+	g_assert_cmpstr(id, ==, "i-7");
+	g_assert_cmpint(platform_target_call("POST",
+					     "/api/instances/i-7/deregister",
+					     id, sizeof(id)),
+			==, TARGET_CALL_LEAVE);
+	g_assert_cmpint(platform_target_call("GET",
+					     "/api/instances/i-7/heartbeat", id,
+					     sizeof(id)),
+			==, TARGET_CALL_NONE);
+	g_assert_cmpint(platform_target_call("POST",
+					     "/api/instances//heartbeat", id,
+					     sizeof(id)),
+			==, TARGET_CALL_NONE);
+	g_assert_cmpint(platform_target_call(
+				"POST",
+				"/api/instances/0123456789abcdef/heartbeat", id,
+				sizeof(id)),
+			==, TARGET_CALL_NONE);
+}
+
+/* Guards against an answer that renews something by mistake. */
+static void test_answer(void)
+{
+	static struct announce_answer a;
+	struct buf b;
+
+	buf_init(&b);
+	platform_write_answer(&a, &b);
+	g_assert_cmpstr(buf_text(&b), ==, "{}");
+	buf_reset(&b);
+	a.has_holds = 1;
+	a.time_ms = 4000;
+	a.rows[0] = (struct hold_row){ 0, 4095, 7, "" };
+	a.rows[1] = (struct hold_row){ 9000, 9999, 12, "7a21" };
+	a.row_count = 2;
+	platform_write_answer(&a, &b);
+	g_assert_cmpstr(buf_text(&b), ==,
+			"{\"holds\":[[0,4095,7,\"\"],[9000,9999,12,\"7a21\"]],"
+			"\"hold_time\":\"4000ms\"}");
+	buf_finish(&b);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_test_add_func("/kv/txn", test_txn);
+	g_test_add_func("/kv/pages", test_pages);
+	g_test_add_func("/kv/outage", test_outage);
+	g_test_add_func("/kv/too_many_entries", test_too_many_entries);
+	g_test_add_func("/platform/feed", test_feed);
+	g_test_add_func("/platform/malformed_documents",
+			test_malformed_documents);
+	g_test_add_func("/platform/announcement", test_announcement);
+	g_test_add_func("/platform/malformed_announcements",
+			test_malformed_announcements);
+	g_test_add_func("/platform/target_calls", test_target_calls);
+	g_test_add_func("/platform/answer", test_answer);
+	return g_test_run();
+}
