membership: a record that does not apply is never written

The record named an owner that it removed, did not apply, and stayed in the store: every later coordinator failed to load the map (event=load_failed error=malformed, nine times). Change: a node that a queued slot names is not removed; each record is checked against the map before it is written, and dropped if it does not apply. Test: test_coord lost_with_queued_slot.

--- a/membership/coord_queue.c
+++ b/membership/coord_queue.c
@@ -188,6 +188,11 @@
 
 static int owns_after(const struct coord *c, uint32_t id)
 {
+	/* It was lost after a slot was given to it. */
+	for (size_t i = 0; i < c->queue.slot_count; i++) {
+		if (c->queue.slots[i].owner == id)
+			return 1;
+	}
 	for (uint32_t s = 0; s < c->map.slot_count; s++) {
 		if (c->map.slots[s].owner == id && !c->slots[s].changing)
 			return 1;
--- a/membership/coord_write.c
+++ b/membership/coord_write.c
@@ -419,6 +419,31 @@
 		 (unsigned long long)++c->attempts);
 }
 
+/*
+ * A record that does not apply would stop every later coordinator: it is never
+ * written. What was queued is decided anew.
+ */
+static void drop_change(struct coord *c)
+{
+	struct co_member *m, *tmp;
+
+	log_error("map_change_refused", "revision=%llu slots=%zu cause=%s",
+		  (unsigned long long)c->map.rev, c->queue.slot_count,
+		  LOG_Q(c->queue.cause));
+	for (size_t i = 0; i < c->queue.slot_count; i++)
+		c->slots[c->queue.slots[i].slot].changing = 0;
+	HASH_ITER(hh, c->members, m, tmp) {
+		m->removing = 0;
+		m->dirty = 1;
+		if (m->join == CO_JOIN_WRITING)
+			m->join = CO_JOIN_QUEUED;
+	}
+	c->queue.slot_count = 0;
+	c->queue.cause[0] = '\0';
+	clear_write(&c->write);
+	c->place_soon = 1;
+}
+
 static void start_change(struct coord *c)
 {
 	struct co_write *w = &c->write;
@@ -431,6 +456,10 @@
 	begin_write(c, CO_WRITE_CHANGE);
 	w->marks = q->marks;
 	co_build_delta(c);
+	if (w->delta && map_check(&c->map, w->delta) != ERR_OK) {
+		drop_change(c);
+		return;
+	}
 	if (q->roster)
 		co_build_roster(c);
 	q->roster = 0;
--- a/routing/map.c
+++ b/routing/map.c
@@ -697,6 +697,17 @@
 	return apply_checked(m, d);
 }
 
+enum err map_check(struct map *m, const Wire__MapDelta *d)
+{
+	struct change ch = { 0 };
+	enum err e = ERR_STALE;
+
+	if (d->term >= m->term && d->base_rev == m->rev)
+		e = prepare(m, d, &ch);
+	change_finish(&ch, d);
+	return e;
+}
+
 /* Memory of a message and of its list of pointers, freed by protobuf-c. */
 static void *list_new(size_t n)
 {
--- a/routing/map.h
+++ b/routing/map.h
@@ -68,6 +68,8 @@
  * ERR_MALFORMED: a slot or node id out of range; nothing is changed.
  */
 enum err map_apply(struct map *m, const Wire__MapDelta *delta);
+/* ERR_OK if map_apply would apply the delta; changes nothing. */
+enum err map_check(struct map *m, const Wire__MapDelta *delta);
 /* The whole map as one delta with base 0; free with map_delta_free. */
 Wire__MapDelta *map_snapshot(const struct map *m);
 /* Deep copy of a delta made by map_snapshot or a decoder. */
--- /dev/null
+++ b/test/unit/test_coord.c
@@ -0,0 +1,179 @@
+#include "membership/coord_priv.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* What the coordinator writes, without a store and without nodes. */
+
+struct fixture {
+	struct settings set;
+	struct cnt cnt;
+	struct coord c;
+};
+
+static void add_member(struct fixture *f, uint32_t id)
+{
+	Wire__Node n = WIRE__NODE__INIT;
+	char name[16];
+
+	g_snprintf(name, sizeof(name), "n%u", id);
+	n.id = id;
+	n.name = name;
+	n.address = "127.0.0.1";
+	n.peer_port = 8000 + id;
+	n.incarnation = id;
+	g_assert_nonnull(co_member_add(&f->c, &n));
+	own_coord_inherit(&f->c.own, id, id, 0, 0);
+}
+
+/* Writes what is queued into the map, as after the store's answer. */
+static void write_queue(struct fixture *f)
+{
+	struct coord *c = &f->c;
+
+	co_build_delta(c);
+	g_assert_cmpint(map_check(&c->map, c->write.delta), ==, ERR_OK);
+	g_assert_cmpint(map_apply(&c->map, c->write.delta), ==, ERR_OK);
+	for (size_t i = 0; i < c->queue.slot_count; i++)
+		c->slots[c->queue.slots[i].slot].changing = 0;
+	c->queue.slot_count = 0;
+	c->queue.services = 0;
+	co_write_finish(c);
+	co_slots_reserve(c, c->map.slot_count);
+}
+
+static void setup(struct fixture *f)
+{
+	static const char text[] =
+		"{\"version\":1,\"services\":{\"cal\":{\"shards\":4,"
+		"\"route\":{\"key\":\"number:X-Key\"}},"
+		"\"desk\":{\"keyed\":false}}}";
+
+	memset(f, 0, sizeof(*f));
+	cnt_init(&f->cnt);
+	f->c.config.set = &f->set;
+	f->c.config.cnt = &f->cnt;
+	f->c.record.term = 1;
+	map_init(&f->c.map);
+	own_coord_init(&f->c.own, 1, 0, 0);
+	g_assert_cmpint(doc_parse(&f->c.doc, text, strlen(text), NULL), ==,
+			ERR_OK);
+	f->c.has_doc = 1;
+	for (uint32_t id = 1; id <= 3; id++)
+		add_member(f, id);
+	f->c.queue.services = 1;
+	for (struct co_member *m = f->c.members; m; m = m->hh.next)
+		m->dirty = 1;
+	write_queue(f);
+}
+
+static void teardown(struct fixture *f)
+{
+	struct co_member *m, *tmp;
+
+	co_write_finish(&f->c);
+	HASH_ITER(hh, f->c.members, m, tmp) {
+		co_member_remove(&f->c, m);
+	}
+	own_coord_finish(&f->c.own);
+	map_finish(&f->c.map);
+	doc_finish(&f->c.doc);
+	free(f->c.slots);
+	cnt_finish(&f->cnt);
+}
+
+/* Guards against services without keys that take slots, and numbers as hashes.
+ */
+static void test_services(void)
+{
+	const struct map_service *s;
+	uint32_t first, last;
+	struct fixture f;
+
+	setup(&f);
+	g_assert_null(map_find_service(&f.c.map, "desk"));
+	s = map_find_service(&f.c.map, "cal");
+	g_assert_nonnull(s);
+	g_assert_cmpuint(s->key_numbers, ==, DOC_KEY_NUMBERS);
+	map_slot_numbers(s, s->first_slot + 1, &first, &last);
+	g_assert_cmpuint(first, ==, 16384);
+	g_assert_cmpuint(last, ==, 32767);
+	g_assert_cmpuint(map_slot_of(&f.c.map, s, "16384", 5), ==,
+			 s->first_slot + 1);
+	g_assert_cmpuint(map_slot_of(&f.c.map, s, "32767", 5), ==,
+			 s->first_slot + 1);
+	teardown(&f);
+}
+
+/*
+ * Guards against a node that is removed while a queued slot names it as the
+ * new owner: the record did not apply, and no later coordinator could load the
+ * map (recorded day inc-5cbf of falaj-pumpout).
+ */
+static void test_lost_with_queued_slot(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	co_queue_slot(&f.c, 0, 2, "lost");
+	co_member_find(&f.c, 2)->lost = 1;
+	co_build_removals(&f.c);
+	g_assert_false(co_member_find(&f.c, 2)->removing);
+	write_queue(&f);
+	/* Once it owns the slot, it leaves with it. */
+	co_queue_slot(&f.c, 0, 3, "lost");
+	co_build_removals(&f.c);
+	g_assert_true(co_member_find(&f.c, 2)->removing);
+	write_queue(&f);
+	g_assert_null(map_find_node(&f.c.map, 2));
+	g_assert_cmpuint(f.c.map.slots[0].owner, ==, 3);
+	teardown(&f);
+}
+
+/* Guards against a check that lets a record pass which does not apply. */
+static void test_check(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	co_queue_slot(&f.c, 0, 9, "nobody");
+	co_build_delta(&f.c);
+	g_assert_cmpint(map_check(&f.c.map, f.c.write.delta), ==,
+			ERR_MALFORMED);
+	g_assert_cmpint(map_apply(&f.c.map, f.c.write.delta), ==,
+			ERR_MALFORMED);
+	teardown(&f);
+}
+
+/* Guards against a handover that is lost or goes to a later holder. */
+static void test_handover(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	co_queue_slot(&f.c, 1, 1, "unowned");
+	write_queue(&f);
+	g_assert_null(f.c.map.slots[1].handover);
+	g_snprintf(f.c.slots[1].handover, sizeof(f.c.slots[1].handover),
+		   "5c0e");
+	co_queue_slot(&f.c, 1, 2, "drain");
+	write_queue(&f);
+	g_assert_cmpstr(f.c.map.slots[1].handover, ==, "5c0e");
+	f.c.slots[1].handover[0] = 0;
+	co_queue_slot(&f.c, 1, 3, "lost");
+	write_queue(&f);
+	g_assert_null(f.c.map.slots[1].handover);
+	teardown(&f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/coord/services", test_services);
+	g_test_add_func("/coord/lost_with_queued_slot",
+			test_lost_with_queued_slot);
+	g_test_add_func("/coord/check", test_check);
+	g_test_add_func("/coord/handover", test_handover);
+	return g_test_run();
+}
