routing: own connections for a target that answers twice

Change: after one such answer each request to the target has a connection of its own for 10 s. Ruled out: reading past the foreign answer, which libcurl does not offer. Test: test_dialect late_answers.

--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -14,6 +14,11 @@
 #define GATE_NUMBER_BYTES 24
 #define GATE_OWN_HEADERS 7
 #define GATE_URL_BYTES 64
+/*
+ * A target that answered twice does so again: until then its late answers must
+ * not meet another request on the same connection.
+ */
+#define GATE_FRESH_MS 10000
 /*
  * A target that leaves so many calls in a row, each for so long, without a
  * status line counts as lost. Shorter waits prove nothing: callers choose
@@ -244,6 +249,16 @@
 	return status < 300 ? a->seal && a->request_id && !a->encoded : 1;
 }
 
+static void avoid_reuse(struct gate *g)
+{
+	int64_t now_ms = clk_ms();
+
+	if (now_ms >= g->fresh_until_ms)
+		log_warn("target_answers_mixed", "id=%s fresh_ms=%d",
+			 g->target ? LOG_Q(g->target->id) : "-", GATE_FRESH_MS);
+	g->fresh_until_ms = now_ms + GATE_FRESH_MS;
+}
+
 /* The first send of a repeated request may have run, whatever came later. */
 static void classify_answer(const struct gate_call *c, const struct answer *a,
 			    Wire__ForwardReply *reply)
@@ -255,6 +270,7 @@
 		if (!is_genuine(c, a, reply->status)) {
 			reply->outcome = OUTCOME_UNKNOWN;
 			reply->error = ERR_MALFORMED;
+			avoid_reuse(c->g);
 		}
 		return;
 	}
@@ -507,6 +523,8 @@
 		.timeout_ms = (int)(c->deadline_ms - clk_ms()),
 		.connect_timeout_ms = GATE_CONNECT_MS,
 		.unframed_ok = c->g->dialect->unframed_answers,
+		.fresh = clk_ms() < c->g->fresh_until_ms,
+		.alone = clk_ms() < c->g->fresh_until_ms,
 	};
 	e = c->http.timeout_ms > 0 ? httpc_start(&c->g->client, &c->http)
 				   : ERR_DEADLINE;
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -60,6 +60,7 @@
 	void *priv;
 	struct httpc client;
 	Wire__Target *target; /* owned; NULL: none */
+	int64_t fresh_until_ms; /* each request has its own connection */
 	int fixed; /* the announced concurrency is used, not conc's */
 	int quiesced;
 	int leaving;	      /* the target gets no new work without a key */
--- a/test/unit/test_dialect.c
+++ b/test/unit/test_dialect.c
@@ -146,6 +146,43 @@
 	}
 }
 
+static enum fake_mode answer_late(struct fake_target *t, const char *request)
+{
+	(void)request;
+	/* The second run finds an answer to another request in its place. */
+	t->answer =
+		t->runs == 2
+			? "HTTP/1.1 200 OK\r\nX-Attempt-Id: 00\r\n"
+			  "X-Server-Seal: s\r\nContent-Length: 4\r\n\r\nlate"
+			: SEALED;
+	return FAKE_ANSWER;
+}
+
+/*
+ * Guards against requests that are lost one after the other to a target that
+ * answers twice and late (garble "extra late": one request in 30 for 5 s).
+ */
+static void test_late_answers(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+	unsigned connections;
+
+	setup(&f);
+	f.target.choose = answer_late;
+	call(&f, &r, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	call(&f, &r, 2);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_UNKNOWN);
+	connections = f.target.connections;
+	for (uint64_t i = 3; i < 8; i++) {
+		call(&f, &r, i);
+		g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	}
+	g_assert_cmpuint(f.target.connections, ==, connections + 5);
+	teardown(&f);
+}
+
 /* Guards against an answer without a length that is lost, or cut unnoticed. */
 static void test_unframed(void)
 {
@@ -259,6 +296,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	g_test_add_func("/dialect/headers", test_headers);
 	g_test_add_func("/dialect/no_answer", test_no_answer);
+	g_test_add_func("/dialect/late_answers", test_late_answers);
 	g_test_add_func("/dialect/unframed", test_unframed);
 	g_test_add_func("/dialect/refusals", test_refusals);
 	g_test_add_func("/dialect/cancel", test_cancel);
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -404,6 +404,7 @@
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, HTTPC_KEEPALIVE_SECONDS);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, HTTPC_KEEPALIVE_SECONDS);
 	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, (long)r->fresh);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, (long)r->alone);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -61,6 +61,7 @@
 	int connect_timeout_ms; /* 0: same as timeout_ms */
 	size_t max_body_bytes;	/* of the answer; 0: FRAME_MAX_BYTES / 2 */
 	int fresh;		/* do not reuse a connection */
+	int alone;		/* nor use this one for another request */
 	int unframed_ok;	/* the answer may end with its connection */
 
 	/* Result, valid in done(). */
