--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -22,9 +22,14 @@
 #define CO_RETRY_MS 200
 #define CO_HOLD_CONFIRM_MS 1000
 #define CO_STANDBYS 2
-/* A snapshot deletes them in one transaction, whose size stores limit. */
+/*
+ * A snapshot deletes as many of them in one transaction, whose size stores
+ * limit; it comes before further changes.
+ */
 #define CO_LOG_BEFORE_SNAPSHOT 24
 #define CO_SNAPSHOT_PART_BYTES (512 * 1024)
+/* What only tells of targets is written together when it comes in a row. */
+#define CO_BATCH_MS 150
 #define CO_HISTORY 8192
 #define CO_CAUSE_BYTES 96
 #define CO_HANDOVER_BYTES 64
@@ -133,6 +138,7 @@
 	size_t roster_len;
 	int marks;
 	int64_t retry_at_ms; /* 0: waiting for the store */
+	unsigned deletes;    /* change records that a snapshot deletes */
 	char attempt[96];    /* unique; the value of "map/head" */
 };
 
@@ -191,6 +197,7 @@
 	int64_t head_mod_revision;
 	unsigned log_count; /* change records since the snapshot */
 	unsigned snap_parts;
+	int64_t changed_ms; /* when the last change was begun */
 	uint64_t attempts;
 
 	struct co_history *history;
--- a/membership/coord_write.c
+++ b/membership/coord_write.c
@@ -209,7 +209,7 @@
 		finish_change(c);
 		return;
 	}
-	c->log_count = 0;
+	c->log_count -= w->deletes;
 	c->snap_parts = (unsigned)((w->delta_len + CO_SNAPSHOT_PART_BYTES - 1) /
 				   CO_SNAPSHOT_PART_BYTES);
 	clear_write(w);
@@ -352,7 +352,7 @@
 {
 	size_t parts = (c->write.delta_len + CO_SNAPSHOT_PART_BYTES - 1) /
 		       CO_SNAPSHOT_PART_BYTES;
-	size_t max = parts + c->snap_parts + c->log_count + 1;
+	size_t max = parts + c->snap_parts + CO_LOG_BEFORE_SNAPSHOT + 1;
 	struct store_put *puts = calloc(max, sizeof(*puts));
 	char(*keys)[LOG_KEY_BYTES] = calloc(max, sizeof(*keys));
 	struct guards g;
@@ -379,8 +379,9 @@
 					    ? left
 					    : CO_SNAPSHOT_PART_BYTES;
 	}
-	for (unsigned i = 0; i < c->log_count; i++, n++) {
-		log_key(c, c->map.rev - i, keys[n]);
+	/* The oldest first; what is left is older than the snapshot, too. */
+	for (unsigned i = 0; i < c->write.deletes; i++, n++) {
+		log_key(c, c->map.rev - c->log_count + 1 + i, keys[n]);
 		puts[n].key = keys[n];
 	}
 	c->config.store->ops->txn(c->config.store, g.compares, g.count, puts, n,
@@ -444,6 +445,11 @@
 	c->place_soon = 1;
 }
 
+static int is_urgent(const struct co_queue *q)
+{
+	return q->slot_count || q->pin_count || q->services || q->roster;
+}
+
 static void start_change(struct coord *c)
 {
 	struct co_write *w = &c->write;
@@ -453,6 +459,9 @@
 
 	if (!delta)
 		return;
+	if (!is_urgent(q) && clk_ms() - c->changed_ms < CO_BATCH_MS)
+		return;
+	c->changed_ms = clk_ms();
 	begin_write(c, CO_WRITE_CHANGE);
 	w->marks = q->marks;
 	co_build_delta(c);
@@ -477,6 +486,9 @@
 	if (!d)
 		return;
 	begin_write(c, CO_WRITE_SNAPSHOT);
+	w->deletes = c->log_count < CO_LOG_BEFORE_SNAPSHOT
+			     ? c->log_count
+			     : CO_LOG_BEFORE_SNAPSHOT;
 	w->delta_len = wire__map_delta__get_packed_size(d);
 	w->delta_bytes = malloc(w->delta_len);
 	if (w->delta_bytes)
@@ -495,7 +507,8 @@
 	if (!own_coord_may_change(&c->own))
 		return;
 	co_build_removals(c);
-	start_change(c);
-	if (!c->write.active && c->log_count >= CO_LOG_BEFORE_SNAPSHOT)
+	if (c->log_count >= CO_LOG_BEFORE_SNAPSHOT)
 		start_snapshot(c);
+	if (!c->write.active)
+		start_change(c);
 }
