--- a/placement/choose.c
+++ b/placement/choose.c
@@ -35,6 +35,12 @@
 #define CHOOSE_GONE_MS 400
 /* A request that waits delays those that come after it, too. */
 #define CHOOSE_QUEUE_FACTOR 3.0
+/* Bodies above this tell what a line carries, smaller ones how long it is. */
+#define CHOOSE_LARGE_BYTES 8192
+/* Weight of one request in the averages of the way. */
+#define CHOOSE_TRAVEL_WEIGHT 0.2
+/* A slow line is forgotten by half in this time, so that it is tried again. */
+#define CHOOSE_TRAVEL_HALF_MS 1500.0
 /* A cold target is slow by about this factor. */
 #define CHOOSE_COLD_FACTOR 2.0
 /* Spread of the costs, so that ingresses do not all choose alike. */
@@ -117,6 +123,16 @@
 					     CHOOSE_FAIL_HALF_MS);
 }
 
+static double travel_ms(const struct choose_target *t, size_t bytes,
+			int64_t now_ms)
+{
+	double ms = t->travel_ms;
+
+	if (bytes > CHOOSE_LARGE_BYTES && t->travel_kb_ms > 0)
+		ms = t->travel_kb_ms * (double)bytes / 1024.;
+	return decayed(ms, now_ms - t->travel_at_ms, CHOOSE_TRAVEL_HALF_MS);
+}
+
 static double cost_of(struct choose *c, const struct choose_candidate *k,
 		      size_t bytes, int64_t now_ms)
 {
@@ -128,6 +144,7 @@
 	if (!t)
 		t = &unknown;
 	ms += expected_ms(t, k->places, now_ms);
+	ms += travel_ms(t, bytes, now_ms);
 	if (now_ms < t->avoid_until_ms)
 		ms += CHOOSE_FAIL_MS;
 	return ms;
@@ -208,6 +225,23 @@
 	}
 }
 
+void choose_travelled(struct choose *c, uint32_t id, size_t bytes, double ms,
+		      int64_t now_ms)
+{
+	struct choose_target *t = get(c, id);
+
+	if (!t || ms < 0)
+		return;
+	t->travel_at_ms = now_ms;
+	if (bytes > CHOOSE_LARGE_BYTES) {
+		ms = ms * 1024. / (double)bytes;
+		t->travel_kb_ms +=
+			CHOOSE_TRAVEL_WEIGHT * (ms - t->travel_kb_ms);
+	} else {
+		t->travel_ms += CHOOSE_TRAVEL_WEIGHT * (ms - t->travel_ms);
+	}
+}
+
 void choose_cold(struct choose *c, uint32_t id, int64_t until_ms)
 {
 	struct choose_target *t = get(c, id);
--- a/placement/choose.h
+++ b/placement/choose.h
@@ -44,6 +44,9 @@
 	uint32_t under_way; /* own requests */
 	double fail;	    /* moving average, 0 to 1 */
 	int64_t fail_ms;
+	double travel_ms;    /* moving average of small requests' way */
+	double travel_kb_ms; /* of large ones, for each KB */
+	int64_t travel_at_ms;
 	int64_t avoid_until_ms; /* it has refused or left */
 	int64_t cold_until_ms;
 	UT_hash_handle hh;
@@ -75,6 +78,12 @@
 /* load: of the reply; NULL if none came. */
 void choose_ended(struct choose *c, uint32_t id, enum choose_outcome outcome,
 		  const struct choose_load *load, int64_t now_ms);
+/*
+ * Time that request and answer of so many bytes spent on the way, queues of
+ * the lines included.
+ */
+void choose_travelled(struct choose *c, uint32_t id, size_t bytes, double ms,
+		      int64_t now_ms);
 /* The target says that it starts cold. */
 void choose_cold(struct choose *c, uint32_t id, int64_t until_ms);
 
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -4513,7 +4513,7 @@
   (ProtobufCMessageInit) wire__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[5] =
 {
   {
     "running",
@@ -4563,17 +4563,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "took_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TargetLoad, took_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__target_load__field_indices_by_name[] = {
   3,   /* field[3] = latency_us */
   2,   /* field[2] = places */
   1,   /* field[1] = queued */
   0,   /* field[0] = running */
+  4,   /* field[4] = took_us */
 };
 static const ProtobufCIntRange wire__target_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__target_load__descriptor =
 {
@@ -4583,7 +4596,7 @@
   "Wire__TargetLoad",
   "wire",
   sizeof(Wire__TargetLoad),
-  4,
+  5,
   wire__target_load__field_descriptors,
   wire__target_load__field_indices_by_name,
   1,  wire__target_load__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -263,7 +263,7 @@
   char *node;
   uint64_t incarnation;
   /*
-   * 0 link for requests, 1 control
+   * 0 link for requests, 1 control, 2 link for large ones
    */
   uint32_t purpose;
   /*
@@ -724,10 +724,14 @@
    * moving average of answers
    */
   uint32_t latency_us;
+  /*
+   * this request's time at the gate
+   */
+  uint32_t took_us;
 };
 #define WIRE__TARGET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__target_load__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Wire__Query
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -160,6 +160,7 @@
 		g->started--;
 	reply->arrived = c->sent_ns != 0;
 	fill_reply(g, reply, &load, c->f->attempt);
+	load.took_us = (uint32_t)((clk_ns() - c->arrived_ns) / 1000);
 	count_end(g, c->f, reply);
 	if (c->fn)
 		c->fn(reply, c->priv);
@@ -360,6 +361,7 @@
 		deadline = GATE_MAX_DEADLINE_MS;
 	c->g = g;
 	c->deadline_ms = clk_ms() + deadline;
+	c->arrived_ns = clk_ns();
 	c->f = wire_copy_forward(f);
 	if (c->f)
 		return c;
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -38,6 +38,7 @@
 	void *priv;
 	struct attempt *attempt;
 	int64_t deadline_ms;
+	int64_t arrived_ns;
 	uint32_t slot;
 
 	/* Set when it leaves the queue. */
@@ -59,12 +60,12 @@
 	const struct gate_ops *ops;
 	void *priv;
 	struct httpc client;
-	Wire__Target *target; /* owned; NULL: none */
+	Wire__Target *target;	/* owned; NULL: none */
 	int64_t fresh_until_ms; /* each request has its own connection */
 	int fixed; /* the announced concurrency is used, not conc's */
 	int quiesced;
-	int leaving;	      /* the target gets no new work without a key */
-	int64_t answered_ms;  /* when it last answered; 0 never */
+	int leaving;	     /* the target gets no new work without a key */
+	int64_t answered_ms; /* when it last answered; 0 never */
 	int lost_reported;
 	unsigned silent; /* calls in a row that got no answer at all */
 	struct adm adm;
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -74,7 +74,8 @@
 	uint32_t arrivals;
 	uint32_t tried[IN_MAX_TRIED];
 	unsigned tried_count;
-	int chosen; /* under way at a target that choose knows of */
+	int64_t sent_ns; /* of the present try */
+	int chosen;	 /* under way at a target that choose knows of */
 
 	int64_t arrived_ns;
 	int64_t waiting_ms; /* since when it waits for an owner; 0: not */
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -90,7 +90,7 @@
 		    uint32_t retry_after_ms)
 {
 	/* Spread, so that callers refused together do not return together. */
-	if (retry_after_ms)
+	if (retry_after_ms && q->in->dialect->fine_retry_after)
 		retry_after_ms = (uint32_t)(retry_after_ms *
 					    g_random_double_range(0.7, 1.5));
 	in_answer_error(q, q->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
@@ -358,6 +358,12 @@
 	if (!q->chosen)
 		return;
 	q->chosen = 0;
+	if (l && l->took_us)
+		choose_travelled(&q->in->choose, q->owner,
+				 q->f.body.len + reply->body.len,
+				 (double)(clk_ns() - q->sent_ns) / 1e6 -
+					 l->took_us / 1000.,
+				 clk_ms());
 	choose_ended(&q->in->choose, q->owner, outcome_of(reply),
 		     l ? &load : NULL, clk_ms());
 	if (reply->outcome != OUTCOME_ANSWERED)
@@ -487,6 +493,7 @@
 	if (!q->keyed) {
 		q->chosen = 1;
 		choose_sent(&in->choose, q->owner);
+		q->sent_ns = clk_ns();
 	}
 	if (q->owner == in->view->ops->self(in->view)) {
 		q->place = IN_AT_GATE;
--- a/routing/peer.c
+++ b/routing/peer.c
@@ -138,12 +138,14 @@
 	free(p);
 }
 
-enum err peer_send_hello(struct peers *p, struct tcp_conn *conn)
+enum err peer_send_hello(struct peers *p, struct tcp_conn *conn,
+			 uint32_t purpose)
 {
 	Wire__Hello h = WIRE__HELLO__INIT;
 
 	h.node = p->self_name;
 	h.incarnation = p->incarnation;
+	h.purpose = purpose;
 	return tcp_send(conn, FRAME_HELLO, &h.base);
 }
 
@@ -249,7 +251,7 @@
 void peers_forward(struct peers *p, uint32_t node, const Wire__Forward *f,
 		   gate_reply_fn fn, void *priv)
 {
-	struct peer_node *n = node_get(p, node);
+	struct peer_node *n = node_get(p, node, f->body.len > PEER_BULK_BYTES);
 	struct out_attempt *a = n ? out_new(p, n, f, fn, priv) : NULL;
 
 	/* No memory for a reply that comes later: the process is lost. */
--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -19,6 +19,7 @@
 	struct peers *p;
 	char name[64];
 	uint64_t incarnation;
+	uint32_t purpose;
 	struct tcp_conn *conn; /* NULL while it has no link */
 	int64_t gone_ms;
 	struct kept *kept; /* oldest first */
@@ -163,6 +164,7 @@
 
 	DL_FOREACH(p->inbound, in) {
 		if (in->incarnation == hello->incarnation &&
+		    in->purpose == hello->purpose &&
 		    strcmp(in->name, hello->node) == 0)
 			return in;
 	}
@@ -171,6 +173,7 @@
 		return NULL;
 	in->p = p;
 	in->incarnation = hello->incarnation;
+	in->purpose = hello->purpose;
 	memcpy(in->name, hello->node, strlen(hello->node) + 1);
 	DL_APPEND(p->inbound, in);
 	return in;
@@ -196,7 +199,7 @@
 	c->priv = in;
 	in->conn = c;
 	in->gone_ms = 0;
-	peer_send_hello(p, c);
+	peer_send_hello(p, c, in->purpose);
 }
 
 static void inbound_free(struct inbound *in)
--- a/routing/peer_link.c
+++ b/routing/peer_link.c
@@ -11,18 +11,19 @@
 
 static const struct tcp_ops link_ops;
 
-struct peer_node *node_get(struct peers *p, uint32_t id)
+struct peer_node *node_get(struct peers *p, uint32_t id, int bulk)
 {
+	struct peer_node_key key = { id, bulk != 0 };
 	struct peer_node *n;
 
-	HASH_FIND(hh, p->nodes, &id, sizeof(id), n);
+	HASH_FIND(hh, p->nodes, &key, sizeof(key), n);
 	if (n)
 		return n;
 	n = calloc(1, sizeof(*n));
 	if (!n)
 		return NULL;
-	n->id = id;
-	HASH_ADD(hh, p->nodes, id, sizeof(n->id), n);
+	n->key = key;
+	HASH_ADD(hh, p->nodes, key, sizeof(n->key), n);
 	return n;
 }
 
@@ -65,7 +66,8 @@
 		free(l);
 		return NULL;
 	}
-	peer_send_hello(p, &l->conn);
+	peer_send_hello(p, &l->conn,
+			n->key.bulk ? PEER_PURPOSE_BULK : PEER_PURPOSE_LINK);
 	return l;
 }
 
@@ -104,7 +106,7 @@
 
 static void dial(struct peers *p, struct peer_node *n)
 {
-	const Wire__Node *info = node_info(p, n->id);
+	const Wire__Node *info = node_info(p, n->key.id);
 
 	peer_wake_tick(p);
 	if (!info) {
@@ -194,7 +196,7 @@
 void node_submit(struct peer_node *n, struct out_attempt *a,
 		 const Wire__Forward *f)
 {
-	const Wire__Node *info = node_info(a->p, n->id);
+	const Wire__Node *info = node_info(a->p, n->key.id);
 	enum err e;
 
 	if (info && n->current && !is_same_address(n->current, info))
@@ -303,8 +305,8 @@
 		return;
 	}
 	n->current = NULL;
-	log_info("link_down", "node_id=%u why=%s up=%d", n->id, err_name(why),
-		 was_up);
+	log_info("link_down", "node_id=%u why=%s up=%d", n->key.id,
+		 err_name(why), was_up);
 	if (was_up) {
 		n->redial_ms = 0;
 		if (has_unsent(n))
@@ -330,7 +332,7 @@
 {
 	struct peer_node *n = l->node;
 
-	log_warn("link_suspect", "node_id=%u work=%u", n->id, l->work);
+	log_warn("link_suspect", "node_id=%u work=%u", n->key.id, l->work);
 	cnt_add(l->p->cnt, "peer_links_suspect", "", 1);
 	retire(l);
 	if (has_unsent(n))
@@ -348,13 +350,13 @@
 
 static void on_hello(struct peer_link *l, const Wire__Hello *h)
 {
-	const Wire__Node *info = node_info(l->p, l->node->id);
+	const Wire__Node *info = node_info(l->p, l->node->key.id);
 
 	if (l->state != LINK_OPENING)
 		return;
 	if (!info || strcmp(info->name, h->node) != 0) {
-		log_warn("link_wrong_node", "node_id=%u hello=%s", l->node->id,
-			 LOG_Q(h->node));
+		log_warn("link_wrong_node", "node_id=%u hello=%s",
+			 l->node->key.id, LOG_Q(h->node));
 		close_link(l, ERR_CONFLICT);
 		return;
 	}
@@ -445,7 +447,7 @@
 		break;
 	default:
 		log_warn("link_unexpected_frame", "node_id=%u type=%s",
-			 l->node->id, frame_name(f->type));
+			 l->node->key.id, frame_name(f->type));
 		close_link(l, ERR_MALFORMED);
 	}
 }
@@ -455,6 +457,15 @@
 	.closed = on_closed,
 };
 
+/* The ping waits behind what a thin line takes slowly, but takes. */
+static int is_sending(struct peer_link *l)
+{
+	size_t before = l->unsent;
+
+	l->unsent = tcp_unacknowledged(&l->conn);
+	return l->unsent && l->unsent != before;
+}
+
 static void tick_current(struct peer_link *l, int64_t now)
 {
 	int64_t quiet_since = l->conn.last_read_ms;
@@ -467,6 +478,8 @@
 	/* Part of a large frame is progress, too. */
 	if (l->ping_ms && l->conn.bytes_in > l->ping_bytes)
 		heard(l);
+	if (l->ping_ms && is_sending(l))
+		l->ping_ms = now;
 	if (l->ping_ms) {
 		if (now - l->ping_ms >= PEER_SILENT_MS)
 			suspect(l);
--- a/routing/peer_priv.h
+++ b/routing/peer_priv.h
@@ -82,13 +82,29 @@
 	unsigned work;	     /* attempts that wait for something on it */
 	int64_t ping_ms;     /* 0: none outstanding */
 	uint64_t ping_bytes; /* bytes_in when it was sent */
+	size_t unsent;	     /* bytes that had not arrived at the last tick */
 	uint32_t ping_seq;
 	struct peer_link *prev; /* in node->old */
 	struct peer_link *next;
 };
 
-struct peer_node {
+/*
+ * Requests with larger bodies have a link of their own to each node, so that
+ * small ones do not wait behind them on a thin line. Twice the largest answer
+ * of the services known.
+ */
+#define PEER_BULK_BYTES (16 * 1024)
+/* Values of Hello.purpose. */
+#define PEER_PURPOSE_LINK 0
+#define PEER_PURPOSE_BULK 2
+
+struct peer_node_key {
 	uint32_t id;
+	uint32_t bulk;
+};
+
+struct peer_node {
+	struct peer_node_key key;
 	struct peer_link *current;
 	struct peer_link *old;
 	struct out_attempt *attempts;
@@ -127,7 +143,8 @@
  */
 void peer_bury(struct peers *p, struct tcp_conn *conn, void *memory);
 void peer_wake_tick(struct peers *p);
-enum err peer_send_hello(struct peers *p, struct tcp_conn *conn);
+enum err peer_send_hello(struct peers *p, struct tcp_conn *conn,
+			 uint32_t purpose);
 
 /* peer.c */
 
@@ -144,7 +161,7 @@
 /* Sends an attempt on the node's link, or keeps it until there is one. */
 void node_submit(struct peer_node *n, struct out_attempt *a,
 		 const Wire__Forward *f);
-struct peer_node *node_get(struct peers *p, uint32_t id);
+struct peer_node *node_get(struct peers *p, uint32_t id, int bulk);
 void node_tick(struct peer_node *n, int64_t now_ms);
 /* Does the node have anything that needs ticks? */
 int node_is_busy(const struct peer_node *n);
