membership: a target that announces itself is kept; cancels over a new link

Cause: a slow target (eight timeouts in a row) was taken for lost, and its next announcement, a second later, brought it back: about 100 slots moved twice each second, unserved and cold. A target that leaves while its coordinator is away kept getting keyed work beyond the bound of its platform; target.drain_ms ends that.

--- a/config/set.c
+++ b/config/set.c
@@ -137,6 +137,13 @@
 	  .max = 60000,
 	  .meaning = "longest time a target holds keys after an "
 		     "announcement; 0: it holds none" },
+	{ .name = "target.drain_ms",
+	  .type = OPT_TIME,
+	  F(drain_ms),
+	  .min = 0,
+	  .max = 60000,
+	  .meaning = "a leaving target gets nothing new after this time; "
+		     "0: until its keys have moved" },
 	{ .name = "target.adapt_concurrency",
 	  .type = OPT_BOOL,
 	  F(adapt_concurrency),
--- a/config/set.h
+++ b/config/set.h
@@ -45,6 +45,7 @@
 	int store_timeout_ms;
 	/* [target] */
 	int announce_ms; /* period of the target's announcements */
+	int drain_ms;	 /* a leaving target gets nothing new; 0: no bound */
 	/*
 	 * Longest time that a target may hold keys after an announcement; 0:
 	 * targets hold none and go by the fence of each request.
--- a/daemon/holds.c
+++ b/daemon/holds.c
@@ -255,7 +255,7 @@
 	if (!s || !s->key_numbers || !map_names_target(n, a) ||
 	    mem_right_end(n->mem, now_ms, &end_ms) != ERR_OK)
 		return;
-	answer->time_ms = hold_time_ms(
+	answer->time_ms = hold_remaining_ms(
 		now_ms, end_ms,
 		own_times_for(set_grant_ms(n->set)).grant_ms <
 				n->set->hold_max_ms
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -152,6 +152,16 @@
 {
 	struct node *n = priv;
 
+	/*
+	 * It announces itself, so it lives and is slow. Giving its keys away
+	 * brings them back with its next announcement: twice unserved, and
+	 * cold.
+	 */
+	if (!refused && node_target_announces(n, clk_ms())) {
+		log_warn("target_slow", "announced_ms=%lld",
+			 (long long)(clk_ms() - n->announced_ms));
+		return;
+	}
 	if (refused)
 		hold_clear(&n->hold);
 	node_target_gone(n, refused ? "connection_refused" : "silent");
@@ -347,6 +357,7 @@
 		      n->incarnation) != ERR_OK)
 		return err_set(info, ERR_NOMEM, "routing");
 	gate_set_adaptive(n->gate, n->set->adapt_concurrency);
+	gate_set_drain(n->gate, n->set->drain_ms);
 	return ingress_new(&n->ingress, n->loop, n->set, n->interface->dialect,
 			   v, n->gate, n->peers, &n->cnt, n->incarnation, info);
 }
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -73,7 +73,7 @@
 
 	Wire__Target *target; /* as announced; NULL if there is none */
 	int64_t announced_ms; /* when it last did; at first, the start */
-	int silence_told; /* that it never did since the start */
+	int silence_told;     /* that it never did since the start */
 	int64_t tick_ms;
 	int target_leaving; /* it finishes what it runs, gets nothing new */
 	int target_left;    /* it said so, not only that it will */
@@ -106,6 +106,8 @@
 enum err node_announce(struct node *n, struct announcement *a,
 		       struct announce_answer *answer);
 void node_target_leaving(struct node *n);
+/* Has its latest announcement come in time? */
+int node_target_announces(const struct node *n, int64_t now_ms);
 /* The target has said that it leaves; "" if it has no id. */
 void node_target_left(struct node *n, const char *id);
 void node_target_gone(struct node *n, const char *why);
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -148,6 +148,11 @@
 	return (int64_t)n->set->announce_ms * 5 / 2;
 }
 
+int node_target_announces(const struct node *n, int64_t now_ms)
+{
+	return now_ms - n->announced_ms <= silence_ms(n);
+}
+
 void node_target_tick(struct node *n, int64_t now_ms)
 {
 	/* Announcements wait in the socket while this process is paused. */
@@ -157,15 +162,16 @@
 	node_hold_tick(n, now_ms);
 	/* Its place was kept for a restarted daemon; it does not come back. */
 	if (!n->target && !n->silence_told && mem_id(n->mem) &&
-	    now_ms - n->announced_ms > silence_ms(n)) {
+	    !node_target_announces(n, now_ms)) {
 		n->silence_told = 1;
 		mem_set_target(n->mem, NULL);
 	}
 	if (!n->target)
 		return;
-	if (n->target_leaving && !gate_in_flight(n->gate) &&
-	    now_ms - n->announced_ms > silence_ms(n))
-		node_target_gone(n, "left");
-	else if (!n->target_leaving && now_ms - n->announced_ms > silence_ms(n))
+	if (node_target_announces(n, now_ms))
+		return;
+	if (!n->target_leaving)
 		node_target_gone(n, "announcements_stopped");
+	else if (!gate_in_flight(n->gate))
+		node_target_gone(n, "left");
 }
--- a/ownership/hold.c
+++ b/ownership/hold.c
@@ -179,7 +179,7 @@
 	return s && s->releasing;
 }
 
-int64_t hold_time_ms(int64_t now_ms, int64_t right_end_ms, int64_t max_ms)
+int64_t hold_remaining_ms(int64_t now_ms, int64_t right_end_ms, int64_t max_ms)
 {
 	int64_t time = max_ms;
 
--- a/ownership/hold.h
+++ b/ownership/hold.h
@@ -90,7 +90,7 @@
  * How long the target may hold from now on, at most max_ms, given that this
  * node may serve until right_end_ms. 0: nothing can be given.
  */
-int64_t hold_time_ms(int64_t now_ms, int64_t right_end_ms, int64_t max_ms);
+int64_t hold_remaining_ms(int64_t now_ms, int64_t right_end_ms, int64_t max_ms);
 /* Starts an answer: forgets which slots the last one gave. */
 void hold_answer_begin(struct hold *h);
 /* The answer gives the slot for time_ms. */
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -15,6 +15,8 @@
 #define GATE_DEFAULT_SHARE 0.5
 /* Period at which queued calls past their deadline are ended. */
 #define GATE_EXPIRY_SECONDS 0.005
+/* Room for connecting and sending to a target that is leaving. */
+#define GATE_DRAIN_MARGIN_MS 250
 
 static void on_expiry(struct ev_loop *loop, ev_timer *w, int events);
 
@@ -320,9 +322,11 @@
 
 	/* Any target of a service without keys may serve it. */
 	if (!s && !f->key[0])
-		return g->leaving ? ERR_NO_TARGET : ERR_OK;
+		return gate_check_leaving(g, 0);
 	if (!f->key[0])
 		return ERR_NO_KEY;
+	if (gate_check_leaving(g, 1) != ERR_OK)
+		return ERR_NO_TARGET;
 	if (!s)
 		return m->rev < f->map_rev ? ERR_STALE : ERR_NO_SERVICE;
 	*slot = map_slot_of(m, s, f->key, strlen(f->key));
@@ -535,10 +539,28 @@
 	return NULL;
 }
 
+enum err gate_check_leaving(const struct gate *g, int keyed)
+{
+	if (!g->leaving)
+		return ERR_OK;
+	if (keyed &&
+	    (!g->drain_ms ||
+	     clk_ms() - g->leaving_ms < g->drain_ms - GATE_DRAIN_MARGIN_MS))
+		return ERR_OK;
+	return ERR_NO_TARGET;
+}
+
+void gate_set_drain(struct gate *g, int64_t drain_ms)
+{
+	g->drain_ms = drain_ms;
+}
+
 void gate_target_leaving(struct gate *g)
 {
 	struct gate_call *c;
 
+	if (!g->leaving)
+		g->leaving_ms = clk_ms();
 	g->leaving = 1;
 	while ((c = find_queued_unkeyed(g)))
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_NO_TARGET);
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -48,6 +48,11 @@
 void gate_set_adaptive(struct gate *g, int adaptive);
 /* The target is to get no new work, but for slots that it still owns. */
 void gate_target_leaving(struct gate *g);
+/*
+ * A leaving target gets no new work at all once drain_ms have passed since
+ * gate_target_leaving; 0: work with keys goes on until their slots have moved.
+ */
+void gate_set_drain(struct gate *g, int64_t drain_ms);
 /* Takes nothing new at all; what it has goes on. */
 void gate_quiesce(struct gate *g);
 /* 1 if nothing of a slot that is being released is in flight. */
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -44,8 +44,10 @@
 	if (c->slot == MAP_NO_SLOT) {
 		*fence = 0;
 		*not_after_ns = INT64_MAX;
-		return c->g->leaving ? ERR_NO_TARGET : ERR_OK;
+		return gate_check_leaving(c->g, 0);
 	}
+	if (gate_check_leaving(c->g, 1) != ERR_OK)
+		return ERR_NO_TARGET;
 	if (!is_same_slot(c))
 		return ERR_NOT_OWNER;
 	if (gate_slot_is_releasing(c->g, c->slot))
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -65,6 +65,8 @@
 	int fixed; /* the announced concurrency is used, not conc's */
 	int quiesced;
 	int leaving;	     /* the target gets no new work without a key */
+	int64_t drain_ms;    /* and this much later none at all; 0: with keys */
+	int64_t leaving_ms;  /* since when it is leaving */
 	int64_t answered_ms; /* when it last answered; 0 never */
 	int lost_reported;
 	unsigned silent; /* calls in a row that got no answer at all */
@@ -100,6 +102,9 @@
 /* Starts queued calls while there is room. */
 void gate_pump(struct gate *g);
 
+/* ERR_NO_TARGET if the target is leaving and may not get this any more. */
+enum err gate_check_leaving(const struct gate *g, int keyed);
+
 /* gate_call.c */
 
 /* Sends a call to the target; it ends by itself. */
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -88,6 +88,7 @@
 	if (!r->priv)
 		return;
 	cnt_add(in->cnt, "in_abandoned", "", 1);
+	in_log_abandoned(r->priv);
 	in_detach(r->priv);
 	in_request_free(r->priv);
 	httpd_answer_text(r, 504, "text/plain", "abandoned\n");
--- a/routing/ingress_answer.c
+++ b/routing/ingress_answer.c
@@ -115,6 +115,17 @@
 						 : 0));
 }
 
+void in_log_abandoned(const struct in_request *q)
+{
+	log_request(LOG_INFO, "request_abandoned",
+		    "id=%s attempt=%016llx service=%s key=%s owner=%s "
+		    "tries=%u arrivals=%u took_ms=%lld",
+		    LOG_Q(q->f.request_id), (unsigned long long)q->f.attempt,
+		    LOG_Q(q->service), q->key ? LOG_Q(q->key) : "-",
+		    LOG_Q(q->owner_name), q->tries, q->arrivals,
+		    (long long)(clk_ns() - q->arrived_ns) / 1000000);
+}
+
 static void send_answer(struct in_request *q, unsigned status,
 			const struct answer_headers *h, const void *body,
 			size_t len)
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -128,6 +128,8 @@
 void in_route(struct in_request *q);
 /* Counts the request for the service's retries. */
 void in_count_request(struct in_request *q);
+/* Logs that the caller has gone before its answer. */
+void in_log_abandoned(const struct in_request *q);
 /* 1 if the current map still names the owner for the request's key. */
 int in_has_owner(const struct in_request *q, uint32_t owner);
 /* No reply of the present try reaches the request any more. */
--- a/routing/peer.c
+++ b/routing/peer.c
@@ -46,7 +46,7 @@
 
 	(void)events;
 	HASH_ITER(hh, p->nodes, n, next) {
-		node_tick(n, now);
+		node_tick(p, n, now);
 		busy |= node_is_busy(n);
 	}
 	inbound_tick(p, now);
--- a/routing/peer_link.c
+++ b/routing/peer_link.c
@@ -93,10 +93,23 @@
 	}
 }
 
+static int is_cancelling(const struct peer_node *n)
+{
+	int64_t since_ms = clk_ms() - PEER_CANCEL_MS;
+	size_t i;
+
+	for (i = 0; i < PEER_CANCELS; i++)
+		if (n->cancels[i].at_ms > since_ms)
+			return 1;
+	return 0;
+}
+
 static int has_unsent(const struct peer_node *n)
 {
 	const struct out_attempt *a;
 
+	if (is_cancelling(n))
+		return 1;
 	DL_FOREACH(n->attempts, a) {
 		if (a->state == OUT_WAITING || a->state == OUT_ASKING)
 			return 1;
@@ -247,11 +260,31 @@
 	wire__forward__free_unpacked(copy, NULL);
 }
 
+static void send_cancel(struct peer_link *l, uint64_t attempt)
+{
+	Wire__Cancel m = WIRE__CANCEL__INIT;
+
+	m.attempt = attempt;
+	tcp_send(&l->conn, FRAME_CANCEL, &m.base);
+}
+
+static void send_cancels(struct peer_link *l)
+{
+	const struct peer_node *n = l->node;
+	int64_t since_ms = clk_ms() - PEER_CANCEL_MS;
+	size_t i;
+
+	for (i = 0; i < PEER_CANCELS; i++)
+		if (n->cancels[i].at_ms > since_ms)
+			send_cancel(l, n->cancels[i].attempt);
+}
+
 /* Sends what has waited for the link. */
 static void flush_attempts(struct peer_link *l)
 {
 	struct out_attempt *a;
 
+	send_cancels(l);
 	DL_FOREACH(l->node->attempts, a) {
 		if (a->state == OUT_WAITING)
 			send_copy(l, a);
@@ -315,8 +348,10 @@
 	}
 	n->redial_ms = clk_ms() + PEER_REDIAL_MS;
 	fail_waiting(n, why);
-	if (why == ERR_REFUSED)
+	if (why == ERR_REFUSED) {
 		fail_asking(n, why);
+		memset(n->cancels, 0, sizeof(n->cancels));
+	}
 	peer_wake_tick(l->p);
 }
 
@@ -512,15 +547,13 @@
 	}
 }
 
-void node_tick(struct peer_node *n, int64_t now)
+void node_tick(struct peers *p, struct peer_node *n, int64_t now)
 {
-	struct out_attempt *any = n->attempts;
-
 	if (n->current)
 		tick_current(n->current, now);
 	tick_old(n, now);
 	if (!n->current && now >= n->redial_ms && has_unsent(n))
-		dial(any->p, n);
+		dial(p, n);
 }
 
 int node_is_busy(const struct peer_node *n)
@@ -557,10 +590,16 @@
 
 void out_cancel(const struct out_attempt *a)
 {
-	Wire__Cancel m = WIRE__CANCEL__INIT;
+	struct peer_node *n = a->node;
+	struct peer_cancel *kept = &n->cancels[n->next_cancel];
 
-	if (!a->link || a->link->state != LINK_UP)
+	if (a->state == OUT_WAITING || a->state == OUT_SETTLED)
 		return;
-	m.attempt = a->id;
-	tcp_send(&a->link->conn, FRAME_CANCEL, &m.base);
+	kept->attempt = a->id;
+	kept->at_ms = clk_ms();
+	n->next_cancel = (n->next_cancel + 1) % PEER_CANCELS;
+	if (a->link && a->link->state == LINK_UP)
+		send_cancel(a->link, a->id);
+	else if (!n->current && kept->at_ms >= n->redial_ms)
+		dial(a->p, n);
 }
--- a/routing/peer_priv.h
+++ b/routing/peer_priv.h
@@ -103,8 +103,23 @@
 	uint32_t bulk;
 };
 
+/*
+ * Cancels are sent again on a new link: the one that they were sent on may have
+ * been dead already. 16 are as many as one link has in flight on a busy day;
+ * after 3 s no deadline that is common lets the attempt start any more.
+ */
+#define PEER_CANCELS 16
+#define PEER_CANCEL_MS 3000
+
+struct peer_cancel {
+	uint64_t attempt;
+	int64_t at_ms; /* 0: unused */
+};
+
 struct peer_node {
 	struct peer_node_key key;
+	struct peer_cancel cancels[PEER_CANCELS]; /* the latest ones */
+	unsigned next_cancel;
 	struct peer_link *current;
 	struct peer_link *old;
 	struct out_attempt *attempts;
@@ -162,7 +177,7 @@
 void node_submit(struct peer_node *n, struct out_attempt *a,
 		 const Wire__Forward *f);
 struct peer_node *node_get(struct peers *p, uint32_t id, int bulk);
-void node_tick(struct peer_node *n, int64_t now_ms);
+void node_tick(struct peers *p, struct peer_node *n, int64_t now_ms);
 /* Does the node have anything that needs ticks? */
 int node_is_busy(const struct peer_node *n);
 /* Frees the node and closes its link if nothing has used it lately. */
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -635,6 +635,25 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a coordinator that is away while a target leaves: its slots
+ * stay, and the target would get keyed work until it ends.
+ */
+static void test_leaving_without_move(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+
+	setup(&f, 4);
+	gate_set_drain(f.gate, 350);
+	gate_target_leaving(f.gate);
+	call(&f, &r, 1, "POST");
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	fake_pause(f.loop, 120);
+	expect_refusal(&f, ERR_NO_TARGET);
+	teardown(&f);
+}
+
 /* Guards against a full queue that blocks, or sheds without a hint. */
 static void test_shed(void)
 {
@@ -887,6 +906,8 @@
 	g_test_add_func("/gate/expiry_in_queue", test_expiry_in_queue);
 	g_test_add_func("/gate/refusals", test_refusals);
 	g_test_add_func("/gate/silent_target", test_silent_target);
+	g_test_add_func("/gate/leaving_without_move",
+			test_leaving_without_move);
 	g_test_add_func("/gate/shed", test_shed);
 	g_test_add_func("/gate/malformed", test_malformed);
 	g_test_add_func("/gate/load", test_load);
--- a/test/unit/test_hold.c
+++ b/test/unit/test_hold.c
@@ -129,11 +129,11 @@
 /* Guards against a hold that outlives the right of the node that gave it. */
 static void test_time(void)
 {
-	g_assert_cmpint(hold_time_ms(1000, 900, 5000), ==, 0);
-	g_assert_cmpint(hold_time_ms(1000, 1010, 5000), ==, 0);
-	g_assert_cmpint(hold_time_ms(0, INT64_MAX, 5000), ==, 4880);
+	g_assert_cmpint(hold_remaining_ms(1000, 900, 5000), ==, 0);
+	g_assert_cmpint(hold_remaining_ms(1000, 1010, 5000), ==, 0);
+	g_assert_cmpint(hold_remaining_ms(0, INT64_MAX, 5000), ==, 4880);
 	for (int64_t left = 100; left < 5000; left += 7) {
-		int64_t t = hold_time_ms(0, left, 10000);
+		int64_t t = hold_remaining_ms(0, left, 10000);
 
 		g_assert_cmpint(t + t * HOLD_DRIFT_PPM / 1000000, <, left);
 	}
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -580,6 +580,35 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against work that is started after its asker gave it up while the
+ * link was down: the cancel has to reach the owner over the next one.
+ */
+static void test_cancel_after_loss(void)
+{
+	struct fake_reply first, queued;
+	Wire__Target one;
+	struct fixture f;
+
+	setup(&f);
+	one = fake_announcement(&f.target, 1);
+	gate_set_target(f.owner.gate, &one);
+	f.target.mode = FAKE_SILENT;
+	forward(&f, &first, 1, "POST");
+	fake_wait(f.loop, &f.target.runs, 1);
+	forward(&f, &queued, 2, "POST");
+	fake_pause(f.loop, 50);
+	pipe_close(f.relay.pipes);
+	peers_forget(f.asker.peers, fake_on_reply, &queued);
+	fake_wait(f.loop, &f.relay.count, 2);
+	fake_pause(f.loop, 50);
+	fake_write(f.target.last_fd, FAKE_OK);
+	fake_wait(f.loop, &first.count, 1);
+	fake_pause(f.loop, 100);
+	g_assert_cmpuint(f.target.runs, ==, 1);
+	teardown(&f);
+}
+
 /* Guards against garbage on one link that harms another. */
 static void test_garbage(void)
 {
@@ -947,6 +976,7 @@
 	g_test_add_func("/peer/idle_link", test_idle_link);
 	g_test_add_func("/peer/slow_request", test_slow_request);
 	g_test_add_func("/peer/forget", test_forget);
+	g_test_add_func("/peer/cancel_after_loss", test_cancel_after_loss);
 	g_test_add_func("/peer/garbage", test_garbage);
 	g_test_add_func("/peer/storm", test_storm);
 	g_test_add_func("/tcp/refused", test_tcp_refused);
