--- a/test/run/platform.sh
+++ b/test/run/platform.sh
@@ -40,10 +40,23 @@
 	lib_start "n$1" "$BIN/mpind" --config "$WORK/n$1.toml"
 }
 
-start_server() { # start_server I SERVICE ID
-	local base=$((PORT + 1 + 8 * $1))
-	lib_start "s$1" "$BIN/mpin-server" --port $((base + 5)) \
-		--control $((base + 4)) --id "$3" --service "$2"
+start_server() { # start_server I SERVICE ID [OPTION...]
+	local i=$1 service=$2 id=$3
+	local base=$((PORT + 1 + 8 * i))
+	shift 3
+	lib_start "s$i" "$BIN/mpin-server" --port $((base + 5)) \
+		--control $((base + 4)) --id "$id" --service "$service" "$@"
+}
+
+ask_all_at_once() { # ask_all_at_once I: sixteen keys over the whole range
+	local key pids=
+	for key in $(seq 0 4096 65535); do
+		ask "$1" /k/x -H "X-Shard-Key: $key" >/dev/null &
+		pids="$pids $!"
+	done
+	# The statuses do not matter here: the target is too slow for all.
+	# shellcheck disable=SC2086
+	wait $pids || :
 }
 
 ask() { # ask I PATH [CURL-OPTION...]: status of a request to daemon I
@@ -133,6 +146,19 @@
 	"http://127.0.0.1:$((PORT + 5))/api/instances/i-x/heartbeat"
 echo "plain again: $(ask 0 /q/x -X POST)"
 
+# Guards against a slow target that announces itself and is taken for lost.
+kill_hard s1
+start_server 1 cal i-1c --work-ms 5000
+sleep 3
+for _ in 1 2 3 4; do
+	ask_all_at_once 0
+done
+grep -ho 'event=target_slow' "$WORK/n1.log" | sort -u
+echo "slow target lost: $(grep -c 'why=silent' "$WORK/n1.log")"
+kill_hard s1
+start_server 1 cal i-1d
+wait_for 15 "all keys after a slow target" keys_served 0
+
 send_signal s0 USR1
 wait_for 15 "all keys after a drain" keys_served 0
 echo "all keys served after a drain"
