--- a/routing/peer_link.c
+++ b/routing/peer_link.c
@@ -214,6 +214,13 @@
 
 	if (info && n->current && !is_same_address(n->current, info))
 		retire(n->current);
+	if (!n->current && clk_ms() >= n->redial_ms)
+		dial(a->p, n);
+	/* The last link did not open: nothing waits for the next one. */
+	if (n->unopened && (!n->current || n->current->state != LINK_UP)) {
+		out_settle(a, OUTCOME_NOT_RUN, ERR_TIMEOUT);
+		return;
+	}
 	if (n->current && is_ready(n->current)) {
 		e = send_forward(n->current, a, f);
 		if (e != ERR_OK)
@@ -225,8 +232,6 @@
 		out_settle(a, OUTCOME_NOT_RUN, ERR_NOMEM);
 		return;
 	}
-	if (!n->current && clk_ms() >= n->redial_ms)
-		dial(a->p, n);
 	peer_wake_tick(a->p);
 }
 
@@ -346,6 +351,7 @@
 			dial(l->p, n);
 		return;
 	}
+	n->unopened++;
 	n->redial_ms = clk_ms() + PEER_REDIAL_MS;
 	fail_waiting(n, why);
 	if (why == ERR_REFUSED) {
@@ -397,6 +403,7 @@
 	}
 	l->incarnation = h->incarnation;
 	set_state(l, LINK_UP);
+	l->node->unopened = 0;
 	flush_attempts(l);
 }
 
--- a/routing/peer_priv.h
+++ b/routing/peer_priv.h
@@ -124,6 +124,7 @@
 	struct peer_link *old;
 	struct out_attempt *attempts;
 	int64_t redial_ms;
+	unsigned unopened; /* links in a row that did not open */
 	UT_hash_handle hh;
 };
 
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -580,6 +580,40 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against requests that each wait for a link to a node that is gone,
+ * such as one that stays in the map after its VM was lost.
+ */
+static void test_gone_node_fails_fast(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+	unsigned port;
+	int fd = fake_listen(&port); /* accepts, says nothing */
+
+	setup(&f);
+	fake_set_node(&f.asker.view, 2, "n02", port);
+	forward(&f, &r, 1, "POST");
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	for (uint64_t i = 2; i < 5; i++) {
+		/* Longer than the pause between two tries to connect. */
+		fake_pause(f.loop, 150);
+		forward(&f, &r, i, "POST");
+		ev_run(f.loop, EVRUN_NOWAIT);
+		ev_run(f.loop, EVRUN_NOWAIT);
+		g_assert_cmpuint(r.count, ==, 1);
+		g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	}
+	fake_set_node(&f.asker.view, 2, "n02", f.relay.port);
+	forward(&f, &r, 5, "POST");
+	fake_wait(f.loop, &r.count, 1);
+	fake_pause(f.loop, 1000);
+	expect_answer(&f, 6);
+	close(fd);
+	teardown(&f);
+}
+
 /*
  * Guards against work that is started after its asker gave it up while the
  * link was down: the cancel has to reach the owner over the next one.
@@ -977,6 +1011,7 @@
 	g_test_add_func("/peer/slow_request", test_slow_request);
 	g_test_add_func("/peer/forget", test_forget);
 	g_test_add_func("/peer/cancel_after_loss", test_cancel_after_loss);
+	g_test_add_func("/peer/gone_node", test_gone_node_fails_fast);
 	g_test_add_func("/peer/garbage", test_garbage);
 	g_test_add_func("/peer/storm", test_storm);
 	g_test_add_func("/tcp/refused", test_tcp_refused);
