membership: a report of a cancelled release gives nothing away

The node resumes the slot and lets its target hold it; the coordinator then took the report and gave the slot to another node. Change: a report counts only if a release is asked for, or the node stops or has no target. Test: test_coord cancelled_release, which failed before.

--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -286,20 +286,35 @@
 	send_join_reply(k, e, 0);
 }
 
-static void on_released(struct co_conn *k, const Wire__Released *r)
+/*
+ * Asked for, or given up because the node stops or has no target. Any other
+ * was sent before the node got to know that the release is cancelled: it goes
+ * on with the slot, so that nobody else may have it.
+ */
+static int is_release_in_force(const struct coord *c, const struct co_member *m,
+			       uint32_t slot)
+{
+	return c->slots[slot].releasing || m->leaving || !m->info->target;
+}
+
+void co_released(struct coord *c, const struct co_member *m,
+		 const Wire__Released *r)
 {
-	struct coord *c = k->c;
 	int64_t now_ms = clk_ms();
 
 	/* A restarting node stops its work, but its slots wait for it. */
-	if (r->term != c->record.term || k->member->leaving == 2)
+	if (r->term != c->record.term || m->leaving == 2)
 		return;
 	for (size_t i = 0; i < r->n_slots; i++) {
 		uint32_t s = r->slots[i];
 
-		if (s >= c->map.slot_count ||
-		    c->map.slots[s].owner != k->member->id)
+		if (s >= c->map.slot_count || c->map.slots[s].owner != m->id)
+			continue;
+		if (!is_release_in_force(c, m, s)) {
+			log_info("release_cancelled", "name=%s slot=%u",
+				 LOG_Q(m->info->name), s);
 			continue;
+		}
 		c->slots[s].releasing = 0;
 		c->slots[s].released = 1;
 		snprintf(c->slots[s].handover, sizeof(c->slots[s].handover),
@@ -396,7 +411,7 @@
 		return;
 	switch (f->type) {
 	case FRAME_RELEASED:
-		on_released(k, (const Wire__Released *)f->msg);
+		co_released(k->c, k->member, (const Wire__Released *)f->msg);
 		break;
 	case FRAME_TARGET_STATE:
 		on_target_state(k, (const Wire__TargetState *)f->msg);
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -292,6 +292,9 @@
 void co_place_finish(struct coord *c);
 /* Asks the owner to release the slots that are marked as releasing. */
 void co_send_releases(struct coord *c, struct co_member *m);
+/* The node holds the slots no more; those whose release is cancelled stay. */
+void co_released(struct coord *c, const struct co_member *m,
+		 const Wire__Released *r);
 void co_place_load(struct coord *c, struct co_member *m,
 		   const Wire__LoadReport *r);
 
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -146,6 +146,46 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a slot that is given away although its release was cancelled:
+ * the node's report was under way, and it has resumed the slot meanwhile
+ * (recorded day inc-5063 of vbbg-mesh: two targets held a slot for 673 ms).
+ */
+static void test_cancelled_release(void)
+{
+	Wire__Target target = WIRE__TARGET__INIT;
+	Wire__Released r = WIRE__RELEASED__INIT;
+	uint32_t slot = 0;
+	struct co_member *m;
+	struct fixture f;
+
+	setup(&f);
+	co_queue_slot(&f.c, slot, 1, "unowned");
+	write_queue(&f);
+	m = co_member_find(&f.c, 1);
+	m->info->target = &target;
+	r.term = f.c.record.term;
+	r.slots = &slot;
+	r.n_slots = 1;
+	co_released(&f.c, m, &r);
+	g_assert_false(f.c.slots[slot].released);
+	f.c.slots[slot].releasing = 1;
+	co_released(&f.c, m, &r);
+	g_assert_true(f.c.slots[slot].released);
+	/* Given up unasked, because it has no target or stops. */
+	f.c.slots[slot].released = 0;
+	m->info->target = NULL;
+	co_released(&f.c, m, &r);
+	g_assert_true(f.c.slots[slot].released);
+	f.c.slots[slot].released = 0;
+	m->info->target = &target;
+	m->leaving = 1;
+	co_released(&f.c, m, &r);
+	g_assert_true(f.c.slots[slot].released);
+	m->info->target = NULL;
+	teardown(&f);
+}
+
 /* Guards against a handover that is lost or goes to a later holder. */
 static void test_handover(void)
 {
@@ -174,6 +214,7 @@
 	g_test_add_func("/coord/lost_with_queued_slot",
 			test_lost_with_queued_slot);
 	g_test_add_func("/coord/check", test_check);
+	g_test_add_func("/coord/cancelled_release", test_cancelled_release);
 	g_test_add_func("/coord/handover", test_handover);
 	return g_test_run();
 }
