--- a/routing/peer_priv.h
+++ b/routing/peer_priv.h
@@ -105,8 +105,8 @@
 
 /*
  * Cancels are sent again on a new link: the one that they were sent on may have
- * been dead already. 16 are as many as one link has in flight on a busy day;
- * after 3 s no deadline that is common lets the attempt start any more.
+ * been dead already. Not measured: 16 of 16 bytes keep two links to each of
+ * 5,200 nodes below 3 MB, and 3 s are three tries of PEER_OPEN_MS.
  */
 #define PEER_CANCELS 16
 #define PEER_CANCEL_MS 3000
