ownership: bound the hold of a node without coordinator

Cause: a node that stops while the store is away cannot write its leave, and a successor could not know whether it is still in a hold.

A hold now lasts ownership.hold_ms after the member's last ask that a commit answered. A coordinator renews holds only while more than half of its roster acted on replies younger than OWN_HOLD_QUORUM_MS. A successor whose roster follows no earlier term with half or more of its nodes knows that nobody renews any more and takes silent nodes for lost once both times have passed. A mark in the roster states the size of the roster that the hold was counted over, so that newcomers make no majority; a roster whose holds are not resolved takes no new node.

Ruled out: ending the hold by the time since the last confirmation, which would stop all nodes in a long outage though the coordinator lives; the refusal of a connection as evidence, which a filter on the way can fake.

--- a/common/guard.h
+++ b/common/guard.h
@@ -15,6 +15,8 @@
 	GUARD_AUTHORITY,     /* coordinator: caps grants at its authority */
 	GUARD_HOLD_MAJORITY, /* coordinator: hold needs a majority */
 	GUARD_HOLD_MARKS,    /* coordinator: marks before records clear */
+	GUARD_HOLD_QUORUM,   /* coordinator: renews holds with a majority */
+	GUARD_ROSTER_GROWTH, /* coordinator: no new node while resolving */
 	GUARD_HOLD_ACK,	     /* coordinator: waits for the clear's answer */
 	GUARD_RELEASE,	     /* member: finishes in flight before a move */
 	GUARD_SEND_ONCE,     /* gate: no second send of a non-idempotent */
--- a/config/set.c
+++ b/config/set.c
@@ -157,6 +157,14 @@
 	  .max = 60000,
 	  .meaning = "length of a node's grant, same for all nodes; 0: 1100, "
 		     "or four announcements where targets hold keys" },
+	{ .name = "ownership.hold_ms",
+	  .type = OPT_TIME,
+	  F(hold_ms),
+	  .min = 0,
+	  .max = 3600000,
+	  .meaning = "how long a node serves without store and coordinator, "
+		     "same for all nodes; a silent node's keys may move after "
+		     "it; 0: no end" },
 	{ .name = "retries.ratio",
 	  .type = OPT_REAL,
 	  F(retry_ratio),
--- a/config/set.h
+++ b/config/set.h
@@ -54,6 +54,7 @@
 	int adapt_concurrency; /* use less than announced if answers slow */
 	/* [ownership] */
 	int grant_ms; /* as set; 0: see set_grant_ms */
+	int hold_ms;  /* 0: no end */
 	/* [retries] */
 	double retry_ratio; /* of the fleet's requests for one service */
 	int retry_slack;    /* retries beyond that in one window */
--- a/membership/coord.c
+++ b/membership/coord.c
@@ -68,6 +68,7 @@
 	c->live_at_ms = 0;
 	c->live_lease = 0;
 	times = own_times_for(set_grant_ms(c->config.set));
+	times.hold_max_ms = c->config.set->hold_ms;
 	own_coord_init_times(&c->own, &times, c->record.term, asked_ms, now_ms);
 	log_info("coordinator_elected", "term=%llu",
 		 (unsigned long long)c->record.term);
--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -238,6 +238,8 @@
 	struct co_member *m;
 	Wire__Node node = *n;
 
+	if (!own_coord_may_add(&c->own))
+		return ERR_STALE;
 	if (c->next_id < 1)
 		c->next_id = 1;
 	node.id = c->next_id;
--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -174,7 +174,7 @@
 			continue;
 		m->lost = 1;
 		m->lost_ms = p->heard_ms ? p->heard_ms : c->taken_ms;
-		p->leaving = 1;
+		own_coord_drop(p);
 		c->place_soon = 1;
 		cnt_add(c->config.cnt, "nodes_lost", "", 1);
 		log_warn("node_lost", "name=%s id=%u silent_ms=%lld",
--- a/membership/dgram.c
+++ b/membership/dgram.c
@@ -34,6 +34,7 @@
 			.floor_rev = w->floor_rev,
 			.hold = (enum own_hold)w->hold,
 			.hold_seq = w->hold_seq,
+			.hold_ms = w->hold_ms,
 			.standby_rank = w->standby_rank,
 		},
 		.doc_rev = w->doc_rev,
@@ -166,6 +167,7 @@
 	r.floor_rev = reply->own.floor_rev;
 	r.hold = reply->own.hold;
 	r.hold_seq = reply->own.hold_seq;
+	r.hold_ms = reply->own.hold_ms;
 	r.standby_rank = reply->own.standby_rank;
 	r.doc_rev = reply->doc_rev;
 	r.map_rev = reply->map_rev;
--- a/membership/mem.c
+++ b/membership/mem.c
@@ -61,7 +61,7 @@
 
 	if (!m->has_doc || !m->own.node_id)
 		return ERR_STALE;
-	if (m->own.held || !m->config.set->stale_ms ||
+	if (own_member_in_hold(&m->own, now_ms) || !m->config.set->stale_ms ||
 	    now_ms - m->own.confirmed_ms < m->config.set->stale_ms)
 		return ERR_OK;
 	return ERR_STALE;
@@ -256,7 +256,10 @@
 
 int mem_is_detached(const struct mem *m)
 {
-	return !m->joined && !m->own.held && clk_ms() >= m->own.grant_end_ms;
+	int64_t now_ms = clk_ms();
+
+	return !m->joined && !own_member_in_hold(&m->own, now_ms) &&
+	       now_ms >= m->own.grant_end_ms;
 }
 
 void mem_status(struct mem *m, struct buf *out)
@@ -264,7 +267,7 @@
 	int64_t now_ms = clk_ms();
 	const char *grant = "none";
 
-	if (m->own.held)
+	if (own_member_in_hold(&m->own, now_ms))
 		grant = "held";
 	else if (now_ms < m->own.grant_end_ms)
 		grant = "live";
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -12,8 +12,10 @@
 
 struct own_times own_times_for(int64_t grant_ms)
 {
-	struct own_times t = { OWN_GRANT_MS, OWN_AUTH_MS, OWN_CONFIRM_MS,
-			       OWN_HOLD_AFTER_MS, OWN_HOLD_END_MS };
+	struct own_times t = { OWN_GRANT_MS,	  OWN_AUTH_MS,
+			       OWN_CONFIRM_MS,	  OWN_HOLD_AFTER_MS,
+			       OWN_HOLD_END_MS,	  0,
+			       OWN_HOLD_QUORUM_MS };
 
 	if (!grant_ms)
 		return t;
@@ -80,6 +82,7 @@
 				 uint64_t incarnation, uint64_t floor_rev)
 {
 	struct own_peer *p = own_coord_find(c, node_id);
+	int known = p != NULL;
 
 	if (!p) {
 		p = calloc(1, sizeof(*p));
@@ -93,8 +96,10 @@
 	/*
 	 * inherited and clean stay: the majority of an earlier term is
 	 * counted over the roster of that term, and what the replaced
-	 * incarnation recorded is not known any more.
+	 * incarnation recorded is not known any more. It is gone, so it
+	 * follows no earlier term either.
 	 */
+	p->promised = known;
 	p->end_ms = 0;
 	p->recorded = 0;
 	p->commit_sent = 0;
@@ -102,12 +107,15 @@
 	p->leaving = 0;
 	p->clear_seq = 0;
 	p->ask_seq = 0;
+	p->reply_seq = 0;
+	p->acted_ms = 0;
+	p->hold_end_ms = 0;
 	return p;
 }
 
 struct own_peer *own_coord_inherit(struct own_coord *c, uint32_t node_id,
 				   uint64_t incarnation, uint64_t floor_rev,
-				   int maybe_held)
+				   uint32_t maybe_held)
 {
 	struct own_peer *p = add_peer(c, node_id, incarnation, floor_rev);
 
@@ -119,6 +127,7 @@
 	 */
 	p->end_ms = c->taken_ms + with_drift(c->times.auth_ms);
 	p->inherited = 1;
+	c->inherited_count++;
 	p->maybe_held = maybe_held;
 	return p;
 }
@@ -153,17 +162,23 @@
 	free(p);
 }
 
+void own_coord_drop(struct own_peer *p)
+{
+	/* Not clean: it may have recorded a hold that others are in. */
+	p->maybe_held = 0;
+	p->commit_sent = 0;
+	p->leaving = 1;
+}
+
 void own_coord_forget(struct own_coord *c, uint32_t node_id)
 {
 	struct own_peer *p = own_coord_find(c, node_id);
 
 	if (!p)
 		return;
-	/* Not clean: it may have recorded a hold that others are in. */
-	p->maybe_held = 0;
-	p->commit_sent = 0;
+	own_coord_drop(p);
 	p->end_ms = 0;
-	p->leaving = 1;
+	p->promised = 1;
 }
 
 /* 1 if the hold being prepared is recorded by more than half of the roster. */
@@ -201,7 +216,64 @@
 	return clean * 2 > total || total == 0;
 }
 
-static enum own_hold hold_for(const struct own_coord *c)
+/*
+ * 1 if more than half of the roster follows no earlier term, so that an earlier
+ * coordinator has less than half of its own roster left: two majorities of one
+ * roster share a node. Marked nodes may be in a hold over an older, smaller
+ * roster, and the nodes left must not be a majority of that one either.
+ */
+static int promised_by_majority(const struct own_coord *c)
+{
+	uint32_t size = c->inherited_count;
+	uint32_t left = 0;
+	struct own_peer *p, *tmp;
+
+	HASH_ITER(hh, c->peers, p, tmp) {
+		if (!p->inherited || p->promised)
+			continue;
+		left++;
+		if (p->maybe_held && p->maybe_held < size)
+			size = p->maybe_held;
+	}
+	return left == 0 || left * 2 <= size;
+}
+
+/*
+ * 1 if a bounded hold may be renewed: a member that acted on a reply of this
+ * coordinator followed no later one at the time of that reply.
+ */
+static int has_quorum(const struct own_coord *c, int64_t now_ms)
+{
+	unsigned total = HASH_COUNT(c->peers);
+	unsigned acted = 0;
+	struct own_peer *p, *tmp;
+
+	if (!c->times.hold_max_ms || !guard_on(GUARD_HOLD_QUORUM))
+		return 1;
+	HASH_ITER(hh, c->peers, p, tmp) {
+		if (p->acted_ms &&
+		    now_ms < p->acted_ms + c->times.hold_quorum_ms &&
+		    !p->adding && !p->leaving)
+			acted++;
+	}
+	return acted * 2 > total;
+}
+
+/* 1 if the peer is in no hold, neither of this term nor of an earlier one. */
+static int is_out_of_hold(const struct own_coord *c, const struct own_peer *p,
+			  int64_t now_ms)
+{
+	if (!p->maybe_held && !p->commit_sent)
+		return 1;
+	if (!c->times.hold_max_ms || !c->promised_ms)
+		return 0;
+	if (now_ms <= p->hold_end_ms)
+		return 0;
+	return now_ms > c->promised_ms + with_drift(c->times.hold_quorum_ms +
+						    c->times.hold_max_ms);
+}
+
+static enum own_hold hold_for(const struct own_coord *c, int64_t now_ms)
 {
 	switch (c->phase) {
 	case OWN_NORMAL:
@@ -209,7 +281,7 @@
 	case OWN_PREPARING:
 		return OWN_HOLD_PREPARE;
 	case OWN_HOLDING:
-		return OWN_HOLD_COMMIT;
+		return has_quorum(c, now_ms) ? OWN_HOLD_COMMIT : OWN_HOLD_KEEP;
 	case OWN_RESOLVING:
 	case OWN_RELEASING:
 		break;
@@ -268,12 +340,15 @@
 	/* Below this term the member may still follow a predecessor. */
 	if (ask->term < c->term)
 		return;
+	if (p->reply_seq && ask->ack_seq == p->reply_seq)
+		p->acted_ms = p->reply_ms;
+	p->promised = 1;
 	if (!p->heard) {
 		p->heard = 1;
 		p->clean = ask->hold_term == 0;
 	}
-	if (ask->hold_term && ask->hold_term < c->term)
-		p->maybe_held = 1;
+	if (ask->hold_term && ask->hold_term < c->term && !p->maybe_held)
+		p->maybe_held = HASH_COUNT(c->peers);
 	if (c->phase == OWN_PREPARING && ask->hold_term == c->term &&
 	    ask->hold_seq == c->hold_seq)
 		p->recorded = 1;
@@ -302,11 +377,16 @@
 	reply->incarnation = p->incarnation;
 	reply->seq = ask->seq;
 	reply->floor_rev = p->floor_rev;
-	reply->hold = hold_for(c);
+	reply->hold = hold_for(c, now_ms);
 	reply->hold_seq = c->hold_seq;
 	reply->grant_ms = grant_for(c, p, now_ms);
-	if (reply->hold == OWN_HOLD_COMMIT)
+	p->reply_seq = ask->seq;
+	p->reply_ms = now_ms;
+	if (reply->hold == OWN_HOLD_COMMIT) {
+		reply->hold_ms = (uint32_t)c->times.hold_max_ms;
 		p->commit_sent = 1;
+		p->hold_end_ms = now_ms + with_drift(c->times.hold_max_ms);
+	}
 	return OWN_ASK_REPLY;
 }
 
@@ -373,6 +453,8 @@
 	if (now_ms - c->tick_ms > OWN_PAUSE_MS)
 		c->lost_after_ms = now_ms + OWN_PAUSE_MS;
 	c->tick_ms = now_ms;
+	if (!c->promised_ms && promised_by_majority(c))
+		c->promised_ms = now_ms;
 	return tick_phase(c, now_ms);
 }
 
@@ -381,6 +463,11 @@
 	return c->phase != OWN_PREPARING && c->phase != OWN_HOLDING;
 }
 
+int own_coord_may_add(const struct own_coord *c)
+{
+	return c->phase != OWN_RESOLVING || !guard_on(GUARD_ROSTER_GROWTH);
+}
+
 int own_coord_needs_marks(const struct own_coord *c, int64_t now_ms)
 {
 	if (c->phase == OWN_RELEASING)
@@ -390,16 +477,18 @@
 	       now_ms > c->taken_ms + with_drift(c->times.auth_ms);
 }
 
-int own_coord_mark(const struct own_coord *c, const struct own_peer *p)
+uint32_t own_coord_mark(const struct own_coord *c, const struct own_peer *p)
 {
+	uint32_t mark = p->maybe_held;
+
 	if (!guard_on(GUARD_HOLD_MARKS))
 		return 0;
-	if (p->maybe_held)
-		return 1;
-	if (c->phase == OWN_RELEASING)
-		return p->commit_sent;
-	return c->phase == OWN_RESOLVING && p->inherited && !p->leaving &&
-	       !p->clean;
+	if (c->phase == OWN_RELEASING && p->commit_sent && !mark)
+		mark = HASH_COUNT(c->peers);
+	if (c->phase == OWN_RESOLVING && p->inherited && !p->leaving &&
+	    (mark ? mark > c->inherited_count : !p->clean))
+		mark = c->inherited_count;
+	return mark;
 }
 
 void own_coord_marked(struct own_coord *c)
@@ -417,7 +506,7 @@
 int own_coord_lost(const struct own_coord *c, const struct own_peer *p,
 		   int64_t now_ms, int64_t extra_ms)
 {
-	if (p->adding || p->maybe_held || p->commit_sent)
+	if (p->adding || !is_out_of_hold(c, p, now_ms - extra_ms))
 		return 0;
 	if (c->phase != OWN_NORMAL || !own_coord_has_authority(c, now_ms))
 		return 0;
--- a/ownership/member.c
+++ b/ownership/member.c
@@ -38,7 +38,8 @@
 	ask->hold_seq = m->hold_seq;
 }
 
-static void apply_hold(struct own_member *m, const struct own_reply *r)
+static void apply_hold(struct own_member *m, int64_t asked_ms,
+		       const struct own_reply *r)
 {
 	switch (r->hold) {
 	case OWN_HOLD_NONE:
@@ -48,6 +49,7 @@
 		break;
 	case OWN_HOLD_COMMIT:
 		m->held = 1;
+		m->hold_end_ms = r->hold_ms ? asked_ms + r->hold_ms : INT64_MAX;
 		/* fall through */
 	case OWN_HOLD_PREPARE:
 		m->hold_term = r->term;
@@ -99,7 +101,7 @@
 	m->unanswered = 0;
 	m->standby_rank = r->standby_rank;
 	m->floor_rev = r->floor_rev;
-	apply_hold(m, r);
+	apply_hold(m, asked_ms, r);
 	end_ms = asked_ms + r->grant_ms;
 	if (r->grant_ms && end_ms > m->grant_end_ms)
 		m->grant_end_ms = end_ms;
@@ -124,21 +126,30 @@
 	return 1;
 }
 
+int own_member_in_hold(const struct own_member *m, int64_t now_ms)
+{
+	return m->held && now_ms < m->hold_end_ms;
+}
+
 enum err own_member_may_serve(const struct own_member *m, int64_t now_ms,
 			      uint64_t map_rev, int64_t *end_ms)
 {
-	if (!m->held && now_ms >= m->grant_end_ms)
+	int in_hold = own_member_in_hold(m, now_ms);
+
+	if (!in_hold && now_ms >= m->grant_end_ms)
 		return ERR_NO_GRANT;
 	if (map_rev < m->floor_rev && guard_on(GUARD_FLOOR))
 		return ERR_STALE;
-	*end_ms = m->held ? INT64_MAX : m->grant_end_ms;
+	*end_ms = m->grant_end_ms;
+	if (in_hold && m->hold_end_ms > *end_ms)
+		*end_ms = m->hold_end_ms;
 	return ERR_OK;
 }
 
 int own_member_should_elect(const struct own_member *m, int64_t now_ms)
 {
-	(void)now_ms;
-	if (!m->standby_rank || m->held || !guard_on(GUARD_STANDBY))
+	if (!m->standby_rank || own_member_in_hold(m, now_ms) ||
+	    !guard_on(GUARD_STANDBY))
 		return 0;
 	return m->unanswered > OWN_STANDBY_MISSES * m->standby_rank;
 }
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -37,6 +37,11 @@
  * no hold at every other confirmation.
  */
 #define OWN_HOLD_END_MS 450
+/*
+ * A bounded hold is renewed only while more than half of the roster acted on
+ * replies younger than this: two renewals and a lost one.
+ */
+#define OWN_HOLD_QUORUM_MS 2500
 /*
  * A coordinator that was itself paused longer than this has unread asks in
  * its socket and waits for them before it calls a member lost.
@@ -69,6 +74,7 @@
 	uint64_t floor_rev;
 	enum own_hold hold;
 	uint32_t hold_seq;
+	uint32_t hold_ms;      /* of a commit, from the ask; 0: no end */
 	uint32_t standby_rank; /* 0: not a standby */
 };
 
@@ -83,6 +89,7 @@
 	int64_t grant_end_ms;
 	uint64_t floor_rev;
 	int held;
+	int64_t hold_end_ms; /* of the hold, INT64_MAX: none */
 	uint64_t hold_term;
 	uint32_t hold_seq;
 	uint32_t standby_rank;
@@ -108,9 +115,12 @@
  * highest seen, so that its messages count.
  */
 int own_member_saw_term(struct own_member *m, uint64_t term, int64_t now_ms);
+/* 1 if the member serves by a hold, with or without a grant. */
+int own_member_in_hold(const struct own_member *m, int64_t now_ms);
 /*
  * ERR_OK if the member may serve what its map of this revision gives it.
- * end_ms: until when, INT64_MAX in hold. Else ERR_NO_GRANT or ERR_STALE.
+ * end_ms: until when, INT64_MAX in a hold without an end. Else ERR_NO_GRANT or
+ * ERR_STALE.
  */
 enum err own_member_may_serve(const struct own_member *m, int64_t now_ms,
 			      uint64_t map_rev, int64_t *end_ms);
@@ -124,15 +134,24 @@
 	uint64_t incarnation;
 	int64_t end_ms; /* no grant reaches past this, drift included */
 	uint64_t floor_rev;
-	int inherited;	    /* in the roster as read at take-over */
-	int heard;	    /* has promised this term and asked */
-	int clean;	    /* had no record when first heard */
-	int recorded;	    /* recorded the hold that is being prepared */
-	int commit_sent;    /* may be in the hold of this term */
-	int maybe_held;	    /* may be in a hold */
-	uint32_t clear_seq; /* first ask answered with NONE since the hold */
-	int leaving;	    /* its removal from the roster is being written */
-	int adding;	    /* its roster entry is being written */
+	int inherited;	 /* in the roster as read at take-over */
+	int heard;	 /* has promised this term and asked */
+	int clean;	 /* had no record when first heard */
+	int recorded;	 /* recorded the hold that is being prepared */
+	int commit_sent; /* may be in the hold of this term */
+	/*
+	 * May be in a hold: the size of the smallest roster that a majority
+	 * for it may have been counted over; 0: not in a hold.
+	 */
+	uint32_t maybe_held;
+	int promised;	     /* follows no earlier term: heard, or replaced */
+	int64_t hold_end_ms; /* of the last commit, drift included */
+	uint32_t reply_seq;  /* of the last reply */
+	int64_t reply_ms;    /* when it was sent */
+	int64_t acted_ms;    /* when the newest reply acted on was sent */
+	uint32_t clear_seq;  /* first ask answered with NONE since the hold */
+	int leaving;	     /* its removal from the roster is being written */
+	int adding;	     /* its roster entry is being written */
 	uint32_t ask_seq;
 	int64_t heard_ms;
 	UT_hash_handle hh;
@@ -156,6 +175,13 @@
 	int64_t confirm_ms;
 	int64_t hold_after_ms;
 	int64_t hold_end_ms;
+	/*
+	 * How long a member's hold lasts after its last ask that a commit
+	 * answered; the same on all nodes. 0: no end, and a silent node that
+	 * may be in hold waits for its return or an operator.
+	 */
+	int64_t hold_max_ms;
+	int64_t hold_quorum_ms; /* OWN_HOLD_QUORUM_MS */
 };
 
 /* The OWN_* times, scaled so that a grant lasts grant_ms; 0: as they are. */
@@ -169,6 +195,12 @@
 	int64_t confirmed_ms;
 	int64_t tick_ms;
 	int64_t lost_after_ms; /* no member is called lost before this */
+	/*
+	 * Since when no earlier coordinator has half of its roster left, so
+	 * that it renews no bounded hold any more; 0: not yet.
+	 */
+	int64_t promised_ms;
+	uint32_t inherited_count;
 	enum own_phase phase;
 	uint32_t hold_seq;
 	struct own_peer *peers;
@@ -191,7 +223,7 @@
 /* Entry of the roster as read at take-over. NULL without memory. */
 struct own_peer *own_coord_inherit(struct own_coord *c, uint32_t node_id,
 				   uint64_t incarnation, uint64_t floor_rev,
-				   int maybe_held);
+				   uint32_t maybe_held);
 /*
  * A node joins; to be called before its roster entry is written. It counts
  * for majorities at once and gets no grant before own_coord_added. Replaces
@@ -228,19 +260,27 @@
  */
 int own_coord_may_change(const struct own_coord *c);
 /*
- * 1 if the roster has to be written with maybe_held for each node that
- * own_coord_mark returns 1 for, before the phase can go on.
+ * 1 if the roster has to be written with the mark of each node, before the
+ * phase can go on. A mark is the node's maybe_held for a successor.
  */
 int own_coord_needs_marks(const struct own_coord *c, int64_t now_ms);
-int own_coord_mark(const struct own_coord *c, const struct own_peer *p);
+uint32_t own_coord_mark(const struct own_coord *c, const struct own_peer *p);
 /* That roster write is done. */
 void own_coord_marked(struct own_coord *c);
 /*
- * 1 if the node's grant has ended for certain, and extra_ms ago: its slots may
- * be moved.
+ * 0 while holds of earlier terms may be in force: a node that is new to the
+ * roster would dilute the majority that a successor counts. A new incarnation
+ * may take the place of its predecessor.
+ */
+int own_coord_may_add(const struct own_coord *c);
+/*
+ * 1 if the node's grant and hold have ended for certain, and the grant
+ * extra_ms ago: its slots may be moved.
  */
 int own_coord_lost(const struct own_coord *c, const struct own_peer *p,
 		   int64_t now_ms, int64_t extra_ms);
+/* The node was found lost: it is in no hold and gets no grant. */
+void own_coord_drop(struct own_peer *p);
 /* An operator states that the node is gone for good. */
 void own_coord_forget(struct own_coord *c, uint32_t node_id);
 
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -2380,7 +2380,7 @@
   (ProtobufCMessageInit) wire__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[11] =
 {
   {
     "term",
@@ -2502,12 +2502,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hold_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, hold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__lease_reply__field_indices_by_name[] = {
   7,   /* field[7] = doc_rev */
   3,   /* field[3] = floor_rev */
   2,   /* field[2] = grant_ms */
   4,   /* field[4] = hold */
+  10,   /* field[10] = hold_ms */
   5,   /* field[5] = hold_seq */
   9,   /* field[9] = incarnation */
   8,   /* field[8] = map_rev */
@@ -2518,7 +2531,7 @@
 static const ProtobufCIntRange wire__lease_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__lease_reply__descriptor =
 {
@@ -2528,7 +2541,7 @@
   "Wire__LeaseReply",
   "wire",
   sizeof(Wire__LeaseReply),
-  10,
+  11,
   wire__lease_reply__field_descriptors,
   wire__lease_reply__field_indices_by_name,
   1,  wire__lease_reply__number_ranges,
@@ -2797,7 +2810,7 @@
     "maybe_held",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
     offsetof(Wire__RosterEntry, maybe_held),
     NULL,
@@ -4125,7 +4138,7 @@
   (ProtobufCMessageInit) wire__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__forward__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wire__forward__field_descriptors[17] =
 {
   {
     "attempt",
@@ -4319,6 +4332,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Forward, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__forward__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
@@ -4334,6 +4359,7 @@
   6,   /* field[6] = path */
   12,   /* field[12] = priority */
   13,   /* field[13] = request_id */
+  16,   /* field[16] = route */
   3,   /* field[3] = service */
   9,   /* field[9] = tenant */
   14,   /* field[14] = value_ms */
@@ -4341,7 +4367,7 @@
 static const ProtobufCIntRange wire__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wire__forward__descriptor =
 {
@@ -4351,7 +4377,7 @@
   "Wire__Forward",
   "wire",
   sizeof(Wire__Forward),
-  16,
+  17,
   wire__forward__field_descriptors,
   wire__forward__field_indices_by_name,
   1,  wire__forward__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -248,10 +248,14 @@
    * of the member it is meant for
    */
   uint64_t incarnation;
+  /*
+   * of a commit: length from the ask, 0: no end
+   */
+  uint32_t hold_ms;
 };
 #define WIRE__LEASE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__lease_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -316,7 +320,10 @@
 {
   ProtobufCMessage base;
   Wire__Node *node;
-  protobuf_c_boolean maybe_held;
+  /*
+   * Size of the roster that a hold's majority was counted over, 0: no hold.
+   */
+  uint32_t maybe_held;
 };
 #define WIRE__ROSTER_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__roster_entry__descriptor) \
@@ -667,10 +674,14 @@
    * value_ms is known
    */
   protobuf_c_boolean has_value;
+  /*
+   * hash of the route's name, 0: none; alike ones take alike
+   */
+  uint32_t route;
 };
 #define WIRE__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__forward__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__ForwardReply
--- a/test/unit/test_explore.c
+++ b/test/unit/test_explore.c
@@ -8,8 +8,9 @@
  * Explorer of the ownership module: seeded schedules of message orders,
  * losses, pauses, restarts, elections and store outages for a few nodes and
  * one slot. After each step, at most one node may serve the slot. Each guard
- * is taken out once, and the explorer must then find a violation; the guard
- * that needs too rare an order for that (hold_ack) has its case in test_own.
+ * is taken out once, and the explorer must then find a violation; those that
+ * need too rare an order for that (hold_ack, roster_growth) have their cases
+ * in test_own.
  */
 
 #define NODES 4
@@ -17,6 +18,9 @@
 #define MESSAGES 64
 #define STEPS 200
 #define SCHEDULES 60000
+/* Of every other schedule; the other holds have no end. */
+#define HOLD_MS 400
+#define QUORUM_MS 400
 
 enum kind { MSG_ASK, MSG_REPLY, MSG_MAP, MSG_TAKEOVER, MSG_CONFIRM };
 
@@ -53,7 +57,7 @@
 struct entry {
 	int present;
 	uint64_t incarnation;
-	int maybe_held;
+	uint32_t maybe_held;
 };
 
 struct world {
@@ -73,7 +77,9 @@
 	int owner;
 	uint64_t incarnations;
 	unsigned takeovers;
+	unsigned expired; /* takeovers from a node that may have been in hold */
 	unsigned holds;
+	int64_t hold_max_ms;
 };
 
 static int64_t clock_of(const struct world *w, int rate_ppm)
@@ -131,6 +137,7 @@
 
 static void step_elect(struct world *w)
 {
+	struct own_times times = own_times_for(0);
 	struct coordinator *c;
 	int64_t now_ms;
 
@@ -140,7 +147,9 @@
 	c->in_use = 1;
 	c->rate_ppm = pick(w, 8000) - 4000;
 	now_ms = clock_of(w, c->rate_ppm);
-	own_coord_init(&c->own, ++w->term, now_ms, now_ms);
+	times.hold_max_ms = w->hold_max_ms;
+	times.hold_quorum_ms = QUORUM_MS;
+	own_coord_init_times(&c->own, &times, ++w->term, now_ms, now_ms);
 	w->holder = w->coord_count++;
 	c->map_rev = w->map_rev;
 	c->owner = w->owner;
@@ -164,8 +173,9 @@
 
 	if (!c->in_use || c->paused || !n->alive || n->paused ||
 	    !in_office(w, k) || !own_coord_may_change(&c->own) ||
-	    (w->roster[i].present &&
-	     w->roster[i].incarnation == n->own.incarnation) ||
+	    (w->roster[i].present
+		     ? w->roster[i].incarnation == n->own.incarnation
+		     : !own_coord_may_add(&c->own)) ||
 	    !own_member_saw_term(&n->own, c->own.term, now_ms))
 		return;
 	own_coord_adding(&c->own, (uint32_t)i + 1, n->own.incarnation,
@@ -212,6 +222,7 @@
 	struct coordinator *c = &w->coords[k];
 	int64_t now_ms = clock_of(w, c->rate_ppm);
 	struct own_peer *old = NULL;
+	int may_hold = 0;
 	int to = pick(w, NODES);
 
 	if (!in_office(w, k))
@@ -222,12 +233,17 @@
 		return;
 	if (old && !own_coord_lost(&c->own, old, now_ms, 0))
 		return;
+	if (old) {
+		may_hold = old->maybe_held || old->commit_sent;
+		own_coord_drop(old);
+	}
 	if (!old && c->owner >= 0 && w->roster[c->owner].present)
 		return;
 	if (old) {
 		w->roster[c->owner].present = 0;
 		own_coord_removed(&c->own, (uint32_t)c->owner + 1);
 		w->takeovers++;
+		w->expired += may_hold;
 	}
 	c->owner = to;
 	c->map_rev = w->map_rev + 1;
@@ -458,6 +474,7 @@
 	w->store_up = 1;
 	w->holder = -1;
 	w->owner = -1;
+	w->hold_max_ms = seed % 2 ? HOLD_MS : 0;
 	for (int i = 0; i < NODES; i++) {
 		w->nodes[i].rate_ppm = pick(w, 8000) - 4000;
 		step_restart(w, i);
@@ -480,6 +497,7 @@
 	unsigned long steps;
 	unsigned long served; /* steps at which a node could serve */
 	unsigned long takeovers;
+	unsigned long expired;
 	unsigned long holds;
 	unsigned long held; /* steps at which a node was in hold */
 };
@@ -487,7 +505,8 @@
 static int any_held(const struct world *w)
 {
 	for (int i = 0; i < NODES; i++) {
-		if (w->nodes[i].own.held)
+		if (own_member_in_hold(&w->nodes[i].own,
+				       clock_of(w, w->nodes[i].rate_ppm)))
 			return 1;
 	}
 	return 0;
@@ -512,6 +531,7 @@
 			t->held += any_held(&w);
 		}
 		t->takeovers += w.takeovers;
+		t->expired += w.expired;
 		t->holds += w.holds;
 		world_finish(&w);
 		if (bad)
@@ -527,15 +547,16 @@
 	int seed = explore(1, SCHEDULES, &t);
 
 	g_test_message("schedules %d steps %lu served %lu takeovers %lu "
-		       "marks %lu held %lu",
-		       SCHEDULES, t.steps, t.served, t.takeovers, t.holds,
-		       t.held);
+		       "of expired holds %lu marks %lu held %lu",
+		       SCHEDULES, t.steps, t.served, t.takeovers, t.expired,
+		       t.holds, t.held);
 	if (seed >= 0)
 		g_test_message("violation at seed %d", seed);
 	g_assert_cmpint(seed, ==, -1);
 	/* The schedules must reach what they are meant to try. */
 	g_assert_cmpuint(t.served, >, t.steps / 10);
 	g_assert_cmpuint(t.takeovers, >, 3000);
+	g_assert_cmpuint(t.expired, >, 100);
 	g_assert_cmpuint(t.held, >, 1000);
 }
 
@@ -570,6 +591,7 @@
 		{ "/explore/without/authority", GUARD_AUTHORITY },
 		{ "/explore/without/hold_majority", GUARD_HOLD_MAJORITY },
 		{ "/explore/without/hold_marks", GUARD_HOLD_MARKS },
+		{ "/explore/without/hold_quorum", GUARD_HOLD_QUORUM },
 		{ "/explore/without/compare", GUARD_COMPARE },
 	};
 
--- a/test/unit/test_own.c
+++ b/test/unit/test_own.c
@@ -265,6 +265,180 @@
 	g_assert_false(own_coord_may_change(&f->c));
 }
 
+#define HOLD_MS 8000
+
+/* All in a hold of HOLD_MS that began at the time returned. */
+static int64_t into_bounded_hold(struct fixture *f)
+{
+	int64_t now_ms;
+
+	f->c.times.hold_max_ms = HOLD_MS;
+	now_ms = into_hold(f);
+	for (int i = 0; i < 3; i++)
+		exchange(f, i, now_ms);
+	return now_ms;
+}
+
+/* Guards against a hold without an end when its coordinator is gone. */
+static void test_bounded_hold_ends(struct fixture *f, gconstpointer data)
+{
+	int64_t now_ms = into_bounded_hold(f);
+	int64_t end_ms;
+
+	(void)data;
+	g_assert_true(may_serve(f, 0, now_ms + HOLD_MS - 1));
+	g_assert_false(may_serve(f, 0, now_ms + HOLD_MS));
+	g_assert_cmpint(own_member_may_serve(&f->m[0], now_ms, 0, &end_ms), ==,
+			ERR_OK);
+	g_assert_cmpint(end_ms, ==, now_ms + HOLD_MS);
+}
+
+/* Guards against an outage that ends service though the coordinator lives. */
+static void test_bounded_hold_renewed(struct fixture *f, gconstpointer data)
+{
+	int64_t now_ms = into_bounded_hold(f);
+
+	(void)data;
+	for (int round = 0; round < 100; round++) {
+		now_ms += OWN_RENEW_MS;
+		for (int i = 0; i < 3; i++)
+			exchange(f, i, now_ms);
+	}
+	g_assert_true(may_serve(f, 2, now_ms + HOLD_MS - 1));
+}
+
+/*
+ * Guards against a deposed coordinator, cut off with a minority, that renews
+ * holds after its successor counted them out.
+ */
+static void test_minority_not_renewed(struct fixture *f, gconstpointer data)
+{
+	int64_t now_ms = into_bounded_hold(f) + OWN_HOLD_QUORUM_MS;
+	int64_t end_ms = f->m[2].hold_end_ms;
+
+	(void)data;
+	/* Its first ask acts on what was sent to it before the cut. */
+	exchange(f, 2, now_ms);
+	exchange(f, 2, now_ms + 1);
+	g_assert_cmpint(f->m[2].hold_end_ms, ==, end_ms);
+}
+
+static int is_lost_by(struct own_coord *c, uint32_t id, int64_t now_ms)
+{
+	/* A tick after a pause, and others until the pause is over. */
+	for (int64_t ms = now_ms - OWN_PAUSE_MS - 100; ms <= now_ms; ms += 50) {
+		own_coord_confirmed(c, ms);
+		own_coord_tick(c, ms);
+	}
+	return own_coord_lost(c, own_coord_find(c, id), now_ms, 0);
+}
+
+/*
+ * Guards against slots of a node that stopped in an outage and stay with it
+ * until an operator forgets it.
+ */
+static void test_silent_after_outage(struct fixture *f, gconstpointer data)
+{
+	int64_t now_ms = into_bounded_hold(f);
+
+	(void)data;
+	own_coord_confirmed(&f->c, now_ms + 1000);
+	own_coord_tick(&f->c, now_ms + 1000);
+	g_assert_cmpint(f->c.phase, ==, OWN_RELEASING);
+	own_coord_marked(&f->c);
+	g_assert_false(is_lost_by(&f->c, 3, now_ms + HOLD_MS));
+	g_assert_true(
+		is_lost_by(&f->c, 3, now_ms + OWN_HOLD_QUORUM_MS + 2 * HOLD_MS));
+}
+
+/* A successor of the hold's coordinator; the first `promised` follow it. */
+static void succeed(struct own_coord *c, struct fixture *f, uint64_t term,
+		    uint32_t nodes, uint32_t promised, uint32_t mark,
+		    int64_t now_ms)
+{
+	struct own_times times = own_times_for(0);
+
+	times.hold_max_ms = HOLD_MS;
+	own_coord_init_times(c, &times, term, now_ms, now_ms);
+	for (uint32_t id = 1; id <= nodes; id++) {
+		struct own_ask a = { .node_id = id,
+				     .incarnation = id + 99,
+				     .term = term,
+				     .seq = 1 };
+		struct own_reply r;
+
+		own_coord_inherit(c, id, id + 99, 0, id > promised ? mark : 0);
+		if (id > promised)
+			continue;
+		a.hold_term = id <= 3 ? f->m[id - 1].hold_term : 0;
+		own_coord_ask(c, now_ms, &a, &r);
+	}
+	own_coord_tick(c, now_ms);
+}
+
+/*
+ * Guards against a successor that waits for ever for a node that stopped in a
+ * hold, or takes its slots while the hold may still be renewed.
+ */
+static void test_successor_waits_hold_out(struct fixture *f, gconstpointer data)
+{
+	int64_t now_ms = into_bounded_hold(f);
+	struct own_coord s;
+
+	(void)data;
+	succeed(&s, f, 2, 3, 2, 0, now_ms);
+	own_coord_tick(&s, now_ms + 2 * OWN_AUTH_MS);
+	g_assert_true(own_coord_needs_marks(&s, now_ms + 2 * OWN_AUTH_MS));
+	g_assert_cmpuint(own_coord_mark(&s, own_coord_find(&s, 3)), ==, 3);
+	own_coord_marked(&s);
+	g_assert_false(
+		is_lost_by(&s, 3, now_ms + OWN_HOLD_QUORUM_MS + HOLD_MS));
+	g_assert_true(
+		is_lost_by(&s, 3, now_ms + OWN_HOLD_QUORUM_MS + HOLD_MS + 600));
+	own_coord_finish(&s);
+}
+
+/*
+ * Guards against a majority of newcomers: two nodes of three in a hold are a
+ * majority of the roster that the hold was counted over, however many nodes
+ * have joined the successor since.
+ */
+static void test_newcomers_are_no_majority(struct fixture *f,
+					   gconstpointer data)
+{
+	int64_t now_ms = into_bounded_hold(f);
+	struct own_coord s;
+
+	(void)data;
+	succeed(&s, f, 3, 9, 7, 3, now_ms);
+	g_assert_cmpint(s.promised_ms, ==, 0);
+	g_assert_false(is_lost_by(&s, 9, now_ms + 100 * HOLD_MS));
+	own_coord_finish(&s);
+	succeed(&s, f, 3, 9, 8, 3, now_ms);
+	g_assert_cmpint(s.promised_ms, !=, 0);
+	own_coord_finish(&s);
+}
+
+/*
+ * Guards against new nodes in a roster whose holds are not resolved: the next
+ * successor would count them as nodes without a record.
+ */
+static void test_no_growth_while_resolving(struct fixture *f,
+					   gconstpointer data)
+{
+	int64_t now_ms = into_bounded_hold(f);
+	struct own_coord s;
+
+	(void)data;
+	succeed(&s, f, 2, 3, 2, 0, now_ms);
+	g_assert_cmpint(s.phase, ==, OWN_RESOLVING);
+	g_assert_false(own_coord_may_add(&s));
+	g_assert_true(own_coord_may_change(&s));
+	own_coord_marked(&s);
+	g_assert_true(own_coord_may_add(&s));
+	own_coord_finish(&s);
+}
+
 #define ADD(name, fn) \
 	g_test_add("/own/" name, struct fixture, NULL, setup, fn, teardown)
 
@@ -282,5 +456,12 @@
 	ADD("coordinator_pause", test_coordinator_pause);
 	ADD("successor_respects_hold", test_successor_respects_hold);
 	ADD("leaving_gets_no_hold", test_leaving_gets_no_hold);
+	ADD("bounded_hold_ends", test_bounded_hold_ends);
+	ADD("bounded_hold_renewed", test_bounded_hold_renewed);
+	ADD("minority_not_renewed", test_minority_not_renewed);
+	ADD("silent_after_outage", test_silent_after_outage);
+	ADD("successor_waits_hold_out", test_successor_waits_hold_out);
+	ADD("newcomers_are_no_majority", test_newcomers_are_no_majority);
+	ADD("no_growth_while_resolving", test_no_growth_while_resolving);
 	return g_test_run();
 }
