membership: a coordinator that the store alone turns away hands over

Cause: standbys never elect in a hold, so a coordinator cut off from the store alone kept the fleet in a hold, where nothing moves, until the store was back for it. A standby in a hold for OWN_HANDOVER_MS times its rank now reads the record; if the store answers it, it takes office.

The case is in test_own (handover).

--- a/membership/mem_find.c
+++ b/membership/mem_find.c
@@ -71,6 +71,7 @@
 	n->peer_port = set_peer_port(s);
 	n->http_port = (uint32_t)s->http_port;
 	n->admin_port = (uint32_t)s->admin_port;
+	n->link_kbps = (uint32_t)(s->link_mbps * 1000);
 	n->target = m->target;
 }
 
@@ -180,7 +181,8 @@
 	struct mem *m = priv;
 	struct record r;
 	int64_t now_ms = clk_ms();
-	int replace = wants_election(m, now_ms);
+	int handover = own_member_wants_handover(&m->own, now_ms);
+	int replace = handover || wants_election(m, now_ms);
 
 	m->reading = 0;
 	if (e != ERR_OK) {
@@ -225,6 +227,9 @@
 	}
 	/* The store still names the coordinator that does not answer. */
 	if (replace) {
+		if (handover)
+			log_info("coordinator_without_store", "term=%llu",
+				 (unsigned long long)r.term);
 		schedule_election(m, now_ms, 0);
 		m->config.ops->elect(&r, m->config.priv);
 	}
@@ -282,7 +287,8 @@
 	if (!m->conn && m->coordinator.term && now_ms >= m->redial_at_ms)
 		dial(m, now_ms);
 	if (!m->coordinator.term || m->redials >= 2 ||
-	    wants_election(m, now_ms)) {
+	    wants_election(m, now_ms) ||
+	    own_member_wants_handover(&m->own, now_ms)) {
 		m->redials = 0;
 		read_record(m, now_ms);
 	}
--- a/ownership/member.c
+++ b/ownership/member.c
@@ -38,7 +38,7 @@
 	ask->hold_seq = m->hold_seq;
 }
 
-static void apply_hold(struct own_member *m, int64_t asked_ms,
+static void apply_hold(struct own_member *m, int64_t now_ms, int64_t asked_ms,
 		       const struct own_reply *r)
 {
 	switch (r->hold) {
@@ -48,6 +48,8 @@
 		m->hold_seq = 0;
 		break;
 	case OWN_HOLD_COMMIT:
+		if (!m->held)
+			m->held_ms = now_ms;
 		m->held = 1;
 		m->hold_end_ms = r->hold_ms ? asked_ms + r->hold_ms : INT64_MAX;
 		/* fall through */
@@ -101,7 +103,7 @@
 	m->unanswered = 0;
 	m->standby_rank = r->standby_rank;
 	m->floor_rev = r->floor_rev;
-	apply_hold(m, asked_ms, r);
+	apply_hold(m, now_ms, asked_ms, r);
 	end_ms = asked_ms + r->grant_ms;
 	if (r->grant_ms && end_ms > m->grant_end_ms)
 		m->grant_end_ms = end_ms;
@@ -146,6 +148,16 @@
 	return ERR_OK;
 }
 
+int own_member_wants_handover(const struct own_member *m, int64_t now_ms)
+{
+	if (!m->standby_rank || !own_member_in_hold(m, now_ms) ||
+	    !guard_on(GUARD_STANDBY))
+		return 0;
+	/* A successor resolves the hold of the one it has replaced. */
+	return m->hold_term == m->term &&
+	       now_ms - m->held_ms >= OWN_HANDOVER_MS * m->standby_rank;
+}
+
 int own_member_should_elect(const struct own_member *m, int64_t now_ms)
 {
 	if (!m->standby_rank || own_member_in_hold(m, now_ms) ||
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -48,6 +48,12 @@
  */
 #define OWN_PAUSE_MS 250
 #define OWN_STANDBY_MISSES 3
+/*
+ * A standby in a hold for this long, times its rank, asks the store whether it
+ * answers there: the coordinator may be cut off alone. Longer than a hold that
+ * one lost confirmation causes.
+ */
+#define OWN_HANDOVER_MS 1000
 
 enum own_hold {
 	OWN_HOLD_NONE,	  /* clear any record, grants are timed */
@@ -90,6 +96,7 @@
 	uint64_t floor_rev;
 	int held;
 	int64_t hold_end_ms; /* of the hold, INT64_MAX: none */
+	int64_t held_ms;     /* since when, while held */
 	uint64_t hold_term;
 	uint32_t hold_seq;
 	uint32_t standby_rank;
@@ -124,6 +131,11 @@
  */
 enum err own_member_may_serve(const struct own_member *m, int64_t now_ms,
 			      uint64_t map_rev, int64_t *end_ms);
+/*
+ * 1 if a standby should become the coordinator provided that the store answers
+ * it: the present one has been without the store for a while.
+ */
+int own_member_wants_handover(const struct own_member *m, int64_t now_ms);
 /* 1 if a standby should try to become the coordinator. */
 int own_member_should_elect(const struct own_member *m, int64_t now_ms);
 
--- a/test/unit/test_own.c
+++ b/test/unit/test_own.c
@@ -347,8 +347,8 @@
 	g_assert_cmpint(f->c.phase, ==, OWN_RELEASING);
 	own_coord_marked(&f->c);
 	g_assert_false(is_lost_by(&f->c, 3, now_ms + HOLD_MS));
-	g_assert_true(
-		is_lost_by(&f->c, 3, now_ms + OWN_HOLD_QUORUM_MS + 2 * HOLD_MS));
+	g_assert_true(is_lost_by(&f->c, 3,
+				 now_ms + OWN_HOLD_QUORUM_MS + 2 * HOLD_MS));
 }
 
 /* A successor of the hold's coordinator; the first `promised` follow it. */
@@ -439,6 +439,36 @@
 	own_coord_finish(&s);
 }
 
+/*
+ * Guards against a coordinator that the store alone turns away and that keeps
+ * the fleet in a hold, where nothing moves, though its standby is served.
+ */
+static void test_handover(struct fixture *f, gconstpointer data)
+{
+	int64_t now_ms;
+
+	(void)data;
+	f->m[1].standby_rank = 1;
+	f->m[2].standby_rank = 2;
+	now_ms = into_hold(f);
+	for (int i = 0; i < 3; i++)
+		exchange(f, i, now_ms);
+	f->m[1].standby_rank = 1;
+	f->m[2].standby_rank = 2;
+	g_assert_false(own_member_wants_handover(&f->m[1],
+						 now_ms + OWN_HANDOVER_MS - 1));
+	g_assert_true(
+		own_member_wants_handover(&f->m[1], now_ms + OWN_HANDOVER_MS));
+	g_assert_false(
+		own_member_wants_handover(&f->m[2], now_ms + OWN_HANDOVER_MS));
+	g_assert_false(own_member_wants_handover(&f->m[0],
+						 now_ms + 9 * OWN_HANDOVER_MS));
+	/* Guards against elections in a row while a successor resolves. */
+	own_member_saw_term(&f->m[1], 2, now_ms + OWN_HANDOVER_MS);
+	g_assert_false(own_member_wants_handover(&f->m[1],
+						 now_ms + 9 * OWN_HANDOVER_MS));
+}
+
 #define ADD(name, fn) \
 	g_test_add("/own/" name, struct fixture, NULL, setup, fn, teardown)
 
@@ -456,6 +486,7 @@
 	ADD("coordinator_pause", test_coordinator_pause);
 	ADD("successor_respects_hold", test_successor_respects_hold);
 	ADD("leaving_gets_no_hold", test_leaving_gets_no_hold);
+	ADD("handover", test_handover);
 	ADD("bounded_hold_ends", test_bounded_hold_ends);
 	ADD("bounded_hold_renewed", test_bounded_hold_renewed);
 	ADD("minority_not_renewed", test_minority_not_renewed);
