ctl: work on the platform's store and configuration

`--interface platform` or MPIN_INTERFACE: status, explain and forget by the platform's store, validate for the operator's configuration. Verbs that change the document are refused there.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -22,8 +22,18 @@
 #define CTL_MAX_WAIT_S 3600
 #define CTL_KEY_BYTES 256
 
+/* What the daemons run with: their store, and the document in it. */
+struct ctl_interface {
+	const char *name;
+	enum err (*store_open)(struct store **out, struct ev_loop *loop,
+			       const char *endpoint, int timeout_ms,
+			       struct err_info *info);
+	const struct doc_source *document; /* NULL: mpinctl's own */
+};
+
 struct ctl {
-	const char *endpoint; /* of the store */
+	const struct ctl_interface *interface; /* that the daemons run with */
+	const char *endpoint;		       /* of the store */
 	const char *prefix;
 	const char *author;
 	int wait_ms;
@@ -39,13 +49,15 @@
 
 #define CTL_OPT_AUTHOR 1U
 #define CTL_OPT_WAIT 2U
+/* The verb reads or writes the document in mpinctl's own format. */
+#define CTL_OWN_DOCUMENT 4U
 
 struct ctl_verb {
 	const char *name;
 	const char *args;
 	int arg_count;
 	int needs_store;
-	unsigned options; /* CTL_OPT_..., besides the common ones */
+	unsigned options; /* CTL_OPT_... besides the common ones, CTL_OWN_... */
 	const char *doc;
 	enum ctl_exit (*run)(struct ctl *c);
 };
--- a/ctl/io.c
+++ b/ctl/io.c
@@ -21,8 +21,8 @@
 	if (e != ERR_OK)
 		return err_set(info, e, "HTTP client");
 	c->http_open = 1;
-	return etcd_open(&c->store, c->loop, c->endpoint, STORE_TIMEOUT_MS,
-			 info);
+	return c->interface->store_open(&c->store, c->loop, c->endpoint,
+					STORE_TIMEOUT_MS, info);
 }
 
 void ctl_close(struct ctl *c)
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -1,6 +1,8 @@
 #include "common/guard.h"
 #include "config/opt.h"
 #include "ctl/ctl.h"
+#include "platform/document.h"
+#include "platform/kv.h"
 
 #include <argp.h>
 #include <signal.h>
@@ -8,12 +10,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CHANGES (CTL_OPT_AUTHOR | CTL_OPT_WAIT)
+#define CHANGES (CTL_OPT_AUTHOR | CTL_OPT_WAIT | CTL_OWN_DOCUMENT)
+
+static const struct ctl_interface interfaces[] = {
+	{ "own", etcd_open, NULL },
+	{ "platform", kv_open, &platform_document },
+};
 
 const struct ctl_verb ctl_verbs[] = {
 	{ "validate", "FILE", 1, 0, 0, "check a document", ctl_validate },
-	{ "diff", "FILE", 1, 1, 0, "compare the store's document with FILE",
-	  ctl_diff },
+	{ "diff", "FILE", 1, 1, CTL_OWN_DOCUMENT,
+	  "compare the store's document with FILE", ctl_diff },
 	{ "apply", "FILE", 1, 1, CHANGES, "put a document into force",
 	  ctl_apply },
 	{ "status", "", 0, 1, 0, "show nodes and services", ctl_status },
@@ -27,13 +34,24 @@
 
 const size_t ctl_verb_count = sizeof(ctl_verbs) / sizeof(ctl_verbs[0]);
 
-enum { KEY_STORE = 256, KEY_PREFIX, KEY_AUTHOR, KEY_WAIT, KEY_JSON };
+enum {
+	KEY_STORE = 256,
+	KEY_PREFIX,
+	KEY_AUTHOR,
+	KEY_WAIT,
+	KEY_JSON,
+	KEY_INTERFACE,
+};
 
 static const struct argp_option options[] = {
 	{ "store", KEY_STORE, "ENDPOINT", 0,
 	  "The store, http://ADDRESS:PORT (default: MPIN_STORE)", 0 },
 	{ "prefix", KEY_PREFIX, "PREFIX", 0,
 	  "Prefix of the keys in the store (default: /mpin/)", 0 },
+	{ "interface", KEY_INTERFACE, "NAME", 0,
+	  "What the daemons run with, own or platform (default: "
+	  "MPIN_INTERFACE, else own)",
+	  0 },
 	{ "json", KEY_JSON, NULL, 0, "Print the result as JSON", 0 },
 	{ "author", KEY_AUTHOR, "NAME", 0, "Author of a change (default: USER)",
 	  0 },
@@ -64,6 +82,24 @@
 		argp_error(state, "no such verb: %s", name);
 }
 
+static const struct ctl_interface *find_interface(const char *name)
+{
+	for (size_t i = 0; i < sizeof(interfaces) / sizeof(*interfaces); i++) {
+		if (!strcmp(interfaces[i].name, name))
+			return &interfaces[i];
+	}
+	return NULL;
+}
+
+static void set_interface(struct ctl *c, const char *name,
+			  struct argp_state *state)
+{
+	c->interface = find_interface(name);
+	if (!c->interface)
+		argp_error(state, "--interface: %s (allowed: own, platform)",
+			   name);
+}
+
 static int parse_wait(const char *text, struct argp_state *state)
 {
 	char *end;
@@ -107,6 +143,11 @@
 	if (cmd->arg_count != cmd->verb->arg_count)
 		argp_error(state, "usage: mpinctl %s %s", cmd->verb->name,
 			   cmd->verb->args);
+	if (c->interface->document && cmd->verb->options & CTL_OWN_DOCUMENT)
+		argp_error(state,
+			   "%s: the document of interface %s is not "
+			   "mpinctl's to change",
+			   cmd->verb->name, c->interface->name);
 	if (cmd->given & ~cmd->verb->options)
 		argp_error(state, "%s takes no --author and no --wait-s",
 			   cmd->verb->name);
@@ -137,6 +178,9 @@
 	case KEY_PREFIX:
 		cmd->c->prefix = arg;
 		return 0;
+	case KEY_INTERFACE:
+		set_interface(cmd->c, arg, state);
+		return 0;
 	case KEY_JSON:
 		cmd->c->json = 1;
 		return 0;
@@ -154,6 +198,13 @@
 		else if (cmd->arg_count < MAX_ARGS)
 			cmd->args[cmd->arg_count++] = arg;
 		return 0;
+	case ARGP_KEY_INIT:
+		set_interface(cmd->c,
+			      getenv("MPIN_INTERFACE")
+				      ? getenv("MPIN_INTERFACE")
+				      : interfaces[0].name,
+			      state);
+		return 0;
 	case ARGP_KEY_END:
 		check(cmd, state);
 		return 0;
--- a/ctl/validate.c
+++ b/ctl/validate.c
@@ -14,6 +14,23 @@
 	return CTL_DONE;
 }
 
+/* Of the document that the interface has in the store. */
+static enum err parse(const struct ctl *c, const struct buf *text,
+		      struct doc *d, struct buf *problems)
+{
+	const struct doc_source *source = c->interface->document;
+	struct doc_sections sections;
+	enum err e;
+
+	if (!source)
+		return doc_parse(d, (const char *)text->data, text->len,
+				 problems);
+	e = source->read(text->data, text->len, d, &sections, problems);
+	if (e == ERR_OK)
+		doc_sections_finish(&sections);
+	return e;
+}
+
 enum ctl_exit ctl_validate(struct ctl *c)
 {
 	enum ctl_exit result = CTL_INVALID;
@@ -24,8 +41,8 @@
 	buf_init(&problems);
 	buf_init(&text);
 	if (ctl_read_file(c->args[0], &text) == ERR_OK) {
-		if (doc_parse(&d, buf_text(&text), text.len, &problems) ==
-		    ERR_OK) {
+		buf_text(&text);
+		if (parse(c, &text, &d, &problems) == ERR_OK) {
 			result = report(c, &d);
 			doc_finish(&d);
 		} else {
--- a/test/run/platform.sh
+++ b/test/run/platform.sh
@@ -115,6 +115,19 @@
 echo "no route: $(ask 1 /nothing/)"
 echo "held twice: $(held_twice | wc -l)"
 
+ctl() { # ctl VERB...: the operators' client on the platform's store
+	"$BIN/mpinctl" --interface platform \
+		--store "http://127.0.0.1:$KV" "$@" 2>&1
+}
+
+printf '%s' "$config" >"$WORK/config.json"
+ctl validate "$WORK/config.json" | sed "s|$WORK/||"
+printf '%s' "${config/non_idempotent/at_random}" >"$WORK/bad.json"
+ctl validate "$WORK/bad.json" | sed "s|$WORK/||"
+ctl --json status | grep -o '"name": *"n[0-2]"' | sort -u | wc -l
+ctl explain cal 4096 | sed -n 's/^\(owner\) .*n[01].*/\1 found/p' | head -n 1
+ctl apply "$WORK/config.json" | head -n 1
+
 kill_hard n1
 start_daemon 1 cal
 wait_for 15 "all keys after a restart" keys_served 0
