--- a/config/set.c
+++ b/config/set.c
@@ -229,6 +229,14 @@
 	  .number = 1024,
 	  .live = 1,
 	  .meaning = "requests that the ingress holds at one time" },
+	{ .name = "limits.link_mbps",
+	  .type = OPT_REAL,
+	  F(link_mbps),
+	  .min = 0,
+	  .max = 1000000,
+	  .meaning = "rate of this VM's line; bodies that it would carry "
+		     "slowly go from the node that took them straight to the "
+		     "target; 0: not known" },
 	{ .name = "limits.stale_ms",
 	  .type = OPT_TIME,
 	  F(stale_ms),
--- a/config/set.h
+++ b/config/set.h
@@ -66,6 +66,7 @@
 	int max_callers;    /* open connections of callers */
 	int max_body_bytes; /* upper bound for the document's limits */
 	int max_in_flight;  /* requests in the ingress */
+	double link_mbps;   /* 0: not known */
 	/*
 	 * Requests are refused when map and document have not been confirmed
 	 * for so long; 0: never.
--- a/protocol/frame.c
+++ b/protocol/frame.c
@@ -31,6 +31,8 @@
 	[FRAME_CANCEL] = { "cancel", &wire__cancel__descriptor },
 	[FRAME_PING] = { "ping", &wire__ping__descriptor },
 	[FRAME_PONG] = { "pong", &wire__ping__descriptor },
+	[FRAME_OFFER] = { "offer", &wire__forward__descriptor },
+	[FRAME_PLACE_END] = { "place_end", &wire__place_end__descriptor },
 };
 
 const char *frame_name(unsigned type)
@@ -47,6 +49,8 @@
 		return "not-run";
 	case OUTCOME_ANSWERED:
 		return "answered";
+	case OUTCOME_PLACE:
+		return "place";
 	case OUTCOME_UNKNOWN:
 		break;
 	}
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -1447,6 +1447,51 @@
   assert(message->base.descriptor == &wire__forward_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__place_end__init
+                     (Wire__PlaceEnd         *message)
+{
+  static const Wire__PlaceEnd init_value = WIRE__PLACE_END__INIT;
+  *message = init_value;
+}
+size_t wire__place_end__get_packed_size
+                     (const Wire__PlaceEnd *message)
+{
+  assert(message->base.descriptor == &wire__place_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__place_end__pack
+                     (const Wire__PlaceEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__place_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__place_end__pack_to_buffer
+                     (const Wire__PlaceEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__place_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PlaceEnd *
+       wire__place_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PlaceEnd *)
+     protobuf_c_message_unpack (&wire__place_end__descriptor,
+                                allocator, len, data);
+}
+void   wire__place_end__free_unpacked
+                     (Wire__PlaceEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__place_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__target_load__init
                      (Wire__TargetLoad         *message)
 {
@@ -1672,7 +1717,7 @@
   assert(message->base.descriptor == &wire__ping__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__node__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__node__field_descriptors[12] =
 {
   {
     "id",
@@ -1806,6 +1851,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_kbps",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Node, link_kbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__node__field_indices_by_name[] = {
   6,   /* field[6] = address */
@@ -1814,6 +1871,7 @@
   8,   /* field[8] = http_port */
   0,   /* field[0] = id */
   2,   /* field[2] = incarnation */
+  11,   /* field[11] = link_kbps */
   1,   /* field[1] = name */
   7,   /* field[7] = peer_port */
   5,   /* field[5] = rack */
@@ -1823,7 +1881,7 @@
 static const ProtobufCIntRange wire__node__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__node__descriptor =
 {
@@ -1833,7 +1891,7 @@
   "Wire__Node",
   "wire",
   sizeof(Wire__Node),
-  11,
+  12,
   wire__node__field_descriptors,
   wire__node__field_indices_by_name,
   1,  wire__node__number_ranges,
@@ -4138,7 +4196,7 @@
   (ProtobufCMessageInit) wire__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__forward__field_descriptors[17] =
+static const ProtobufCFieldDescriptor wire__forward__field_descriptors[18] =
 {
   {
     "attempt",
@@ -4344,10 +4402,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "body_bytes",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Forward, body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__forward__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
   8,   /* field[8] = body */
+  17,   /* field[17] = body_bytes */
   11,   /* field[11] = caller */
   2,   /* field[2] = deadline_ms */
   15,   /* field[15] = has_value */
@@ -4367,7 +4438,7 @@
 static const ProtobufCIntRange wire__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor wire__forward__descriptor =
 {
@@ -4377,14 +4448,14 @@
   "Wire__Forward",
   "wire",
   sizeof(Wire__Forward),
-  17,
+  18,
   wire__forward__field_descriptors,
   wire__forward__field_indices_by_name,
   1,  wire__forward__number_ranges,
   (ProtobufCMessageInit) wire__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__forward_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__forward_reply__field_descriptors[11] =
 {
   {
     "attempt",
@@ -4506,6 +4577,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "place",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ForwardReply, place),
+    &wire__target__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__forward_reply__field_indices_by_name[] = {
   9,   /* field[9] = arrived */
@@ -4516,13 +4599,14 @@
   8,   /* field[8] = load */
   6,   /* field[6] = map_rev */
   1,   /* field[1] = outcome */
+  10,   /* field[10] = place */
   7,   /* field[7] = retry_after_ms */
   3,   /* field[3] = status */
 };
 static const ProtobufCIntRange wire__forward_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__forward_reply__descriptor =
 {
@@ -4532,13 +4616,90 @@
   "Wire__ForwardReply",
   "wire",
   sizeof(Wire__ForwardReply),
-  10,
+  11,
   wire__forward_reply__field_descriptors,
   wire__forward_reply__field_indices_by_name,
   1,  wire__forward_reply__number_ranges,
   (ProtobufCMessageInit) wire__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__place_end__field_descriptors[4] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceEnd, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceEnd, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "error",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceEnd, error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceEnd, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__place_end__field_indices_by_name[] = {
+  0,   /* field[0] = attempt */
+  2,   /* field[2] = error */
+  1,   /* field[1] = outcome */
+  3,   /* field[3] = retry_after_ms */
+};
+static const ProtobufCIntRange wire__place_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__place_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PlaceEnd",
+  "PlaceEnd",
+  "Wire__PlaceEnd",
+  "wire",
+  sizeof(Wire__PlaceEnd),
+  4,
+  wire__place_end__field_descriptors,
+  wire__place_end__field_indices_by_name,
+  1,  wire__place_end__number_ranges,
+  (ProtobufCMessageInit) wire__place_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[5] =
 {
   {
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -47,6 +47,7 @@
 typedef struct Wire__Header Wire__Header;
 typedef struct Wire__Forward Wire__Forward;
 typedef struct Wire__ForwardReply Wire__ForwardReply;
+typedef struct Wire__PlaceEnd Wire__PlaceEnd;
 typedef struct Wire__TargetLoad Wire__TargetLoad;
 typedef struct Wire__Query Wire__Query;
 typedef struct Wire__QueryReply Wire__QueryReply;
@@ -88,10 +89,14 @@
    * absent while no target is announced
    */
   Wire__Target *target;
+  /*
+   * rate of its line, 0: not known
+   */
+  uint32_t link_kbps;
 };
 #define WIRE__NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__node__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, 0 }
 
 
 struct  Wire__Target
@@ -678,10 +683,14 @@
    * hash of the route's name, 0: none; alike ones take alike
    */
   uint32_t route;
+  /*
+   * of an offer, which has no body
+   */
+  uint32_t body_bytes;
 };
 #define WIRE__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__forward__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Wire__ForwardReply
@@ -713,10 +722,39 @@
    * reached the target, which may have refused it
    */
   protobuf_c_boolean arrived;
+  /*
+   * to which the asker sends it; OUTCOME_PLACE
+   */
+  Wire__Target *place;
 };
 #define WIRE__FORWARD_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__forward_reply__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, NULL, 0, NULL }
+
+
+/*
+ * What became of a request that its asker sent to the target itself.
+ */
+struct  Wire__PlaceEnd
+{
+  ProtobufCMessage base;
+  uint64_t attempt;
+  /*
+   * enum wire_outcome
+   */
+  uint32_t outcome;
+  /*
+   * enum err
+   */
+  uint32_t error;
+  /*
+   * of a target that refused it
+   */
+  uint32_t retry_after_ms;
+};
+#define WIRE__PLACE_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__place_end__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -1397,6 +1435,25 @@
 void   wire__forward_reply__free_unpacked
                      (Wire__ForwardReply *message,
                       ProtobufCAllocator *allocator);
+/* Wire__PlaceEnd methods */
+void   wire__place_end__init
+                     (Wire__PlaceEnd         *message);
+size_t wire__place_end__get_packed_size
+                     (const Wire__PlaceEnd   *message);
+size_t wire__place_end__pack
+                     (const Wire__PlaceEnd   *message,
+                      uint8_t             *out);
+size_t wire__place_end__pack_to_buffer
+                     (const Wire__PlaceEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PlaceEnd *
+       wire__place_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__place_end__free_unpacked
+                     (Wire__PlaceEnd *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__TargetLoad methods */
 void   wire__target_load__init
                      (Wire__TargetLoad         *message);
@@ -1590,6 +1647,9 @@
 typedef void (*Wire__ForwardReply_Closure)
                  (const Wire__ForwardReply *message,
                   void *closure_data);
+typedef void (*Wire__PlaceEnd_Closure)
+                 (const Wire__PlaceEnd *message,
+                  void *closure_data);
 typedef void (*Wire__TargetLoad_Closure)
                  (const Wire__TargetLoad *message,
                   void *closure_data);
@@ -1643,6 +1703,7 @@
 extern const ProtobufCMessageDescriptor wire__header__descriptor;
 extern const ProtobufCMessageDescriptor wire__forward__descriptor;
 extern const ProtobufCMessageDescriptor wire__forward_reply__descriptor;
+extern const ProtobufCMessageDescriptor wire__place_end__descriptor;
 extern const ProtobufCMessageDescriptor wire__target_load__descriptor;
 extern const ProtobufCMessageDescriptor wire__query__descriptor;
 extern const ProtobufCMessageDescriptor wire__query_reply__descriptor;
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -69,6 +69,9 @@
 
 static void call_free(struct gate_call *c)
 {
+	ev_timer_stop(c->g->loop, &c->overdue);
+	if (c->placed_at)
+		wire__target__free_unpacked(c->placed_at, NULL);
 	wire__forward__free_unpacked(c->f, NULL);
 	httpc_request_finish(&c->http);
 	free(c);
@@ -82,7 +85,7 @@
 		return;
 	ev_timer_stop(g->loop, &g->expiry);
 	DL_FOREACH_SAFE(g->calls, c, next) {
-		if (c->state == CALL_STARTED)
+		if (c->state == CALL_STARTED && !c->offered)
 			httpc_cancel(&c->http);
 		call_free(c);
 	}
@@ -127,9 +130,8 @@
 	cnt_add(g->cnt, "gate_errors", labels, 1);
 }
 
-/* load lives as long as the reply. */
-static void fill_reply(struct gate *g, Wire__ForwardReply *reply,
-		       Wire__TargetLoad *load, uint64_t attempt)
+void gate_fill_reply(struct gate *g, Wire__ForwardReply *reply,
+		     Wire__TargetLoad *load, uint64_t attempt)
 {
 	wire__target_load__init(load);
 	load->running = g->started;
@@ -148,12 +150,13 @@
 	struct gate *g = c->g;
 	Wire__TargetLoad load;
 	int64_t now = clk_ms();
-	int was_started = c->state == CALL_STARTED;
+	int was_started = c->state == CALL_STARTED && !c->placed_at;
 	uint32_t slot = c->slot;
 
 	DL_DELETE(g->calls, c);
-	attempts_end(&g->attempts, c->attempt,
-		     reply->outcome != OUTCOME_NOT_RUN, now);
+	if (c->attempt)
+		attempts_end(&g->attempts, c->attempt,
+			     reply->outcome != OUTCOME_NOT_RUN, now);
 	if (c->item.state == ADM_RUNNING)
 		adm_done(&g->adm, &c->item, now);
 	else
@@ -161,7 +164,9 @@
 	if (was_started)
 		g->started--;
 	reply->arrived = c->sent_ns != 0;
-	fill_reply(g, reply, &load, c->f->attempt);
+	gate_fill_reply(g, reply, &load, c->f->attempt);
+	if (c->placed_at)
+		reply->load = NULL;
 	load.took_us = (uint32_t)((clk_ns() - c->arrived_ns) / 1000);
 	count_end(g, c->f, reply);
 	if (c->fn)
@@ -294,7 +299,7 @@
 
 	reply.outcome = outcome;
 	reply.error = error;
-	fill_reply(g, &reply, &load, f->attempt);
+	gate_fill_reply(g, &reply, &load, f->attempt);
 	count_end(g, f, &reply);
 	fn(&reply, priv);
 }
@@ -436,8 +441,8 @@
 	       priv);
 }
 
-void gate_submit(struct gate *g, const Wire__Forward *f, gate_reply_fn fn,
-		 void *priv)
+static void take(struct gate *g, const Wire__Forward *f, int offered,
+		 gate_reply_fn fn, void *priv)
 {
 	struct attempt *t = attempts_find(&g->attempts, f->attempt);
 	struct gate_call *c;
@@ -449,7 +454,7 @@
 		refuse_known(g, f, t, fn, priv);
 		return;
 	}
-	e = check(g, f, &slot);
+	e = offered && f->key[0] ? ERR_MALFORMED : check(g, f, &slot);
 	t = attempts_add(&g->attempts, f->attempt);
 	c = t && e == ERR_OK ? call_new(g, f) : NULL;
 	if (!c) {
@@ -460,6 +465,7 @@
 		return;
 	}
 	c->slot = slot;
+	c->offered = offered;
 	c->fn = fn;
 	c->priv = priv;
 	c->attempt = t;
@@ -468,10 +474,25 @@
 	admit(c);
 }
 
+void gate_submit(struct gate *g, const Wire__Forward *f, gate_reply_fn fn,
+		 void *priv)
+{
+	take(g, f, 0, fn, priv);
+}
+
+void gate_offer(struct gate *g, const Wire__Forward *f, gate_reply_fn fn,
+		void *priv)
+{
+	take(g, f, 1, fn, priv);
+}
+
 /* What nobody waits for and may run again is not worth the target's time. */
 static int is_droppable(const struct gate_call *c)
 {
-	return c->item.state == ADM_QUEUED || c->f->idempotent;
+	if (c->item.state == ADM_QUEUED)
+		return 1;
+	/* The asker of a kept place sends and ends it. */
+	return c->f->idempotent && !c->offered;
 }
 
 /* Not for a call whose callback could be running. */
@@ -524,6 +545,13 @@
 		if (c->f->attempt == attempt)
 			break;
 	}
+	/* The asker gave up before it heard of its place. */
+	if (c && c->offered && c->state == CALL_STARTED) {
+		c->fn = NULL;
+		c->sent_ns = 0;
+		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_CLOSED);
+		return;
+	}
 	if (c && is_droppable(c))
 		drop(c);
 }
--- a/routing/peer.c
+++ b/routing/peer.c
@@ -116,6 +116,12 @@
 	free(a);
 }
 
+void out_drop(struct out_attempt *a)
+{
+	out_remove(a);
+	out_free(a);
+}
+
 void peers_free(struct peers *p)
 {
 	struct out_attempt *a, *next_attempt;
@@ -124,9 +130,9 @@
 	if (!p)
 		return;
 	HASH_ITER(hh, p->attempts, a, next_attempt) {
-		out_remove(a);
-		out_free(a);
+		out_drop(a);
 	}
+	placed_finish(p);
 	HASH_ITER(hh, p->nodes, n, next_node) {
 		node_free(p, n);
 	}
@@ -214,6 +220,10 @@
 	case OUT_SETTLED:
 		reply_here(a, a->outcome, a->error);
 		break;
+	case OUT_OFFERED:
+		out_cancel(a);
+		reply_here(a, OUTCOME_NOT_RUN, ERR_DEADLINE);
+		break;
 	case OUT_WAITING:
 		reply_here(a, OUTCOME_NOT_RUN, ERR_DEADLINE);
 		break;
@@ -251,7 +261,9 @@
 void peers_forward(struct peers *p, uint32_t node, const Wire__Forward *f,
 		   gate_reply_fn fn, void *priv)
 {
-	struct peer_node *n = node_get(p, node, f->body.len > PEER_BULK_BYTES);
+	int bulk = f->body.len > PEER_BULK_BYTES &&
+		   !peer_is_offered(node_info(p, node), f);
+	struct peer_node *n = node_get(p, node, bulk);
 	struct out_attempt *a = n ? out_new(p, n, f, fn, priv) : NULL;
 
 	/* No memory for a reply that comes later: the process is lost. */
@@ -269,7 +281,7 @@
 		if (a->fn != fn || a->priv != priv)
 			continue;
 		out_cancel(a);
-		out_remove(a);
-		out_free(a);
+		out_drop(a);
 	}
+	placed_forget(p, fn, priv);
 }
--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -123,6 +123,13 @@
 		gate_submit(in->p->gate, (const Wire__Forward *)f->msg,
 			    on_gate_reply, in);
 		break;
+	case FRAME_OFFER:
+		gate_offer(in->p->gate, (const Wire__Forward *)f->msg,
+			   on_gate_reply, in);
+		break;
+	case FRAME_PLACE_END:
+		gate_place_end(in->p->gate, (const Wire__PlaceEnd *)f->msg);
+		break;
 	case FRAME_QUERY:
 		on_query(in, (const Wire__Query *)f->msg);
 		break;
--- a/routing/peer_link.c
+++ b/routing/peer_link.c
@@ -36,7 +36,7 @@
 	l->since_ms = clk_ms();
 }
 
-static const Wire__Node *node_info(struct peers *p, uint32_t id)
+const Wire__Node *node_info(struct peers *p, uint32_t id)
 {
 	const struct map *m = p->view->ops->map(p->view);
 	const struct map_node *n = map_find_node(m, id);
@@ -137,6 +137,28 @@
 	cnt_add(p->cnt, "peer_links_dialled", "", 1);
 }
 
+/* m is the request with its time limit; the body stays here until a place. */
+static enum err send_offer(struct peer_link *l, struct out_attempt *a,
+			   Wire__Forward *m)
+{
+	enum err e;
+
+	if (!a->copy)
+		a->copy = wire_copy_forward(m);
+	if (!a->copy)
+		return ERR_NOMEM;
+	m->body_bytes = (uint32_t)m->body.len;
+	m->body.len = 0;
+	m->n_headers = 0;
+	e = tcp_send(&l->conn, FRAME_OFFER, &m->base);
+	if (e != ERR_OK)
+		return e;
+	a->state = OUT_OFFERED;
+	l->used_ms = clk_ms();
+	out_set_link(a, l);
+	return ERR_OK;
+}
+
 static enum err send_forward(struct peer_link *l, struct out_attempt *a,
 			     const Wire__Forward *f)
 {
@@ -151,6 +173,8 @@
 		m.deadline_ms -= PEER_MARGIN_MS;
 	if (tcp_queued(&l->conn) > TCP_MAX_QUEUED_BYTES)
 		return ERR_SHED;
+	if (peer_is_offered(node_info(l->p, l->node->key.id), f))
+		return send_offer(l, a, &m);
 	e = tcp_send(&l->conn, FRAME_FORWARD, &m.base);
 	if (e != ERR_OK)
 		return e;
@@ -203,6 +227,10 @@
 	DL_FOREACH(n->attempts, a) {
 		if (a->link != l)
 			continue;
+		if (a->state == OUT_OFFERED) {
+			out_settle(a, OUTCOME_NOT_RUN, ERR_CLOSED);
+			continue;
+		}
 		a->state = OUT_ASKING;
 		out_set_link(a, NULL);
 	}
@@ -264,6 +292,8 @@
 		out_settle(a, OUTCOME_NOT_RUN, e);
 		return;
 	}
+	if (a->state == OUT_OFFERED)
+		return;
 	a->copy = NULL;
 	wire__forward__free_unpacked(copy, NULL);
 }
@@ -319,6 +349,10 @@
 	DL_FOREACH(l->node->attempts, a) {
 		if (a->link != l)
 			continue;
+		if (a->state == OUT_OFFERED) {
+			out_settle(a, OUTCOME_NOT_RUN, ERR_CLOSED);
+			continue;
+		}
 		/* The owner cannot decode a frame that was not sent whole. */
 		if (a->state == OUT_SENT && (l->conn.bytes_out < a->sent_end ||
 					     !guard_on(GUARD_QUERY))) {
@@ -426,6 +460,11 @@
 		cnt_add(l->p->cnt, "peer_late_replies", "", 1);
 		return;
 	}
+	if (r->outcome == OUTCOME_PLACE && a->state == OUT_OFFERED &&
+	    r->place) {
+		placed_start(a, r);
+		return;
+	}
 	if (r->outcome == OUTCOME_ANSWERED && r->status >= 200 &&
 	    r->status <= 999) {
 		out_reply(a, r);
--- a/routing/peer_priv.h
+++ b/routing/peer_priv.h
@@ -33,6 +33,7 @@
 
 enum out_state {
 	OUT_WAITING, /* for a link; copy is set */
+	OUT_OFFERED, /* on link; copy is set, nothing of it was sent */
 	OUT_SENT,    /* on link */
 	OUT_ASKING,  /* for a link, to ask what became of it */
 	OUT_ASKED,   /* Query sent on link */
@@ -131,6 +132,9 @@
 /* One asker: a run of another daemon. Its replies go to its newest link. */
 struct inbound;
 
+/* One request that is sent to a place which another gate keeps. */
+struct placed;
+
 struct grave {
 	struct tcp_conn *conn;
 	void *memory;
@@ -147,6 +151,7 @@
 	struct peer_node *nodes;
 	struct out_attempt *attempts;
 	struct inbound *inbound;
+	struct placed *placed;
 	struct grave *graves;
 	ev_timer reaper;
 	ev_timer tick;
@@ -169,6 +174,8 @@
 		enum err error);
 /* Ends it with the owner's reply; runs the callback. */
 void out_reply(struct out_attempt *a, const Wire__ForwardReply *reply);
+/* Frees it without a callback. */
+void out_drop(struct out_attempt *a);
 struct out_attempt *out_find(const struct peers *p, uint64_t id);
 void out_set_link(struct out_attempt *a, struct peer_link *link);
 
@@ -178,6 +185,8 @@
 void node_submit(struct peer_node *n, struct out_attempt *a,
 		 const Wire__Forward *f);
 struct peer_node *node_get(struct peers *p, uint32_t id, int bulk);
+/* As the map has it; NULL if it does not. */
+const Wire__Node *node_info(struct peers *p, uint32_t id);
 void node_tick(struct peers *p, struct peer_node *n, int64_t now_ms);
 /* Does the node have anything that needs ticks? */
 int node_is_busy(const struct peer_node *n);
@@ -188,6 +197,15 @@
 /* Tells the owner that it need not start the attempt any more. */
 void out_cancel(const struct out_attempt *a);
 
+/* peer_place.c */
+
+/* 1 if the body is not sent to the node, but from here to its target. */
+int peer_is_offered(const Wire__Node *info, const Wire__Forward *f);
+/* A place is kept for an offered attempt, which is taken over. */
+void placed_start(struct out_attempt *a, const Wire__ForwardReply *reply);
+void placed_forget(struct peers *p, gate_reply_fn fn, void *priv);
+void placed_finish(struct peers *p);
+
 /* peer_in.c */
 
 void inbound_tick(struct peers *p, int64_t now_ms);
--- a/test/unit/fake.h
+++ b/test/unit/fake.h
@@ -148,8 +148,9 @@
 	g_assert_cmpint(map_apply(&f->map, &d), ==, ERR_OK);
 }
 
-static inline void fake_set_node(struct fake_view *f, uint32_t id, char *name,
-				 unsigned peer_port)
+/* A node whose line has a rate; 0: not known. */
+static inline void fake_set_line(struct fake_view *f, uint32_t id, char *name,
+				 unsigned peer_port, uint32_t link_kbps)
 {
 	Wire__MapDelta d = WIRE__MAP_DELTA__INIT;
 	Wire__Node node = WIRE__NODE__INIT, *nodes = &node;
@@ -158,6 +159,7 @@
 	node.name = name;
 	node.address = "127.0.0.1";
 	node.peer_port = peer_port;
+	node.link_kbps = link_kbps;
 	d.base_rev = f->map.rev;
 	d.rev = f->map.rev + 1;
 	d.n_nodes = 1;
@@ -165,6 +167,12 @@
 	g_assert_cmpint(map_apply(&f->map, &d), ==, ERR_OK);
 }
 
+static inline void fake_set_node(struct fake_view *f, uint32_t id, char *name,
+				 unsigned peer_port)
+{
+	fake_set_line(f, id, name, peer_port, 0);
+}
+
 /* Nodes 1 "n01" and 2 "n02"; node 1 is this one and owns all shards. */
 static inline void fake_view_init(struct fake_view *f)
 {
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -27,6 +27,7 @@
 	ev_io io;
 	struct pipe *pipes; /* newest first */
 	unsigned count;
+	size_t bytes; /* of both directions */
 };
 
 static void pipe_close(struct pipe *p)
@@ -48,6 +49,8 @@
 
 	(void)loop;
 	(void)events;
+	if (n > 0)
+		p->r->bytes += (size_t)n;
 	if (n <= 0 || send(p->fd[!from], data, (size_t)n, MSG_NOSIGNAL) != n)
 		pipe_close(p);
 }
@@ -643,6 +646,162 @@
 	teardown(&f);
 }
 
+#define BODY_BYTES 40000
+/* 40 kB take 80 ms on it. */
+#define THIN_KBPS 4000
+
+/* The target of a service without keys, behind a thin line. */
+static void setup_thin(struct fixture *f, uint32_t places)
+{
+	Wire__Target a;
+
+	setup(f);
+	fake_set_line(&f->asker.view, 2, "n02", f->relay.port, THIN_KBPS);
+	a = fake_announcement(&f->target, places);
+	a.service = "loose";
+	gate_set_target(f->owner.gate, &a);
+}
+
+static void forward_body(struct fixture *f, struct fake_reply *r,
+			 uint64_t attempt, uint32_t deadline_ms)
+{
+	static uint8_t body[BODY_BYTES];
+	Wire__Forward m = fake_forward(attempt, "POST");
+
+	memset(r, 0, sizeof(*r));
+	memset(body, 'x', sizeof(body));
+	m.service = "loose";
+	m.key = "";
+	m.deadline_ms = deadline_ms;
+	m.body.data = body;
+	m.body.len = sizeof(body);
+	peers_forward(f->asker.peers, 2, &m, fake_on_reply, r);
+}
+
+/*
+ * Load: large bodies for a target behind a thin line. Guards against bodies
+ * that fill the line of the node beside the target, where calls of running
+ * work wait behind them.
+ */
+static void test_place(void)
+{
+	struct fixture f;
+	struct fake_reply r;
+
+	setup_thin(&f, 4);
+	forward_body(&f, &r, 1, 5000);
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	g_assert_cmpstr(r.body, ==, "ok");
+	g_assert_cmpuint(f.target.runs, ==, 1);
+	g_assert_cmpuint(strlen(f.target.last), >, BODY_BYTES);
+	g_assert_cmpuint(f.relay.bytes, <, BODY_BYTES / 4);
+	while (gate_in_flight(f.owner.gate))
+		ev_run(f.loop, EVRUN_ONCE);
+	teardown(&f);
+}
+
+/* Guards against more requests at a target than it has places. */
+static void test_place_waits(void)
+{
+	struct fixture f;
+	struct fake_reply r[2];
+
+	setup_thin(&f, 1);
+	f.target.mode = FAKE_SILENT;
+	forward_body(&f, &r[0], 1, 5000);
+	forward_body(&f, &r[1], 2, 5000);
+	fake_wait(f.loop, &f.target.runs, 1);
+	fake_pause(f.loop, 50);
+	g_assert_cmpuint(f.target.runs, ==, 1);
+	f.target.mode = FAKE_ANSWER;
+	fake_write(f.target.last_fd, FAKE_OK);
+	fake_wait(f.loop, &r[0].count, 1);
+	fake_wait(f.loop, &r[1].count, 1);
+	g_assert_cmpint(r[1].outcome, ==, OUTCOME_ANSWERED);
+	teardown(&f);
+}
+
+/* Guards against a place that is never free again because its asker died. */
+static void test_place_overdue(void)
+{
+	struct fixture f;
+	struct fake_reply r;
+
+	setup_thin(&f, 1);
+	f.target.mode = FAKE_SILENT;
+	forward_body(&f, &r, 1, 300);
+	fake_wait(f.loop, &f.target.runs, 1);
+	side_stop(&f.asker);
+	g_assert_cmpuint(gate_in_flight(f.owner.gate), ==, 1);
+	while (gate_in_flight(f.owner.gate))
+		ev_run(f.loop, EVRUN_ONCE);
+	side_start(&f.asker, "n01", 1001);
+	teardown(&f);
+}
+
+/* Guards against an offer whose caller left and that takes a place. */
+static void test_place_forgotten(void)
+{
+	struct fixture f;
+	struct fake_reply r[2];
+
+	setup_thin(&f, 1);
+	f.target.mode = FAKE_SILENT;
+	forward_body(&f, &r[0], 1, 5000);
+	fake_wait(f.loop, &f.target.runs, 1);
+	forward_body(&f, &r[1], 2, 5000);
+	fake_pause(f.loop, 50);
+	peers_forget(f.asker.peers, fake_on_reply, &r[1]);
+	fake_pause(f.loop, 50);
+	fake_write(f.target.last_fd, FAKE_OK);
+	fake_wait(f.loop, &r[0].count, 1);
+	while (gate_in_flight(f.owner.gate))
+		ev_run(f.loop, EVRUN_ONCE);
+	fake_pause(f.loop, 50);
+	g_assert_cmpuint(f.target.runs, ==, 1);
+	g_assert_cmpuint(r[1].count, ==, 0);
+	teardown(&f);
+}
+
+/* Guards against an offer on a broken link that ends as maybe run. */
+static void test_place_link_lost(void)
+{
+	struct fixture f;
+	struct fake_reply r[2];
+
+	setup_thin(&f, 1);
+	f.target.mode = FAKE_SILENT;
+	forward_body(&f, &r[0], 1, 5000);
+	fake_wait(f.loop, &f.target.runs, 1);
+	forward_body(&f, &r[1], 2, 5000);
+	fake_pause(f.loop, 50);
+	pipe_close(f.relay.pipes);
+	fake_wait(f.loop, &r[1].count, 1);
+	g_assert_cmpint(r[1].outcome, ==, OUTCOME_NOT_RUN);
+	/* The other one does not need the link to end. */
+	fake_write(f.target.last_fd, FAKE_OK);
+	fake_wait(f.loop, &r[0].count, 1);
+	g_assert_cmpint(r[0].outcome, ==, OUTCOME_ANSWERED);
+	teardown(&f);
+}
+
+/* Guards against a full target that is sent bodies nobody can take. */
+static void test_place_refused(void)
+{
+	struct fixture f;
+	struct fake_reply r;
+
+	setup_thin(&f, 1);
+	gate_set_target(f.owner.gate, NULL);
+	forward_body(&f, &r, 1, 5000);
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpint(r.error, ==, ERR_NO_TARGET);
+	g_assert_cmpuint(f.target.runs, ==, 0);
+	teardown(&f);
+}
+
 /* Guards against garbage on one link that harms another. */
 static void test_garbage(void)
 {
@@ -1012,6 +1171,12 @@
 	g_test_add_func("/peer/forget", test_forget);
 	g_test_add_func("/peer/cancel_after_loss", test_cancel_after_loss);
 	g_test_add_func("/peer/gone_node", test_gone_node_fails_fast);
+	g_test_add_func("/peer/place", test_place);
+	g_test_add_func("/peer/place_waits", test_place_waits);
+	g_test_add_func("/peer/place_overdue", test_place_overdue);
+	g_test_add_func("/peer/place_forgotten", test_place_forgotten);
+	g_test_add_func("/peer/place_link_lost", test_place_link_lost);
+	g_test_add_func("/peer/place_refused", test_place_refused);
 	g_test_add_func("/peer/garbage", test_garbage);
 	g_test_add_func("/peer/storm", test_storm);
 	g_test_add_func("/tcp/refused", test_tcp_refused);
