--- a/config/set.c
+++ b/config/set.c
@@ -234,9 +234,9 @@
 	  F(link_mbps),
 	  .min = 0,
 	  .max = 1000000,
-	  .meaning = "rate of this VM's line; bodies that it would carry "
-		     "slowly go from the node that took them straight to the "
-		     "target; 0: not known" },
+	  .meaning = "rate of this VM's line; other nodes offer bodies that "
+		     "it carries slowly, and send them one after the other; "
+		     "0: not known" },
 	{ .name = "limits.stale_ms",
 	  .type = OPT_TIME,
 	  F(stale_ms),
--- a/limits/adm.c
+++ b/limits/adm.c
@@ -177,6 +177,34 @@
 	       (double)item->rank.value_ms;
 }
 
+int adm_is_hopeless_after(const struct adm *a, const struct adm_rank *rank,
+			  int64_t now_ms, int64_t deadline_ms, int64_t after_ms)
+{
+	struct adm_item item = { .deadline_ms = deadline_ms, .rank = *rank };
+	int64_t then_ms = now_ms + after_ms;
+	double done = (double)then_ms + service_ms_of(a, rank);
+	struct adm_item *before;
+	uint32_t ahead;
+
+	if (done > (double)deadline_ms)
+		return 1;
+	/* Late work takes the line only while it is free. */
+	if (is_late(rank, now_ms)) {
+		if ((double)after_ms > service_ms_of(a, rank))
+			return 1;
+	} else if (rank->value_ms != INT64_MAX &&
+		   done > (double)rank->value_ms) {
+		return 1;
+	}
+	if (a->running < a->limit && a->queued == 0)
+		return 0;
+	before = place_of(a, rank, now_ms, &ahead);
+	if (a->queued >= a->queue && (!before || !a->queue))
+		return 1;
+	/* What waits now is served meanwhile. */
+	return is_hopeless(a, &item, ahead, now_ms);
+}
+
 /* The item that gives way to one that runs before it; NULL: none. */
 static struct adm_item *last_queued(const struct adm *a)
 {
--- a/limits/adm.h
+++ b/limits/adm.h
@@ -97,6 +97,13 @@
 				   const char *tenant, int64_t now_ms,
 				   int64_t deadline_ms,
 				   const struct adm_rank *rank);
+/*
+ * 1 if a request whose body is here only after_ms later would be refused then,
+ * as far as can be told now, or be of no full value any more.
+ */
+int adm_is_hopeless_after(const struct adm *a, const struct adm_rank *rank,
+			  int64_t now_ms, int64_t deadline_ms,
+			  int64_t after_ms);
 /* A running request ended. */
 void adm_done(struct adm *a, struct adm_item *item, int64_t now_ms);
 /* Next queued request to hand over, now running; NULL if none may run. */
--- a/protocol/frame.c
+++ b/protocol/frame.c
@@ -32,7 +32,7 @@
 	[FRAME_PING] = { "ping", &wire__ping__descriptor },
 	[FRAME_PONG] = { "pong", &wire__ping__descriptor },
 	[FRAME_OFFER] = { "offer", &wire__forward__descriptor },
-	[FRAME_PLACE_END] = { "place_end", &wire__place_end__descriptor },
+	[FRAME_PULL] = { "pull", &wire__pull__descriptor },
 };
 
 const char *frame_name(unsigned type)
@@ -49,8 +49,6 @@
 		return "not-run";
 	case OUTCOME_ANSWERED:
 		return "answered";
-	case OUTCOME_PLACE:
-		return "place";
 	case OUTCOME_UNKNOWN:
 		break;
 	}
--- a/protocol/frame.h
+++ b/protocol/frame.h
@@ -36,7 +36,7 @@
 	FRAME_PING,
 	FRAME_PONG,  /* Wire__Ping */
 	FRAME_OFFER, /* Wire__Forward without headers and body */
-	FRAME_PLACE_END,
+	FRAME_PULL,  /* then FRAME_FORWARD follows */
 	FRAME_TYPE_COUNT
 };
 
@@ -45,11 +45,6 @@
 	OUTCOME_NOT_RUN = 1, /* the request did not and will not run */
 	OUTCOME_ANSWERED,    /* a whole answer came from the target */
 	OUTCOME_UNKNOWN,     /* it may have run */
-	/*
-	 * Of an offer: a place at the target is kept for it. No outcome of a
-	 * request.
-	 */
-	OUTCOME_PLACE,
 };
 
 enum wire_attempt_state {
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -1447,51 +1447,6 @@
   assert(message->base.descriptor == &wire__forward_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wire__place_end__init
-                     (Wire__PlaceEnd         *message)
-{
-  static const Wire__PlaceEnd init_value = WIRE__PLACE_END__INIT;
-  *message = init_value;
-}
-size_t wire__place_end__get_packed_size
-                     (const Wire__PlaceEnd *message)
-{
-  assert(message->base.descriptor == &wire__place_end__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t wire__place_end__pack
-                     (const Wire__PlaceEnd *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &wire__place_end__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t wire__place_end__pack_to_buffer
-                     (const Wire__PlaceEnd *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &wire__place_end__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Wire__PlaceEnd *
-       wire__place_end__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Wire__PlaceEnd *)
-     protobuf_c_message_unpack (&wire__place_end__descriptor,
-                                allocator, len, data);
-}
-void   wire__place_end__free_unpacked
-                     (Wire__PlaceEnd *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__place_end__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   wire__target_load__init
                      (Wire__TargetLoad         *message)
 {
@@ -1627,6 +1582,51 @@
   assert(message->base.descriptor == &wire__query_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__pull__init
+                     (Wire__Pull         *message)
+{
+  static const Wire__Pull init_value = WIRE__PULL__INIT;
+  *message = init_value;
+}
+size_t wire__pull__get_packed_size
+                     (const Wire__Pull *message)
+{
+  assert(message->base.descriptor == &wire__pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__pull__pack
+                     (const Wire__Pull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__pull__pack_to_buffer
+                     (const Wire__Pull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Pull *
+       wire__pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Pull *)
+     protobuf_c_message_unpack (&wire__pull__descriptor,
+                                allocator, len, data);
+}
+void   wire__pull__free_unpacked
+                     (Wire__Pull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__cancel__init
                      (Wire__Cancel         *message)
 {
@@ -4455,7 +4455,7 @@
   (ProtobufCMessageInit) wire__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__forward_reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__forward_reply__field_descriptors[10] =
 {
   {
     "attempt",
@@ -4577,18 +4577,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "place",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ForwardReply, place),
-    &wire__target__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wire__forward_reply__field_indices_by_name[] = {
   9,   /* field[9] = arrived */
@@ -4599,14 +4587,13 @@
   8,   /* field[8] = load */
   6,   /* field[6] = map_rev */
   1,   /* field[1] = outcome */
-  10,   /* field[10] = place */
   7,   /* field[7] = retry_after_ms */
   3,   /* field[3] = status */
 };
 static const ProtobufCIntRange wire__forward_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__forward_reply__descriptor =
 {
@@ -4616,90 +4603,13 @@
   "Wire__ForwardReply",
   "wire",
   sizeof(Wire__ForwardReply),
-  11,
+  10,
   wire__forward_reply__field_descriptors,
   wire__forward_reply__field_indices_by_name,
   1,  wire__forward_reply__number_ranges,
   (ProtobufCMessageInit) wire__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_end__field_descriptors[4] =
-{
-  {
-    "attempt",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__PlaceEnd, attempt),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "outcome",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__PlaceEnd, outcome),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "error",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__PlaceEnd, error),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "retry_after_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__PlaceEnd, retry_after_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned wire__place_end__field_indices_by_name[] = {
-  0,   /* field[0] = attempt */
-  2,   /* field[2] = error */
-  1,   /* field[1] = outcome */
-  3,   /* field[3] = retry_after_ms */
-};
-static const ProtobufCIntRange wire__place_end__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor wire__place_end__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.PlaceEnd",
-  "PlaceEnd",
-  "Wire__PlaceEnd",
-  "wire",
-  sizeof(Wire__PlaceEnd),
-  4,
-  wire__place_end__field_descriptors,
-  wire__place_end__field_indices_by_name,
-  1,  wire__place_end__number_ranges,
-  (ProtobufCMessageInit) wire__place_end__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[5] =
 {
   {
@@ -4879,6 +4789,44 @@
   (ProtobufCMessageInit) wire__query_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__pull__field_descriptors[1] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Pull, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__pull__field_indices_by_name[] = {
+  0,   /* field[0] = attempt */
+};
+static const ProtobufCIntRange wire__pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Pull",
+  "Pull",
+  "Wire__Pull",
+  "wire",
+  sizeof(Wire__Pull),
+  1,
+  wire__pull__field_descriptors,
+  wire__pull__field_indices_by_name,
+  1,  wire__pull__number_ranges,
+  (ProtobufCMessageInit) wire__pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__cancel__field_descriptors[1] =
 {
   {
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -47,10 +47,10 @@
 typedef struct Wire__Header Wire__Header;
 typedef struct Wire__Forward Wire__Forward;
 typedef struct Wire__ForwardReply Wire__ForwardReply;
-typedef struct Wire__PlaceEnd Wire__PlaceEnd;
 typedef struct Wire__TargetLoad Wire__TargetLoad;
 typedef struct Wire__Query Wire__Query;
 typedef struct Wire__QueryReply Wire__QueryReply;
+typedef struct Wire__Pull Wire__Pull;
 typedef struct Wire__Cancel Wire__Cancel;
 typedef struct Wire__Ping Wire__Ping;
 
@@ -722,39 +722,10 @@
    * reached the target, which may have refused it
    */
   protobuf_c_boolean arrived;
-  /*
-   * to which the asker sends it; OUTCOME_PLACE
-   */
-  Wire__Target *place;
 };
 #define WIRE__FORWARD_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__forward_reply__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, NULL, 0, NULL }
-
-
-/*
- * What became of a request that its asker sent to the target itself.
- */
-struct  Wire__PlaceEnd
-{
-  ProtobufCMessage base;
-  uint64_t attempt;
-  /*
-   * enum wire_outcome
-   */
-  uint32_t outcome;
-  /*
-   * enum err
-   */
-  uint32_t error;
-  /*
-   * of a target that refused it
-   */
-  uint32_t retry_after_ms;
-};
-#define WIRE__PLACE_END__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__place_end__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, NULL, 0 }
 
 
 /*
@@ -807,6 +778,19 @@
     , 0, 0 }
 
 
+/*
+ * The body of an offered request may come now.
+ */
+struct  Wire__Pull
+{
+  ProtobufCMessage base;
+  uint64_t attempt;
+};
+#define WIRE__PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__pull__descriptor) \
+    , 0 }
+
+
 struct  Wire__Cancel
 {
   ProtobufCMessage base;
@@ -1435,25 +1419,6 @@
 void   wire__forward_reply__free_unpacked
                      (Wire__ForwardReply *message,
                       ProtobufCAllocator *allocator);
-/* Wire__PlaceEnd methods */
-void   wire__place_end__init
-                     (Wire__PlaceEnd         *message);
-size_t wire__place_end__get_packed_size
-                     (const Wire__PlaceEnd   *message);
-size_t wire__place_end__pack
-                     (const Wire__PlaceEnd   *message,
-                      uint8_t             *out);
-size_t wire__place_end__pack_to_buffer
-                     (const Wire__PlaceEnd   *message,
-                      ProtobufCBuffer     *buffer);
-Wire__PlaceEnd *
-       wire__place_end__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   wire__place_end__free_unpacked
-                     (Wire__PlaceEnd *message,
-                      ProtobufCAllocator *allocator);
 /* Wire__TargetLoad methods */
 void   wire__target_load__init
                      (Wire__TargetLoad         *message);
@@ -1511,6 +1476,25 @@
 void   wire__query_reply__free_unpacked
                      (Wire__QueryReply *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Pull methods */
+void   wire__pull__init
+                     (Wire__Pull         *message);
+size_t wire__pull__get_packed_size
+                     (const Wire__Pull   *message);
+size_t wire__pull__pack
+                     (const Wire__Pull   *message,
+                      uint8_t             *out);
+size_t wire__pull__pack_to_buffer
+                     (const Wire__Pull   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Pull *
+       wire__pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__pull__free_unpacked
+                     (Wire__Pull *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__Cancel methods */
 void   wire__cancel__init
                      (Wire__Cancel         *message);
@@ -1647,9 +1631,6 @@
 typedef void (*Wire__ForwardReply_Closure)
                  (const Wire__ForwardReply *message,
                   void *closure_data);
-typedef void (*Wire__PlaceEnd_Closure)
-                 (const Wire__PlaceEnd *message,
-                  void *closure_data);
 typedef void (*Wire__TargetLoad_Closure)
                  (const Wire__TargetLoad *message,
                   void *closure_data);
@@ -1659,6 +1640,9 @@
 typedef void (*Wire__QueryReply_Closure)
                  (const Wire__QueryReply *message,
                   void *closure_data);
+typedef void (*Wire__Pull_Closure)
+                 (const Wire__Pull *message,
+                  void *closure_data);
 typedef void (*Wire__Cancel_Closure)
                  (const Wire__Cancel *message,
                   void *closure_data);
@@ -1703,10 +1687,10 @@
 extern const ProtobufCMessageDescriptor wire__header__descriptor;
 extern const ProtobufCMessageDescriptor wire__forward__descriptor;
 extern const ProtobufCMessageDescriptor wire__forward_reply__descriptor;
-extern const ProtobufCMessageDescriptor wire__place_end__descriptor;
 extern const ProtobufCMessageDescriptor wire__target_load__descriptor;
 extern const ProtobufCMessageDescriptor wire__query__descriptor;
 extern const ProtobufCMessageDescriptor wire__query_reply__descriptor;
+extern const ProtobufCMessageDescriptor wire__pull__descriptor;
 extern const ProtobufCMessageDescriptor wire__cancel__descriptor;
 extern const ProtobufCMessageDescriptor wire__ping__descriptor;
 
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -69,9 +69,6 @@
 
 static void call_free(struct gate_call *c)
 {
-	ev_timer_stop(c->g->loop, &c->overdue);
-	if (c->placed_at)
-		wire__target__free_unpacked(c->placed_at, NULL);
 	wire__forward__free_unpacked(c->f, NULL);
 	httpc_request_finish(&c->http);
 	free(c);
@@ -85,7 +82,7 @@
 		return;
 	ev_timer_stop(g->loop, &g->expiry);
 	DL_FOREACH_SAFE(g->calls, c, next) {
-		if (c->state == CALL_STARTED && !c->offered)
+		if (c->state == CALL_STARTED)
 			httpc_cancel(&c->http);
 		call_free(c);
 	}
@@ -130,8 +127,9 @@
 	cnt_add(g->cnt, "gate_errors", labels, 1);
 }
 
-void gate_fill_reply(struct gate *g, Wire__ForwardReply *reply,
-		     Wire__TargetLoad *load, uint64_t attempt)
+/* load lives as long as the reply. */
+static void fill_reply(struct gate *g, Wire__ForwardReply *reply,
+		       Wire__TargetLoad *load, uint64_t attempt)
 {
 	wire__target_load__init(load);
 	load->running = g->started;
@@ -150,13 +148,12 @@
 	struct gate *g = c->g;
 	Wire__TargetLoad load;
 	int64_t now = clk_ms();
-	int was_started = c->state == CALL_STARTED && !c->placed_at;
+	int was_started = c->state == CALL_STARTED;
 	uint32_t slot = c->slot;
 
 	DL_DELETE(g->calls, c);
-	if (c->attempt)
-		attempts_end(&g->attempts, c->attempt,
-			     reply->outcome != OUTCOME_NOT_RUN, now);
+	attempts_end(&g->attempts, c->attempt,
+		     reply->outcome != OUTCOME_NOT_RUN, now);
 	if (c->item.state == ADM_RUNNING)
 		adm_done(&g->adm, &c->item, now);
 	else
@@ -164,9 +161,7 @@
 	if (was_started)
 		g->started--;
 	reply->arrived = c->sent_ns != 0;
-	gate_fill_reply(g, reply, &load, c->f->attempt);
-	if (c->placed_at)
-		reply->load = NULL;
+	fill_reply(g, reply, &load, c->f->attempt);
 	load.took_us = (uint32_t)((clk_ns() - c->arrived_ns) / 1000);
 	count_end(g, c->f, reply);
 	if (c->fn)
@@ -299,7 +294,7 @@
 
 	reply.outcome = outcome;
 	reply.error = error;
-	gate_fill_reply(g, &reply, &load, f->attempt);
+	fill_reply(g, &reply, &load, f->attempt);
 	count_end(g, f, &reply);
 	fn(&reply, priv);
 }
@@ -402,15 +397,21 @@
 	adm_set(&g->adm, gate_limit(g), queue, share);
 }
 
+static struct adm_rank rank_of(const Wire__Forward *f, int64_t now_ms)
+{
+	struct adm_rank rank = { f->priority, INT64_MAX, f->route };
+
+	if (f->has_value)
+		rank.value_ms = now_ms + f->value_ms;
+	return rank;
+}
+
 static void admit(struct gate_call *c)
 {
 	struct gate *g = c->g;
-
-	struct adm_rank rank = { c->f->priority, INT64_MAX, c->f->route };
 	int64_t now_ms = clk_ms();
+	struct adm_rank rank = rank_of(c->f, now_ms);
 
-	if (c->f->has_value)
-		rank.value_ms = now_ms + c->f->value_ms;
 	set_limits(g, c->f->service);
 	switch (adm_submit_ranked(&g->adm, &c->item, c->f->tenant, now_ms,
 				  c->deadline_ms, &rank)) {
@@ -441,8 +442,8 @@
 	       priv);
 }
 
-static void take(struct gate *g, const Wire__Forward *f, int offered,
-		 gate_reply_fn fn, void *priv)
+void gate_submit(struct gate *g, const Wire__Forward *f, gate_reply_fn fn,
+		 void *priv)
 {
 	struct attempt *t = attempts_find(&g->attempts, f->attempt);
 	struct gate_call *c;
@@ -454,7 +455,7 @@
 		refuse_known(g, f, t, fn, priv);
 		return;
 	}
-	e = offered && f->key[0] ? ERR_MALFORMED : check(g, f, &slot);
+	e = check(g, f, &slot);
 	t = attempts_add(&g->attempts, f->attempt);
 	c = t && e == ERR_OK ? call_new(g, f) : NULL;
 	if (!c) {
@@ -465,7 +466,6 @@
 		return;
 	}
 	c->slot = slot;
-	c->offered = offered;
 	c->fn = fn;
 	c->priv = priv;
 	c->attempt = t;
@@ -474,25 +474,30 @@
 	admit(c);
 }
 
-void gate_submit(struct gate *g, const Wire__Forward *f, gate_reply_fn fn,
-		 void *priv)
+int gate_offer(struct gate *g, const Wire__Forward *f, int64_t after_ms,
+	       gate_reply_fn fn, void *priv)
 {
-	take(g, f, 0, fn, priv);
-}
+	int64_t now_ms = clk_ms();
+	struct adm_rank rank = rank_of(f, now_ms);
+	uint32_t slot = MAP_NO_SLOT;
+	enum err e = check(g, f, &slot);
 
-void gate_offer(struct gate *g, const Wire__Forward *f, gate_reply_fn fn,
-		void *priv)
-{
-	take(g, f, 1, fn, priv);
+	if (e == ERR_OK) {
+		set_limits(g, f->service);
+		if (!adm_is_hopeless_after(&g->adm, &rank, now_ms,
+					   now_ms + f->deadline_ms, after_ms))
+			return 1;
+		g->shed++;
+		e = ERR_SHED;
+	}
+	refuse(g, f, OUTCOME_NOT_RUN, e, fn, priv);
+	return 0;
 }
 
 /* What nobody waits for and may run again is not worth the target's time. */
 static int is_droppable(const struct gate_call *c)
 {
-	if (c->item.state == ADM_QUEUED)
-		return 1;
-	/* The asker of a kept place sends and ends it. */
-	return c->f->idempotent && !c->offered;
+	return c->item.state == ADM_QUEUED || c->f->idempotent;
 }
 
 /* Not for a call whose callback could be running. */
@@ -545,13 +550,6 @@
 		if (c->f->attempt == attempt)
 			break;
 	}
-	/* The asker gave up before it heard of its place. */
-	if (c && c->offered && c->state == CALL_STARTED) {
-		c->fn = NULL;
-		c->sent_ns = 0;
-		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_CLOSED);
-		return;
-	}
 	if (c && is_droppable(c))
 		drop(c);
 }
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -69,21 +69,11 @@
 void gate_submit(struct gate *g, const Wire__Forward *f, gate_reply_fn fn,
 		 void *priv);
 /*
- * Takes an offer: an attempt without a key whose body stays with the asker. fn
- * runs with OUTCOME_PLACE once a place at the target is kept for it, or with
- * OUTCOME_NOT_RUN; after OUTCOME_PLACE it does not run again, and the place is
- * kept until gate_place_end or the deadline.
+ * A request whose body is here only after_ms later. 1 if it may come; else fn
+ * has run with the refusal, and the body need not be sent at all.
  */
-void gate_offer(struct gate *g, const Wire__Forward *f, gate_reply_fn fn,
-		void *priv);
-/* The asker's report on an attempt with a place. */
-void gate_place_end(struct gate *g, const Wire__PlaceEnd *end);
-/*
- * Sends an attempt to a target at which another gate keeps a place for it. f
- * is taken over. fn runs exactly once, possibly from inside the call.
- */
-void gate_send_placed(struct gate *g, Wire__Forward *f,
-		      const Wire__Target *target, gate_reply_fn fn, void *priv);
+int gate_offer(struct gate *g, const Wire__Forward *f, int64_t after_ms,
+	       gate_reply_fn fn, void *priv);
 /*
  * The asker is gone: no callback for this fn and priv any more. Queued calls
  * are dropped, and idempotent ones at the target are broken off.
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -2,14 +2,12 @@
 #include "common/clk.h"
 #include "common/guard.h"
 #include "common/log.h"
-#include "protocol/wire.h"
 #include "routing/hdr.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <utlist.h>
 
 /* The target is on the same VM. */
 #define GATE_CONNECT_MS 500
@@ -46,8 +44,7 @@
 	if (c->slot == MAP_NO_SLOT) {
 		*fence = 0;
 		*not_after_ns = INT64_MAX;
-		/* The gate that keeps the place has checked its target. */
-		return c->placed_at ? ERR_OK : gate_check_leaving(c->g, 0);
+		return gate_check_leaving(c->g, 0);
 	}
 	if (gate_check_leaving(c->g, 1) != ERR_OK)
 		return ERR_NO_TARGET;
@@ -275,8 +272,7 @@
 		if (!is_genuine(c, a, reply->status)) {
 			reply->outcome = OUTCOME_UNKNOWN;
 			reply->error = ERR_MALFORMED;
-			if (!c->placed_at)
-				avoid_reuse(c->g);
+			avoid_reuse(c->g);
 		}
 		return;
 	}
@@ -330,25 +326,6 @@
 		us);
 }
 
-void gate_call_judge(struct gate_call *c, const Wire__ForwardReply *reply)
-{
-	if (reply->outcome == OUTCOME_ANSWERED ||
-	    reply->error == ERR_TARGET_REFUSED) {
-		sample(c, reply);
-		return;
-	}
-	if (reply->outcome != OUTCOME_UNKNOWN)
-		return;
-	judge_failed(&c->g->judge, clk_ms());
-	if (reply->error == ERR_TIMEOUT)
-		sample(c, reply);
-}
-
-static const Wire__Target *target_of(const struct gate_call *c)
-{
-	return c->placed_at ? c->placed_at : c->g->target;
-}
-
 /* Is the target gone, by what this process saw itself? */
 static int seems_lost(const struct gate_call *c)
 {
@@ -375,7 +352,6 @@
 		       const Wire__ForwardReply *reply, unsigned status)
 {
 	const struct gate *g = c->g;
-	const Wire__Target *t = target_of(c);
 
 	if (status && status < 500 && reply->outcome == OUTCOME_ANSWERED)
 		return;
@@ -385,8 +361,9 @@
 		    "waited_ms=%lld running=%u queued=%u places=%u sends=%u",
 		    LOG_Q(c->f->request_id), (unsigned long long)c->f->attempt,
 		    LOG_Q(c->f->service), LOG_Q(c->f->key),
-		    t ? LOG_Q(t->id) : "-", outcome_name(reply->outcome),
-		    err_name(reply->error), status,
+		    g->target ? LOG_Q(g->target->id) : "-",
+		    outcome_name(reply->outcome), err_name(reply->error),
+		    status,
 		    c->sent_ns ? (long long)((clk_ns() - c->sent_ns) / 1000000)
 			       : -1,
 		    (long long)(c->deadline_ms - clk_ms()),
@@ -406,8 +383,7 @@
 		return;
 	}
 	classify_answer(c, &a, &reply);
-	if (!c->placed_at)
-		gate_call_judge(c, &reply);
+	sample(c, &reply);
 	log_target(c, &reply, reply.status);
 	if (reply.outcome == OUTCOME_ANSWERED) {
 		reply.headers = a.list;
@@ -429,11 +405,12 @@
 		gate_call_fail(c, OUTCOME_NOT_RUN, unsent_error(c));
 		return;
 	}
+	judge_failed(&c->g->judge, clk_ms());
 	reply.outcome = OUTCOME_UNKNOWN;
 	reply.error = c->http.error;
 	log_target(c, &reply, 0);
-	if (!c->placed_at)
-		gate_call_judge(c, &reply);
+	if (c->http.error == ERR_TIMEOUT)
+		sample(c, &reply);
 	gate_call_fail(c, OUTCOME_UNKNOWN, c->http.error);
 }
 
@@ -441,8 +418,7 @@
 {
 	struct gate_call *c = priv;
 	struct gate *g = c->g;
-	int lost = !c->placed_at && seems_lost(c) && !g->lost_reported &&
-		   g->target;
+	int lost = seems_lost(c) && !g->lost_reported && g->target;
 	int refused = !r->handed && r->error == ERR_REFUSED;
 
 	if (lost)
@@ -479,8 +455,7 @@
 		      struct own_headers *own)
 {
 	const struct dialect *d = c->g->dialect;
-	const char *target_id = target_of(c)->id;
-	const char *id = target_id[0] ? target_id : NULL;
+	const char *id = c->g->target->id[0] ? c->g->target->id : NULL;
 	int keyed = c->slot != MAP_NO_SLOT;
 	size_t n = 0;
 
@@ -523,8 +498,7 @@
 
 static enum err send_call(struct gate_call *c)
 {
-	const Wire__Target *t = target_of(c);
-	int fresh = c->placed_at || clk_ms() < c->g->fresh_until_ms;
+	const Wire__Target *t = c->g->target;
 	size_t room = c->f->n_headers + GATE_OWN_HEADERS;
 	struct httpc_header *headers = calloc(room, sizeof(*headers));
 	size_t url_size = GATE_URL_BYTES + strlen(c->f->path);
@@ -551,8 +525,8 @@
 		.timeout_ms = (int)(c->deadline_ms - clk_ms()),
 		.connect_timeout_ms = GATE_CONNECT_MS,
 		.unframed_ok = c->g->dialect->unframed_answers,
-		.fresh = fresh,
-		.alone = fresh,
+		.fresh = clk_ms() < c->g->fresh_until_ms,
+		.alone = clk_ms() < c->g->fresh_until_ms,
 	};
 	e = c->http.timeout_ms > 0 ? httpc_start(&c->g->client, &c->http)
 				   : ERR_DEADLINE;
@@ -566,37 +540,6 @@
 	return e;
 }
 
-/*
- * The connection is new: one that another gate's target closed meanwhile must
- * not take a request that may be sent once only.
- */
-void gate_send_placed(struct gate *g, Wire__Forward *f,
-		      const Wire__Target *target, gate_reply_fn fn, void *priv)
-{
-	struct gate_call *c = calloc(1, sizeof(*c));
-	enum err e;
-
-	/* No memory for a reply that comes later: the process is lost. */
-	if (!c)
-		abort();
-	c->g = g;
-	c->f = f;
-	c->fn = fn;
-	c->priv = priv;
-	c->slot = MAP_NO_SLOT;
-	c->not_after_ns = INT64_MAX;
-	c->deadline_ms = clk_ms() + f->deadline_ms;
-	c->arrived_ns = clk_ns();
-	c->placed_at = wire_copy_target(target);
-	DL_APPEND(g->calls, c);
-	e = c->placed_at ? send_call(c) : ERR_NOMEM;
-	if (e != ERR_OK) {
-		gate_call_fail(c, OUTCOME_NOT_RUN, e);
-		return;
-	}
-	c->state = CALL_STARTED;
-}
-
 void gate_call_start(struct gate_call *c)
 {
 	struct gate *g = c->g;
@@ -611,10 +554,6 @@
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_NO_TARGET);
 		return;
 	}
-	if (c->offered) {
-		gate_place_keep(c);
-		return;
-	}
 	if (c->slot != MAP_NO_SLOT)
 		s = gate_slot_get(g, c->slot);
 	e = s || c->slot == MAP_NO_SLOT
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -40,9 +40,6 @@
 	int64_t deadline_ms;
 	int64_t arrived_ns;
 	uint32_t slot;
-	int offered;		 /* the asker sends it and reports its end */
-	ev_timer overdue;	 /* offered: that report has not come */
-	Wire__Target *placed_at; /* owned; place kept by another gate */
 
 	/* Set when it leaves the queue. */
 	struct httpc_request http;
@@ -95,9 +92,6 @@
 /* Requests that may be at the target now. */
 uint32_t gate_limit(const struct gate *g);
 
-/* load lives as long as the reply. */
-void gate_fill_reply(struct gate *g, Wire__ForwardReply *reply,
-		     Wire__TargetLoad *load, uint64_t attempt);
 /*
  * Ends a call: accounts for it, runs its callback, frees it. reply needs
  * outcome and error, and the answer's parts for OUTCOME_ANSWERED.
@@ -116,14 +110,6 @@
 /* Sends a call to the target; it ends by itself. */
 void gate_call_start(struct gate_call *c);
 
-/* What the end of a call tells about this gate's target. */
-void gate_call_judge(struct gate_call *c, const Wire__ForwardReply *reply);
-
-/* gate_place.c */
-
-/* Keeps a place for an offered call, which has just left the queue. */
-void gate_place_keep(struct gate_call *c);
-
 /* gate_slot.c */
 
 struct gate_slot *gate_slot_find(const struct gate *g, uint32_t slot);
--- a/routing/peer.c
+++ b/routing/peer.c
@@ -100,6 +100,11 @@
 	return ERR_OK;
 }
 
+void peers_set_line(struct peers *p, uint32_t link_kbps)
+{
+	pull_init(&p->pull, link_kbps);
+}
+
 /* Takes the attempt out of everything; it is still to be freed. */
 static void out_remove(struct out_attempt *a)
 {
@@ -116,12 +121,6 @@
 	free(a);
 }
 
-void out_drop(struct out_attempt *a)
-{
-	out_remove(a);
-	out_free(a);
-}
-
 void peers_free(struct peers *p)
 {
 	struct out_attempt *a, *next_attempt;
@@ -130,9 +129,9 @@
 	if (!p)
 		return;
 	HASH_ITER(hh, p->attempts, a, next_attempt) {
-		out_drop(a);
+		out_remove(a);
+		out_free(a);
 	}
-	placed_finish(p);
 	HASH_ITER(hh, p->nodes, n, next_node) {
 		node_free(p, n);
 	}
@@ -248,7 +247,8 @@
 	a->fn = fn;
 	a->priv = priv;
 	a->state = OUT_WAITING;
-	a->deadline_ms = clk_ms() + f->deadline_ms;
+	a->since_ms = clk_ms();
+	a->deadline_ms = a->since_ms + f->deadline_ms;
 	ev_timer_init(&a->timer, on_timer, f->deadline_ms / 1000., 0.);
 	a->timer.data = a;
 	ev_now_update(p->loop);
@@ -261,9 +261,7 @@
 void peers_forward(struct peers *p, uint32_t node, const Wire__Forward *f,
 		   gate_reply_fn fn, void *priv)
 {
-	int bulk = f->body.len > PEER_BULK_BYTES &&
-		   !peer_is_offered(node_info(p, node), f);
-	struct peer_node *n = node_get(p, node, bulk);
+	struct peer_node *n = node_get(p, node, f->body.len > PEER_BULK_BYTES);
 	struct out_attempt *a = n ? out_new(p, n, f, fn, priv) : NULL;
 
 	/* No memory for a reply that comes later: the process is lost. */
@@ -281,7 +279,7 @@
 		if (a->fn != fn || a->priv != priv)
 			continue;
 		out_cancel(a);
-		out_drop(a);
+		out_remove(a);
+		out_free(a);
 	}
-	placed_forget(p, fn, priv);
 }
--- a/routing/peer.h
+++ b/routing/peer.h
@@ -17,6 +17,8 @@
 enum err peers_new(struct peers **out, struct ev_loop *loop, struct view *view,
 		   struct gate *gate, struct cnt *cnt, const char *self_name,
 		   uint64_t incarnation);
+/* Rate of this VM's line: large bodies are asked for one after the other. */
+void peers_set_line(struct peers *p, uint32_t link_kbps);
 void peers_free(struct peers *p);
 
 /*
--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -28,6 +28,12 @@
 	struct inbound *next;
 };
 
+/* A body that this asker has offered. */
+struct offer {
+	struct pull_item item; /* first member */
+	struct inbound *in;
+};
+
 static void drop_kept(struct inbound *in, struct kept *k)
 {
 	DL_DELETE(in->kept, k);
@@ -107,10 +113,77 @@
 	tcp_send(in->conn, FRAME_QUERY_REPLY, &r.base);
 }
 
+/* Asks for as many bodies as the line takes. */
+static void pump_offers(struct peers *p)
+{
+	struct pull_item *item;
+
+	while ((item = pull_next(&p->pull, clk_ms()))) {
+		const struct offer *o = (const struct offer *)item;
+		Wire__Pull m = WIRE__PULL__INIT;
+
+		m.attempt = item->attempt;
+		if (o->in->conn)
+			tcp_send(o->in->conn, FRAME_PULL, &m.base);
+	}
+}
+
+static void drop_offer(struct peers *p, struct pull_item *item)
+{
+	pull_remove(&p->pull, item);
+	free(item);
+}
+
+/* It has come, or its asker gave up. */
+static void end_offer(struct peers *p, uint64_t attempt)
+{
+	struct pull_item *item = pull_find(&p->pull, attempt);
+
+	if (!item)
+		return;
+	drop_offer(p, item);
+	pump_offers(p);
+}
+
+static void on_offer(struct inbound *in, const Wire__Forward *f)
+{
+	struct peers *p = in->p;
+	int64_t wait_ms = pull_wait_ms(&p->pull, f->body_bytes);
+	struct offer *o;
+
+	if (!gate_offer(p->gate, f, wait_ms, on_gate_reply, in))
+		return;
+	o = calloc(1, sizeof(*o));
+	/* Without memory the asker's time runs out. */
+	if (!o)
+		return;
+	cnt_add(p->cnt, "peer_offers", "", 1);
+	o->in = in;
+	o->item.attempt = f->attempt;
+	o->item.bytes = f->body_bytes;
+	o->item.deadline_ms = clk_ms() + f->deadline_ms;
+	pull_add(&p->pull, &o->item);
+	peer_wake_tick(p);
+	pump_offers(p);
+}
+
+/* The asker takes back what it offered on a link that is gone. */
+static void drop_offers(struct inbound *in)
+{
+	struct pull_item *item, *next;
+
+	DL_FOREACH_SAFE(in->p->pull.items, item, next) {
+		if (((const struct offer *)item)->in == in)
+			drop_offer(in->p, item);
+	}
+	pump_offers(in->p);
+}
+
 static void lose_conn(struct inbound *in)
 {
 	in->conn = NULL;
 	in->gone_ms = clk_ms();
+	drop_offers(in);
 	peer_wake_tick(in->p);
 }
 
@@ -119,21 +192,19 @@
 	struct inbound *in = priv;
 
 	switch (f->type) {
+	case FRAME_OFFER:
+		on_offer(in, (const Wire__Forward *)f->msg);
+		break;
 	case FRAME_FORWARD:
+		end_offer(in->p, ((const Wire__Forward *)f->msg)->attempt);
 		gate_submit(in->p->gate, (const Wire__Forward *)f->msg,
 			    on_gate_reply, in);
 		break;
-	case FRAME_OFFER:
-		gate_offer(in->p->gate, (const Wire__Forward *)f->msg,
-			   on_gate_reply, in);
-		break;
-	case FRAME_PLACE_END:
-		gate_place_end(in->p->gate, (const Wire__PlaceEnd *)f->msg);
-		break;
 	case FRAME_QUERY:
 		on_query(in, (const Wire__Query *)f->msg);
 		break;
 	case FRAME_CANCEL:
+		end_offer(in->p, ((const Wire__Cancel *)f->msg)->attempt);
 		gate_cancel(in->p->gate,
 			    ((const Wire__Cancel *)f->msg)->attempt);
 		break;
@@ -200,8 +271,10 @@
 		peer_bury(p, c, c);
 		return;
 	}
-	if (in->conn)
+	if (in->conn) {
+		drop_offers(in);
 		peer_bury(p, in->conn, in->conn);
+	}
 	c->ops = &in_ops;
 	c->priv = in;
 	in->conn = c;
@@ -214,6 +287,7 @@
 	struct peers *p = in->p;
 
 	gate_forget(p->gate, on_gate_reply, in);
+	drop_offers(in);
 	while (in->kept)
 		drop_kept(in, in->kept);
 	if (in->conn)
@@ -224,8 +298,15 @@
 
 void inbound_tick(struct peers *p, int64_t now)
 {
+	struct pull_item *item;
 	struct inbound *in, *next;
 
+	while ((item = pull_overdue(&p->pull, now))) {
+		cnt_add(p->cnt, "peer_offers_overdue", "", 1);
+		drop_offer(p, item);
+	}
+	pump_offers(p);
+
 	DL_FOREACH_SAFE(p->inbound, in, next) {
 		trim_kept(in, now);
 		if (!in->conn && now - in->gone_ms >= PEER_LINGER_MS)
@@ -237,6 +318,8 @@
 {
 	const struct inbound *in;
 
+	if (p->pull.items)
+		return 1;
 	DL_FOREACH(p->inbound, in) {
 		if (in->kept || !in->conn)
 			return 1;
--- a/routing/peer_link.c
+++ b/routing/peer_link.c
@@ -36,7 +36,7 @@
 	l->since_ms = clk_ms();
 }
 
-const Wire__Node *node_info(struct peers *p, uint32_t id)
+static const Wire__Node *node_info(struct peers *p, uint32_t id)
 {
 	const struct map *m = p->view->ops->map(p->view);
 	const struct map_node *n = map_find_node(m, id);
@@ -137,20 +137,48 @@
 	cnt_add(p->cnt, "peer_links_dialled", "", 1);
 }
 
-/* m is the request with its time limit; the body stays here until a place. */
+int node_takes_offers(const Wire__Node *info, const Wire__Forward *f)
+{
+	if (!info || !info->link_kbps || f->body.len <= PEER_BULK_BYTES)
+		return 0;
+	return f->body.len * 8 / info->link_kbps >= PEER_OFFER_MS;
+}
+
+/* What the owner is told of the request; its time is what is left now. */
+static enum err fill_forward(const struct peer_link *l,
+			     const struct out_attempt *a,
+			     const Wire__Forward *f, Wire__Forward *m)
+{
+	int64_t left = a->deadline_ms - clk_ms();
+
+	*m = *f;
+	if (left <= 0)
+		return ERR_DEADLINE;
+	m->deadline_ms = (uint32_t)left;
+	if (m->deadline_ms > 2 * PEER_MARGIN_MS)
+		m->deadline_ms -= PEER_MARGIN_MS;
+	/* The time until the body was asked for counts. */
+	m->value_ms = f->value_ms - (int32_t)(clk_ms() - a->since_ms);
+	return tcp_queued(&l->conn) > TCP_MAX_QUEUED_BYTES ? ERR_SHED : ERR_OK;
+}
+
+/* The body stays here until the owner asks for it. */
 static enum err send_offer(struct peer_link *l, struct out_attempt *a,
-			   Wire__Forward *m)
+			   const Wire__Forward *f)
 {
-	enum err e;
+	Wire__Forward m;
+	enum err e = fill_forward(l, a, f, &m);
 
+	if (e != ERR_OK)
+		return e;
 	if (!a->copy)
-		a->copy = wire_copy_forward(m);
+		a->copy = wire_copy_forward(f);
 	if (!a->copy)
 		return ERR_NOMEM;
-	m->body_bytes = (uint32_t)m->body.len;
-	m->body.len = 0;
-	m->n_headers = 0;
-	e = tcp_send(&l->conn, FRAME_OFFER, &m->base);
+	m.body_bytes = (uint32_t)f->body.len;
+	m.body.len = 0;
+	m.n_headers = 0;
+	e = tcp_send(&l->conn, FRAME_OFFER, &m.base);
 	if (e != ERR_OK)
 		return e;
 	a->state = OUT_OFFERED;
@@ -162,20 +190,11 @@
 static enum err send_forward(struct peer_link *l, struct out_attempt *a,
 			     const Wire__Forward *f)
 {
-	int64_t left = a->deadline_ms - clk_ms();
-	Wire__Forward m = *f;
-	enum err e;
+	Wire__Forward m;
+	enum err e = fill_forward(l, a, f, &m);
 
-	if (left <= 0)
-		return ERR_DEADLINE;
-	m.deadline_ms = (uint32_t)left;
-	if (m.deadline_ms > 2 * PEER_MARGIN_MS)
-		m.deadline_ms -= PEER_MARGIN_MS;
-	if (tcp_queued(&l->conn) > TCP_MAX_QUEUED_BYTES)
-		return ERR_SHED;
-	if (peer_is_offered(node_info(l->p, l->node->key.id), f))
-		return send_offer(l, a, &m);
-	e = tcp_send(&l->conn, FRAME_FORWARD, &m.base);
+	if (e == ERR_OK)
+		e = tcp_send(&l->conn, FRAME_FORWARD, &m.base);
 	if (e != ERR_OK)
 		return e;
 	a->state = OUT_SENT;
@@ -187,6 +206,14 @@
 	return ERR_OK;
 }
 
+static enum err send_attempt(struct peer_link *l, struct out_attempt *a,
+			     const Wire__Forward *f)
+{
+	if (node_takes_offers(node_info(l->p, l->node->key.id), f))
+		return send_offer(l, a, f);
+	return send_forward(l, a, f);
+}
+
 static void send_ping(struct peer_link *l)
 {
 	Wire__Ping ping = WIRE__PING__INIT;
@@ -253,7 +280,7 @@
 		return;
 	}
 	if (n->current && is_ready(n->current)) {
-		e = send_forward(n->current, a, f);
+		e = send_attempt(n->current, a, f);
 		if (e != ERR_OK)
 			out_settle(a, OUTCOME_NOT_RUN, e);
 		return;
@@ -283,19 +310,35 @@
 	out_set_link(a, l);
 }
 
+static void drop_copy(struct out_attempt *a)
+{
+	wire__forward__free_unpacked(a->copy, NULL);
+	a->copy = NULL;
+}
+
 static void send_copy(struct peer_link *l, struct out_attempt *a)
 {
-	Wire__Forward *copy = a->copy;
-	enum err e = send_forward(l, a, copy);
+	enum err e = send_attempt(l, a, a->copy);
 
-	if (e != ERR_OK) {
+	if (e != ERR_OK)
 		out_settle(a, OUTCOME_NOT_RUN, e);
+	else if (a->state == OUT_SENT)
+		drop_copy(a);
+}
+
+/* The owner asks for the body of an offered request. */
+static void on_pull(struct peer_link *l, const Wire__Pull *pull)
+{
+	struct out_attempt *a = out_find(l->p, pull->attempt);
+	enum err e;
+
+	if (!a || a->link != l || a->state != OUT_OFFERED)
 		return;
-	}
-	if (a->state == OUT_OFFERED)
-		return;
-	a->copy = NULL;
-	wire__forward__free_unpacked(copy, NULL);
+	e = send_forward(l, a, a->copy);
+	if (e == ERR_OK)
+		drop_copy(a);
+	else
+		out_settle(a, OUTCOME_NOT_RUN, e);
 }
 
 static void send_cancel(struct peer_link *l, uint64_t attempt)
@@ -460,11 +503,6 @@
 		cnt_add(l->p->cnt, "peer_late_replies", "", 1);
 		return;
 	}
-	if (r->outcome == OUTCOME_PLACE && a->state == OUT_OFFERED &&
-	    r->place) {
-		placed_start(a, r);
-		return;
-	}
 	if (r->outcome == OUTCOME_ANSWERED && r->status >= 200 &&
 	    r->status <= 999) {
 		out_reply(a, r);
@@ -521,6 +559,9 @@
 	case FRAME_FORWARD_REPLY:
 		on_forward_reply(l, (const Wire__ForwardReply *)f->msg);
 		break;
+	case FRAME_PULL:
+		on_pull(l, (const Wire__Pull *)f->msg);
+		break;
 	case FRAME_QUERY_REPLY:
 		on_query_reply(l, (const Wire__QueryReply *)f->msg);
 		break;
--- a/routing/peer_priv.h
+++ b/routing/peer_priv.h
@@ -1,6 +1,7 @@
 #ifndef ROUTING_PEER_PRIV_H
 #define ROUTING_PEER_PRIV_H
 
+#include "limits/pull.h"
 #include "routing/peer.h"
 
 #include <uthash.h>
@@ -33,7 +34,7 @@
 
 enum out_state {
 	OUT_WAITING, /* for a link; copy is set */
-	OUT_OFFERED, /* on link; copy is set, nothing of it was sent */
+	OUT_OFFERED, /* on link; copy is set, its body was not sent */
 	OUT_SENT,    /* on link */
 	OUT_ASKING,  /* for a link, to ask what became of it */
 	OUT_ASKED,   /* Query sent on link */
@@ -52,6 +53,7 @@
 	struct peer_link *sent_on; /* first link, NULL if it is gone */
 	uint64_t sent_end;    /* bytes_out of sent_on once it is all sent */
 	uint64_t incarnation; /* of the owner that it was sent to */
+	int64_t since_ms;
 	int64_t deadline_ms;
 	ev_timer timer;
 	enum wire_outcome outcome; /* OUT_SETTLED */
@@ -95,6 +97,11 @@
  * of the services known.
  */
 #define PEER_BULK_BYTES (16 * 1024)
+/*
+ * Bodies that take longer than this on the owner's line are offered first. The
+ * offer costs a round trip, 16 ms between regions.
+ */
+#define PEER_OFFER_MS 10
 /* Values of Hello.purpose. */
 #define PEER_PURPOSE_LINK 0
 #define PEER_PURPOSE_BULK 2
@@ -132,9 +139,6 @@
 /* One asker: a run of another daemon. Its replies go to its newest link. */
 struct inbound;
 
-/* One request that is sent to a place which another gate keeps. */
-struct placed;
-
 struct grave {
 	struct tcp_conn *conn;
 	void *memory;
@@ -151,7 +155,7 @@
 	struct peer_node *nodes;
 	struct out_attempt *attempts;
 	struct inbound *inbound;
-	struct placed *placed;
+	struct pull pull; /* bodies offered to this node */
 	struct grave *graves;
 	ev_timer reaper;
 	ev_timer tick;
@@ -174,8 +178,6 @@
 		enum err error);
 /* Ends it with the owner's reply; runs the callback. */
 void out_reply(struct out_attempt *a, const Wire__ForwardReply *reply);
-/* Frees it without a callback. */
-void out_drop(struct out_attempt *a);
 struct out_attempt *out_find(const struct peers *p, uint64_t id);
 void out_set_link(struct out_attempt *a, struct peer_link *link);
 
@@ -185,8 +187,6 @@
 void node_submit(struct peer_node *n, struct out_attempt *a,
 		 const Wire__Forward *f);
 struct peer_node *node_get(struct peers *p, uint32_t id, int bulk);
-/* As the map has it; NULL if it does not. */
-const Wire__Node *node_info(struct peers *p, uint32_t id);
 void node_tick(struct peers *p, struct peer_node *n, int64_t now_ms);
 /* Does the node have anything that needs ticks? */
 int node_is_busy(const struct peer_node *n);
@@ -194,18 +194,11 @@
 void node_sweep(struct peers *p, struct peer_node *n, int64_t now_ms);
 /* Without callbacks; its attempts must be gone. */
 void node_free(struct peers *p, struct peer_node *n);
+/* 1 if the body is sent only when the node asks for it. */
+int node_takes_offers(const Wire__Node *info, const Wire__Forward *f);
 /* Tells the owner that it need not start the attempt any more. */
 void out_cancel(const struct out_attempt *a);
 
-/* peer_place.c */
-
-/* 1 if the body is not sent to the node, but from here to its target. */
-int peer_is_offered(const Wire__Node *info, const Wire__Forward *f);
-/* A place is kept for an offered attempt, which is taken over. */
-void placed_start(struct out_attempt *a, const Wire__ForwardReply *reply);
-void placed_forget(struct peers *p, gate_reply_fn fn, void *priv);
-void placed_finish(struct peers *p);
-
 /* peer_in.c */
 
 void inbound_tick(struct peers *p, int64_t now_ms);
--- a/test/unit/test_limits.c
+++ b/test/unit/test_limits.c
@@ -1,6 +1,7 @@
 #include "limits/adm.h"
 #include "limits/budget.h"
 #include "limits/conc.h"
+#include "limits/pull.h"
 #include "limits/share.h"
 
 #include <glib.h>
@@ -479,6 +480,131 @@
 	g_assert_cmpuint(taken[30], >, NODES * PER_S / 10);
 }
 
+#define LINE_KBPS 11000
+#define BODY_BYTES 60000
+#define SMALL_BYTES 500
+/* Of a body: on the line, without what is ahead of it. */
+#define BODY_MS ((double)BODY_BYTES * 8 / LINE_KBPS)
+
+/*
+ * How long a small request waits on the line, on average over a minute in
+ * which bodies for 0.8 of the line are offered by askers 8 ms away.
+ */
+static double small_wait_ms(int pulled)
+{
+	enum { BODIES = 2000, ROUND_TRIP_MS = 16 };
+	static struct pull_item items[BODIES];
+	static double done_ms[BODIES]; /* 0: not on the line yet */
+	GRand *rand = g_rand_new_with_seed(5);
+	double line_end_ms = 0, wait_ms = 0;
+	unsigned count = 0, small = 0;
+	struct pull p;
+
+	memset(items, 0, sizeof(items));
+	memset(done_ms, 0, sizeof(done_ms));
+	pull_init(&p, pulled ? LINE_KBPS : 0);
+	for (int64_t now = 1; now < 60000; now++) {
+		if (g_rand_double(rand) < 0.8 / BODY_MS && count < BODIES) {
+			items[count].bytes = BODY_BYTES;
+			items[count].deadline_ms = FAR;
+			pull_add(&p, &items[count++]);
+		}
+		while (pull_next(&p, now))
+			;
+		for (unsigned i = 0; i < count; i++) {
+			int64_t asked_ms = items[i].asked_ms;
+
+			if (asked_ms && !done_ms[i] &&
+			    now >= asked_ms + (pulled ? ROUND_TRIP_MS : 0)) {
+				if (line_end_ms < (double)now)
+					line_end_ms = (double)now;
+				line_end_ms += BODY_MS;
+				done_ms[i] = line_end_ms;
+			}
+			if (done_ms[i] > 0 && done_ms[i] <= (double)now &&
+			    items[i].bytes) {
+				pull_remove(&p, &items[i]);
+				items[i].bytes = 0;
+			}
+		}
+		small++;
+		if (line_end_ms > (double)now)
+			wait_ms += line_end_ms - (double)now;
+	}
+	g_rand_free(rand);
+	return wait_ms / small;
+}
+
+/*
+ * Load: bodies of 60 kB for 0.8 of a line of 11 Mbit/s, for a minute, beside
+ * small requests. Guards against small ones that wait behind all bodies.
+ */
+static void test_pull_line(void)
+{
+	double pushed = small_wait_ms(0);
+	double pulled = small_wait_ms(1);
+
+	g_test_message("small requests wait %.0f ms behind pushed bodies, "
+		       "%.0f ms behind pulled ones",
+		       pushed, pulled);
+	/* Two bodies at most are on the line. */
+	g_assert_cmpfloat(pulled, <, 2 * BODY_MS);
+	g_assert_cmpfloat(pulled, <, pushed);
+}
+
+/* Guards against a line that one body larger than its window blocks. */
+static void test_pull_window(void)
+{
+	struct pull_item big = { .bytes = 1000000, .deadline_ms = FAR };
+	struct pull_item small = { .bytes = 20000, .deadline_ms = FAR };
+	struct pull p;
+
+	pull_init(&p, LINE_KBPS);
+	pull_add(&p, &big);
+	pull_add(&p, &small);
+	g_assert_true(pull_next(&p, 1) == &big);
+	g_assert_null(pull_next(&p, 1));
+	g_assert_cmpint(pull_wait_ms(&p, BODY_BYTES), ==, 785);
+	pull_remove(&p, &big);
+	g_assert_true(pull_next(&p, 2) == &small);
+	g_assert_true(pull_overdue(&p, 2 + PULL_OVERDUE_MS) == &small);
+	pull_remove(&p, &small);
+	g_assert_cmpuint(p.waiting_bytes + p.under_way_bytes, ==, 0);
+}
+
+/* Guards against an offer whose time is over and that is asked for. */
+static void test_pull_deadline(void)
+{
+	struct pull_item late = { .bytes = 20000, .deadline_ms = 10 };
+	struct pull p;
+
+	pull_init(&p, LINE_KBPS);
+	pull_add(&p, &late);
+	g_assert_null(pull_next(&p, 10));
+	g_assert_true(pull_overdue(&p, 10) == &late);
+	pull_remove(&p, &late);
+}
+
+/* Guards against a body that comes for a request refused on its arrival. */
+static void test_adm_after(void)
+{
+	const struct adm_rank rank = { 1, 1500, 3 };
+	struct adm_item it;
+	struct adm a;
+
+	memset(&it, 0, sizeof(it));
+	adm_init(&a, 2, 2, 1.0);
+	adm_submit_ranked(&a, &it, "t", 0, FAR, &rank);
+	adm_done(&a, &it, 400);
+	g_assert_false(adm_is_hopeless_after(&a, &rank, 400, 10000, 500));
+	g_assert_true(adm_is_hopeless_after(&a, &rank, 400, 10000, 800));
+	g_assert_true(adm_is_hopeless_after(&a, &rank, 400, 1200, 500));
+	/* Late already: only while the line is free. */
+	g_assert_false(adm_is_hopeless_after(&a, &rank, 1600, 10000, 50));
+	g_assert_true(adm_is_hopeless_after(&a, &rank, 1600, 10000, 500));
+	adm_finish(&a);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -494,6 +620,10 @@
 	g_test_add_func("/adm/below_capacity", test_adm_below_capacity);
 	g_test_add_func("/adm/kinds", test_adm_kinds);
 	g_test_add_func("/adm/kinds_bounded", test_adm_kinds_bounded);
+	g_test_add_func("/adm/after", test_adm_after);
+	g_test_add_func("/pull/line", test_pull_line);
+	g_test_add_func("/pull/window", test_pull_window);
+	g_test_add_func("/pull/deadline", test_pull_deadline);
 	g_test_add_func("/share/fleet", test_share_fleet);
 	g_test_add_func("/budget/outage", test_budget);
 	g_test_add_func("/budget/cap", test_budget_cap);
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -647,158 +647,115 @@
 }
 
 #define BODY_BYTES 40000
-/* 40 kB take 80 ms on it. */
+/* 40 kB take 80 ms on it, and two of them are more than the window. */
 #define THIN_KBPS 4000
 
-/* The target of a service without keys, behind a thin line. */
-static void setup_thin(struct fixture *f, uint32_t places)
+/* The owner is behind a thin line. */
+static void setup_thin(struct fixture *f)
 {
-	Wire__Target a;
-
 	setup(f);
 	fake_set_line(&f->asker.view, 2, "n02", f->relay.port, THIN_KBPS);
-	a = fake_announcement(&f->target, places);
-	a.service = "loose";
-	gate_set_target(f->owner.gate, &a);
+	peers_set_line(f->owner.peers, THIN_KBPS);
 }
 
 static void forward_body(struct fixture *f, struct fake_reply *r,
-			 uint64_t attempt, uint32_t deadline_ms)
+			 uint64_t attempt, int32_t value_ms)
 {
 	static uint8_t body[BODY_BYTES];
 	Wire__Forward m = fake_forward(attempt, "POST");
 
 	memset(r, 0, sizeof(*r));
 	memset(body, 'x', sizeof(body));
-	m.service = "loose";
-	m.key = "";
-	m.deadline_ms = deadline_ms;
+	m.deadline_ms = 5000;
+	m.value_ms = value_ms;
+	m.has_value = value_ms != 0;
 	m.body.data = body;
 	m.body.len = sizeof(body);
 	peers_forward(f->asker.peers, 2, &m, fake_on_reply, r);
 }
 
-/*
- * Load: large bodies for a target behind a thin line. Guards against bodies
- * that fill the line of the node beside the target, where calls of running
- * work wait behind them.
- */
-static void test_place(void)
+/* Guards against a body that is lost between its offer and the target. */
+static void test_offer(void)
 {
 	struct fixture f;
 	struct fake_reply r;
 
-	setup_thin(&f, 4);
-	forward_body(&f, &r, 1, 5000);
+	setup_thin(&f);
+	forward_body(&f, &r, 1, 0);
 	fake_wait(f.loop, &r.count, 1);
 	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
-	g_assert_cmpstr(r.body, ==, "ok");
 	g_assert_cmpuint(f.target.runs, ==, 1);
 	g_assert_cmpuint(strlen(f.target.last), >, BODY_BYTES);
-	g_assert_cmpuint(f.relay.bytes, <, BODY_BYTES / 4);
-	while (gate_in_flight(f.owner.gate))
-		ev_run(f.loop, EVRUN_ONCE);
+	g_assert_null(f.owner.peers->pull.items);
 	teardown(&f);
 }
 
-/* Guards against more requests at a target than it has places. */
-static void test_place_waits(void)
+/*
+ * Load: more bodies than a thin line takes in time. Guards against bodies that
+ * fill the line though nobody can run them in time any more.
+ */
+static void test_offer_refused(void)
 {
+	enum { N = 20 };
 	struct fixture f;
-	struct fake_reply r[2];
-
-	setup_thin(&f, 1);
-	f.target.mode = FAKE_SILENT;
-	forward_body(&f, &r[0], 1, 5000);
-	forward_body(&f, &r[1], 2, 5000);
-	fake_wait(f.loop, &f.target.runs, 1);
-	fake_pause(f.loop, 50);
-	g_assert_cmpuint(f.target.runs, ==, 1);
-	f.target.mode = FAKE_ANSWER;
-	fake_write(f.target.last_fd, FAKE_OK);
-	fake_wait(f.loop, &r[0].count, 1);
-	fake_wait(f.loop, &r[1].count, 1);
-	g_assert_cmpint(r[1].outcome, ==, OUTCOME_ANSWERED);
+	struct fake_reply r[N];
+	unsigned refused = 0;
+
+	setup_thin(&f);
+	for (uint64_t i = 0; i < N; i++)
+		forward_body(&f, &r[i], i + 1, 400);
+	for (int i = 0; i < N; i++) {
+		fake_wait(f.loop, &r[i].count, 1);
+		refused += r[i].outcome == OUTCOME_NOT_RUN &&
+			   r[i].error == ERR_SHED;
+	}
+	/* Five bodies take 400 ms on the line. */
+	g_assert_cmpuint(refused, >=, N - 5);
+	g_assert_cmpuint(refused, <, N);
+	g_assert_cmpuint(f.relay.bytes, <,
+			 (size_t)(N - refused + 1) * BODY_BYTES);
+	g_assert_null(f.owner.peers->pull.items);
 	teardown(&f);
 }
 
-/* Guards against a place that is never free again because its asker died. */
-static void test_place_overdue(void)
+/* Guards against an offer on a broken link that ends as maybe run. */
+static void test_offer_link_lost(void)
 {
 	struct fixture f;
 	struct fake_reply r;
 
-	setup_thin(&f, 1);
-	f.target.mode = FAKE_SILENT;
-	forward_body(&f, &r, 1, 300);
-	fake_wait(f.loop, &f.target.runs, 1);
-	side_stop(&f.asker);
-	g_assert_cmpuint(gate_in_flight(f.owner.gate), ==, 1);
-	while (gate_in_flight(f.owner.gate))
+	setup_thin(&f);
+	forward_body(&f, &r, 1, 0);
+	/* The Hello has come, the offer is on its way. */
+	while (!f.relay.pipes)
 		ev_run(f.loop, EVRUN_ONCE);
-	side_start(&f.asker, "n01", 1001);
+	freeze(f.relay.pipes, 1);
+	fake_pause(f.loop, 50);
+	pipe_close(f.relay.pipes);
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpuint(f.target.runs, ==, 0);
+	g_assert_null(f.owner.peers->pull.items);
 	teardown(&f);
 }
 
-/* Guards against an offer whose caller left and that takes a place. */
-static void test_place_forgotten(void)
+/* Guards against a body that is sent though its caller has left. */
+static void test_offer_forgotten(void)
 {
 	struct fixture f;
 	struct fake_reply r[2];
 
-	setup_thin(&f, 1);
-	f.target.mode = FAKE_SILENT;
-	forward_body(&f, &r[0], 1, 5000);
-	fake_wait(f.loop, &f.target.runs, 1);
-	forward_body(&f, &r[1], 2, 5000);
-	fake_pause(f.loop, 50);
+	setup_thin(&f);
+	forward_body(&f, &r[0], 1, 0);
+	fake_wait(f.loop, &r[0].count, 1);
+	forward_body(&f, &r[0], 2, 0);
+	forward_body(&f, &r[1], 3, 0);
 	peers_forget(f.asker.peers, fake_on_reply, &r[1]);
-	fake_pause(f.loop, 50);
-	fake_write(f.target.last_fd, FAKE_OK);
 	fake_wait(f.loop, &r[0].count, 1);
-	while (gate_in_flight(f.owner.gate))
-		ev_run(f.loop, EVRUN_ONCE);
-	fake_pause(f.loop, 50);
-	g_assert_cmpuint(f.target.runs, ==, 1);
+	fake_pause(f.loop, 100);
 	g_assert_cmpuint(r[1].count, ==, 0);
-	teardown(&f);
-}
-
-/* Guards against an offer on a broken link that ends as maybe run. */
-static void test_place_link_lost(void)
-{
-	struct fixture f;
-	struct fake_reply r[2];
-
-	setup_thin(&f, 1);
-	f.target.mode = FAKE_SILENT;
-	forward_body(&f, &r[0], 1, 5000);
-	fake_wait(f.loop, &f.target.runs, 1);
-	forward_body(&f, &r[1], 2, 5000);
-	fake_pause(f.loop, 50);
-	pipe_close(f.relay.pipes);
-	fake_wait(f.loop, &r[1].count, 1);
-	g_assert_cmpint(r[1].outcome, ==, OUTCOME_NOT_RUN);
-	/* The other one does not need the link to end. */
-	fake_write(f.target.last_fd, FAKE_OK);
-	fake_wait(f.loop, &r[0].count, 1);
-	g_assert_cmpint(r[0].outcome, ==, OUTCOME_ANSWERED);
-	teardown(&f);
-}
-
-/* Guards against a full target that is sent bodies nobody can take. */
-static void test_place_refused(void)
-{
-	struct fixture f;
-	struct fake_reply r;
-
-	setup_thin(&f, 1);
-	gate_set_target(f.owner.gate, NULL);
-	forward_body(&f, &r, 1, 5000);
-	fake_wait(f.loop, &r.count, 1);
-	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
-	g_assert_cmpint(r.error, ==, ERR_NO_TARGET);
-	g_assert_cmpuint(f.target.runs, ==, 0);
+	g_assert_cmpuint(f.target.runs, ==, 2);
+	g_assert_null(f.owner.peers->pull.items);
 	teardown(&f);
 }
 
@@ -1171,12 +1128,10 @@
 	g_test_add_func("/peer/forget", test_forget);
 	g_test_add_func("/peer/cancel_after_loss", test_cancel_after_loss);
 	g_test_add_func("/peer/gone_node", test_gone_node_fails_fast);
-	g_test_add_func("/peer/place", test_place);
-	g_test_add_func("/peer/place_waits", test_place_waits);
-	g_test_add_func("/peer/place_overdue", test_place_overdue);
-	g_test_add_func("/peer/place_forgotten", test_place_forgotten);
-	g_test_add_func("/peer/place_link_lost", test_place_link_lost);
-	g_test_add_func("/peer/place_refused", test_place_refused);
+	g_test_add_func("/peer/offer", test_offer);
+	g_test_add_func("/peer/offer_refused", test_offer_refused);
+	g_test_add_func("/peer/offer_link_lost", test_offer_link_lost);
+	g_test_add_func("/peer/offer_forgotten", test_offer_forgotten);
 	g_test_add_func("/peer/garbage", test_garbage);
 	g_test_add_func("/peer/storm", test_storm);
 	g_test_add_func("/tcp/refused", test_tcp_refused);
