--- a/ctl/main.c
+++ b/ctl/main.c
@@ -100,6 +100,13 @@
 			   name);
 }
 
+static const char *interface_of_environment(void)
+{
+	const char *name = getenv("MPIN_INTERFACE");
+
+	return name ? name : interfaces[0].name;
+}
+
 static int parse_wait(const char *text, struct argp_state *state)
 {
 	char *end;
@@ -199,11 +206,7 @@
 			cmd->args[cmd->arg_count++] = arg;
 		return 0;
 	case ARGP_KEY_INIT:
-		set_interface(cmd->c,
-			      getenv("MPIN_INTERFACE")
-				      ? getenv("MPIN_INTERFACE")
-				      : interfaces[0].name,
-			      state);
+		set_interface(cmd->c, interface_of_environment(), state);
 		return 0;
 	case ARGP_KEY_END:
 		check(cmd, state);
