--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, demo, check, proofs, bench, slopes, lint, format, clean.
+# Targets: all, demo, check, proofs, soak, bench, slopes, lint, format, clean.
 # VARIANT=rel (default) or san (AddressSanitizer and
 # UndefinedBehaviorSanitizer). PROOF_SWITCHES=1 compiles the switches that
 # take single guards out; test builds only.
@@ -61,6 +61,12 @@
 	@$(MAKE) -s -j$$(nproc) VARIANT=san programs units
 	@test/proofs.sh $(CURDIR)/build/san
 
+# Fifty seeds; SOAK_SEEDS names others.
+SOAK_SEEDS ?= 1-50
+soak: deps
+	@$(MAKE) -s -j$$(nproc) VARIANT=rel programs
+	@soak/run.sh $(CURDIR)/build/rel $(SOAK_SEEDS)
+
 bench: deps
 	@$(MAKE) -s -j$$(nproc) VARIANT=rel programs benches
 	@bench/run.sh $(CURDIR)/build/rel
@@ -147,7 +153,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs units benches deps demo check proofs bench slopes format \
+.PHONY: all programs units benches deps demo check proofs soak bench slopes format \
 	lint lint-format lint-tidy lint-cppcheck protocol fuzzers clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/test/check.sh
+++ b/test/check.sh
@@ -68,5 +68,8 @@
 passed=$((passed + $(grep -c '^PASS ' build/runs.log)))
 failed=$((failed + $(grep -c '^FAIL ' build/runs.log)))
 
+# A short soak on two seeds, one with holds of limited length.
+step soak env SOAK_SECONDS=8 SOAK_JOBS=2 soak/run.sh "$san" 1-2
+
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
