gate: what was given up at a target that stands still is waited out

On the platform nothing changes: targets there are told no such time, and their holds are waited out.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -31,6 +31,8 @@
 	const struct doc_source *document; /* NULL: mpinctl's own */
 };
 
+extern const struct ctl_interface ctl_interface_own;
+
 struct ctl {
 	const struct ctl_interface *interface; /* that the daemons run with */
 	const char *endpoint;		       /* of the store */
--- a/ctl/io.c
+++ b/ctl/io.c
@@ -7,6 +7,8 @@
 #define STORE_TIMEOUT_MS 2000
 #define HTTP_TIMEOUT_MS 1000
 
+const struct ctl_interface ctl_interface_own = { "own", etcd_open, NULL };
+
 enum err ctl_open(struct ctl *c, struct err_info *info)
 {
 	uint64_t id;
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -12,9 +12,15 @@
 
 #define CHANGES (CTL_OPT_AUTHOR | CTL_OPT_WAIT | CTL_OWN_DOCUMENT)
 
-static const struct ctl_interface interfaces[] = {
-	{ "own", etcd_open, NULL },
-	{ "platform", kv_open, &platform_document },
+static const struct ctl_interface interface_platform = {
+	"platform",
+	kv_open,
+	&platform_document,
+};
+
+static const struct ctl_interface *const interfaces[] = {
+	&ctl_interface_own,
+	&interface_platform,
 };
 
 const struct ctl_verb ctl_verbs[] = {
@@ -85,8 +91,8 @@
 static const struct ctl_interface *find_interface(const char *name)
 {
 	for (size_t i = 0; i < sizeof(interfaces) / sizeof(*interfaces); i++) {
-		if (!strcmp(interfaces[i].name, name))
-			return &interfaces[i];
+		if (!strcmp(interfaces[i]->name, name))
+			return interfaces[i];
 	}
 	return NULL;
 }
@@ -104,7 +110,7 @@
 {
 	const char *name = getenv("MPIN_INTERFACE");
 
-	return name ? name : interfaces[0].name;
+	return name ? name : ctl_interface_own.name;
 }
 
 static int parse_wait(const char *text, struct argp_state *state)
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -20,6 +20,13 @@
 
 static void on_expiry(struct ev_loop *loop, ev_timer *w, int events);
 
+static void on_busy(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	gate_slots_check(w->data);
+}
+
 uint32_t gate_limit(const struct gate *g)
 {
 	return g->fixed ? g->conc.max : conc_limit(&g->conc);
@@ -58,6 +65,8 @@
 	ev_timer_init(&g->expiry, on_expiry, GATE_EXPIRY_SECONDS,
 		      GATE_EXPIRY_SECONDS);
 	g->expiry.data = g;
+	ev_timer_init(&g->busy, on_busy, 0., 0.);
+	g->busy.data = g;
 	*out = g;
 	return ERR_OK;
 no_client:
@@ -81,6 +90,7 @@
 	if (!g)
 		return;
 	ev_timer_stop(g->loop, &g->expiry);
+	ev_timer_stop(g->loop, &g->busy);
 	DL_FOREACH_SAFE(g->calls, c, next) {
 		if (c->state == CALL_STARTED)
 			httpc_cancel(&c->http);
@@ -506,6 +516,7 @@
 	if (c->state == CALL_STARTED) {
 		httpc_cancel(&c->http);
 		cnt_add(c->g->cnt, "gate_broken_off", "", 1);
+		gate_call_given_up(c);
 		gate_call_fail(c, OUTCOME_UNKNOWN, ERR_CLOSED);
 	} else {
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_CLOSED);
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -397,6 +397,16 @@
 	answer_finish(&a);
 }
 
+/*
+ * Only where targets are told a time: elsewhere they hold keys by themselves,
+ * and their holds are waited for.
+ */
+void gate_call_given_up(const struct gate_call *c)
+{
+	if (c->slot != MAP_NO_SLOT && c->sent_ns && c->g->dialect->not_after)
+		gate_slot_given_up(c->g, c->slot, c->not_after_ns);
+}
+
 static void end_failed(struct gate_call *c)
 {
 	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
@@ -409,8 +419,10 @@
 	reply.outcome = OUTCOME_UNKNOWN;
 	reply.error = c->http.error;
 	log_target(c, &reply, 0);
-	if (c->http.error == ERR_TIMEOUT)
+	if (c->http.error == ERR_TIMEOUT) {
 		sample(c, &reply);
+		gate_call_given_up(c);
+	}
 	gate_call_fail(c, OUTCOME_UNKNOWN, c->http.error);
 }
 
@@ -559,6 +571,9 @@
 	e = s || c->slot == MAP_NO_SLOT
 		    ? ask_owner(c, &c->fence, &c->not_after_ns)
 		    : ERR_NOMEM;
+	/* An answer later than the time limit is of no use. */
+	if (c->not_after_ns > c->deadline_ms * 1000000)
+		c->not_after_ns = c->deadline_ms * 1000000;
 	if (e == ERR_OK)
 		e = send_call(c);
 	if (e != ERR_OK) {
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -23,6 +23,8 @@
 	uint32_t requests; /* since the last report */
 	int releasing;
 	int reported; /* ops->released has run for this release */
+	/* Until when a call that was given up may still start at the target. */
+	int64_t busy_until_ns;
 	UT_hash_handle hh;
 };
 
@@ -78,6 +80,7 @@
 	unsigned started;
 	int pumping;
 	ev_timer expiry;
+	ev_timer busy; /* a release waits for a slot's busy_until_ns */
 	struct labels labels;
 	/* Since the last report. */
 	struct hot hot;
@@ -110,12 +113,25 @@
 /* Sends a call to the target; it ends by itself. */
 void gate_call_start(struct gate_call *c);
 
+/*
+ * The call has been handed over and ends here without an answer: its slot is
+ * busy until its target must not start it any more.
+ */
+void gate_call_given_up(const struct gate_call *c);
+
 /* gate_slot.c */
 
 struct gate_slot *gate_slot_find(const struct gate *g, uint32_t slot);
 /* NULL without memory. */
 struct gate_slot *gate_slot_get(struct gate *g, uint32_t slot);
 void gate_slot_ended(struct gate *g, uint32_t slot);
+/*
+ * A call of the slot is given up without an answer: a target that stands still
+ * has it, and starts it until not_after_ns if it wakes up.
+ */
+void gate_slot_given_up(struct gate *g, uint32_t slot, int64_t not_after_ns);
+/* Of g->busy: reports what is empty by now. */
+void gate_slots_check(struct gate *g);
 int gate_slot_is_releasing(const struct gate *g, uint32_t slot);
 void gate_slots_finish(struct gate *g);
 
--- a/routing/gate_slot.c
+++ b/routing/gate_slot.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <utlist.h>
 
+/* Period at which releases that wait for a time are looked at. */
+#define GATE_BUSY_SECONDS 0.02
 /* Keys of one report; the design limits a node to 3 KB/s of control data. */
 #define GATE_REPORT_KEYS 16
 
@@ -33,7 +35,8 @@
 /* Forgets a slot about which there is nothing to say. */
 static void put_slot(struct gate *g, struct gate_slot *s)
 {
-	if (s->in_flight || s->requests || s->releasing)
+	if (s->in_flight || s->requests || s->releasing ||
+	    s->busy_until_ns > clk_ns())
 		return;
 	HASH_DEL(g->slots, s);
 	free(s);
@@ -60,18 +63,31 @@
 {
 	const struct gate_slot *s = gate_slot_find(g, slot);
 
-	return s && s->releasing && !s->in_flight;
+	return s && s->releasing && !s->in_flight &&
+	       clk_ns() >= s->busy_until_ns;
 }
 
 static int is_empty(const struct gate_slot *s)
 {
-	return s->releasing && !s->in_flight && !s->reported;
+	return s->releasing && !s->in_flight && !s->reported &&
+	       clk_ns() >= s->busy_until_ns;
+}
+
+static void start_check(struct gate *g)
+{
+	if (ev_is_active(&g->busy))
+		return;
+	ev_timer_set(&g->busy, GATE_BUSY_SECONDS, GATE_BUSY_SECONDS);
+	ev_timer_start(g->loop, &g->busy);
 }
 
 static void report_if_empty(struct gate *g, struct gate_slot *s)
 {
-	if (!is_empty(s))
+	if (!is_empty(s)) {
+		if (s->releasing && !s->in_flight && !s->reported)
+			start_check(g);
 		return;
+	}
 	s->reported = 1;
 	g->ops->released(s->slot, g->priv);
 }
@@ -86,6 +102,14 @@
 	report_if_empty(g, s);
 }
 
+void gate_slot_given_up(struct gate *g, uint32_t slot, int64_t not_after_ns)
+{
+	struct gate_slot *s = gate_slot_find(g, slot);
+
+	if (s && not_after_ns > s->busy_until_ns)
+		s->busy_until_ns = not_after_ns;
+}
+
 /* MAP_NO_SLOT if the map does not have the service any more. */
 static uint32_t present_slot(const struct gate_call *c)
 {
@@ -148,6 +172,29 @@
 	return NULL;
 }
 
+static int any_waits(const struct gate *g)
+{
+	const struct gate_slot *s, *next;
+
+	HASH_ITER(hh, g->slots, s, next) {
+		if (s->releasing && !s->in_flight && !s->reported)
+			return 1;
+	}
+	return 0;
+}
+
+void gate_slots_check(struct gate *g)
+{
+	struct gate_slot *s;
+
+	while ((s = find_empty(g)))
+		report_if_empty(g, s);
+	if (any_waits(g))
+		start_check(g);
+	else
+		ev_timer_stop(g->loop, &g->busy);
+}
+
 void gate_release(struct gate *g, uint32_t slot)
 {
 	struct gate_slot *s = gate_slot_get(g, slot);
@@ -162,8 +209,7 @@
 	while ((c = find_queued_of(g, slot)))
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_RELEASING);
 	/* Moved calls can have left other slots empty. */
-	while ((s = find_empty(g)))
-		report_if_empty(g, s);
+	gate_slots_check(g);
 }
 
 static void take_work(struct gate *g, uint32_t slot)
--- a/test/unit/test_ctl.c
+++ b/test/unit/test_ctl.c
@@ -47,6 +47,7 @@
 	g_assert_cmpint(e, ==, ERR_OK);
 	g_snprintf(f->endpoint, sizeof(f->endpoint), "http://127.0.0.1:%u",
 		   ssrv_port(&f->store));
+	f->c.interface = &ctl_interface_own;
 	f->c.endpoint = f->endpoint;
 	f->c.prefix = "/mpin/";
 	f->c.author = "ada";
