--- a/limits/adm.c
+++ b/limits/adm.c
@@ -17,6 +17,13 @@
  * without a kind, that distance is not known.
  */
 #define ADM_VALUE_MARGIN 0.2
+/*
+ * A target that is full for so long is overloaded, and not met by a burst: two
+ * to four of the times that requests take on the sites. By the spread in bursts
+ * as well, the quiet day of vbbg-mesh refused 0.022 of its requests instead of
+ * none.
+ */
+#define ADM_OVERLOAD_MS 1000
 
 void adm_init(struct adm *a, uint32_t limit, uint32_t queue,
 	      double tenant_share)
@@ -117,14 +124,6 @@
 	return k;
 }
 
-/* By how much one of this kind often exceeds its average. */
-static double margin_ms_of(const struct adm *a, const struct adm_rank *r)
-{
-	const struct adm_kind *k = r->kind ? kind_find(a, r->kind) : NULL;
-
-	return k ? k->spread_ms : a->service_ms * ADM_VALUE_MARGIN;
-}
-
 /* How long one of this kind runs; 0: not known, one has to be tried. */
 static double service_ms_of(const struct adm *a, const struct adm_rank *r)
 {
@@ -136,6 +135,31 @@
 	return k ? k->service_ms : 0;
 }
 
+/* Full for longer than a burst: what is refused now makes room for others. */
+static int is_overloaded(const struct adm *a, int64_t now_ms)
+{
+	return a->full_ms && now_ms - a->full_ms >= ADM_OVERLOAD_MS;
+}
+
+/* By how much one of this kind may exceed its average and be in time still. */
+static double margin_ms_of(const struct adm *a, const struct adm_rank *r,
+			   int64_t now_ms)
+{
+	const struct adm_kind *k = r->kind ? kind_find(a, r->kind) : NULL;
+
+	if (k && is_overloaded(a, now_ms))
+		return k->spread_ms;
+	return service_ms_of(a, r) * ADM_VALUE_MARGIN;
+}
+
+static void note_places(struct adm *a, int64_t now_ms)
+{
+	if (a->running < a->limit)
+		a->full_ms = 0;
+	else if (!a->full_ms)
+		a->full_ms = now_ms;
+}
+
 static int is_late(const struct adm_rank *r, int64_t now_ms)
 {
 	return r->value_ms <= now_ms;
@@ -182,7 +206,7 @@
 	/* Late work fills gaps, but does not queue up. */
 	if (is_late(&item->rank, now_ms))
 		return ahead > a->limit / ADM_LATE_PART;
-	return done + margin_ms_of(a, &item->rank) >
+	return done + margin_ms_of(a, &item->rank, now_ms) >
 	       (double)item->rank.value_ms;
 }
 
@@ -202,7 +226,8 @@
 		if ((double)after_ms > service_ms_of(a, rank))
 			return 1;
 	} else if (rank->value_ms != INT64_MAX &&
-		   done + margin_ms_of(a, rank) > (double)rank->value_ms) {
+		   done + margin_ms_of(a, rank, now_ms) >
+			   (double)rank->value_ms) {
 		return 1;
 	}
 	if (a->running < a->limit && a->queued == 0)
@@ -234,6 +259,7 @@
 		item->state = ADM_RUNNING;
 		item->started_ms = item->arrived_ms;
 		a->running++;
+		note_places(a, item->arrived_ms);
 		return ADM_RUN;
 	}
 	item->state = ADM_QUEUED;
@@ -321,6 +347,9 @@
 		return;
 	average(&a->service_ms, took_ms);
 	a->running--;
+	/* The next one in the queue takes the place at once. */
+	if (!a->queued)
+		note_places(a, now_ms);
 	item_release(a, item);
 	k = item->rank.kind ? kind_get(a, item->rank.kind) : NULL;
 	if (!k)
@@ -348,6 +377,7 @@
 	a->running++;
 	item->state = ADM_RUNNING;
 	item->started_ms = now_ms;
+	note_places(a, now_ms);
 	return item;
 }
 
--- a/limits/adm.h
+++ b/limits/adm.h
@@ -71,6 +71,7 @@
 	uint32_t running;
 	uint32_t queued;
 	double service_ms; /* same average over all kinds */
+	int64_t full_ms;   /* since when all places are taken; 0: not */
 	struct adm_item *head;
 	struct adm_tenant *tenants;
 	struct adm_kind *kinds;
--- a/test/unit/test_limits.c
+++ b/test/unit/test_limits.c
@@ -495,6 +495,41 @@
 	g_assert_cmpfloat(spread, >, average);
 }
 
+/*
+ * Load: a burst at an idle target, and the same at one that has been full for a
+ * second. Guards against a calm day on which bursts are refused that could
+ * have been in time.
+ */
+static void test_adm_burst(void)
+{
+	struct adm_item items[SIM_PLACES], it;
+	struct adm_rank rank = { 1, 10000, 6 };
+	struct adm a;
+
+	adm_init(&a, SIM_PLACES, 72, 1.0);
+	memset(items, 0, sizeof(items));
+	memset(&it, 0, sizeof(it));
+	/* Times of 100 and 300 ms by turns: 200 on average, 100 apart. */
+	for (int64_t i = 0; i < 200; i++) {
+		adm_submit_ranked(&a, &it, "t", 0, FAR, &rank);
+		adm_done(&a, &it, i % 2 ? 300 : 100);
+	}
+	for (size_t i = 0; i < SIM_PLACES; i++)
+		g_assert_cmpint(
+			adm_submit_ranked(&a, &items[i], "t", 1000, FAR, &rank),
+			==, ADM_RUN);
+	rank.value_ms = 1000 + 280;
+	g_assert_cmpint(adm_submit_ranked(&a, &it, "t", 1000, FAR, &rank), ==,
+			ADM_QUEUE);
+	adm_remove(&a, &it);
+	rank.value_ms = 2000 + 280;
+	g_assert_cmpint(adm_submit_ranked(&a, &it, "t", 2000, FAR, &rank), ==,
+			ADM_SHED);
+	for (size_t i = 0; i < SIM_PLACES; i++)
+		adm_done(&a, &items[i], 2100);
+	adm_finish(&a);
+}
+
 /* Guards against a table of kinds that grows with every route ever seen. */
 static void test_adm_kinds_bounded(void)
 {
@@ -688,6 +723,7 @@
 	g_test_add_func("/adm/below_capacity", test_adm_below_capacity);
 	g_test_add_func("/adm/kinds", test_adm_kinds);
 	g_test_add_func("/adm/spread", test_adm_spread);
+	g_test_add_func("/adm/burst", test_adm_burst);
 	g_test_add_func("/adm/kinds_bounded", test_adm_kinds_bounded);
 	g_test_add_func("/adm/after", test_adm_after);
 	g_test_add_func("/pull/line", test_pull_line);
