--- a/limits/adm.c
+++ b/limits/adm.c
@@ -18,10 +18,10 @@
  */
 #define ADM_VALUE_MARGIN 0.2
 /*
- * A target that is full for so long is overloaded, and not met by a burst: two
- * to four of the times that requests take on the sites. By the spread in bursts
- * as well, the quiet day of vbbg-mesh refused 0.022 of its requests instead of
- * none.
+ * A target that is full for so long is overloaded, and not met by a burst: a
+ * few times what a request takes on the sites (0.1 to 0.5 s). With the spread
+ * in bursts as well, the quiet day of vbbg-mesh refused 0.022 of its requests
+ * instead of none.
  */
 #define ADM_OVERLOAD_MS 1000
 
