--- a/limits/adm.c
+++ b/limits/adm.c
@@ -19,9 +19,9 @@
 #define ADM_VALUE_MARGIN 0.2
 /*
  * A target that is full for so long is overloaded, and not met by a burst: a
- * few times what a request takes on the sites (0.1 to 0.5 s). With the spread
- * in bursts as well, the quiet day of vbbg-mesh refused 0.022 of its requests
- * instead of none.
+ * few times what a request takes where this was measured (0.1 to 0.5 s). With
+ * the spread in bursts as well, a calm day there refused 0.022 of its requests
+ * instead of none (docs/platform.md).
  */
 #define ADM_OVERLOAD_MS 1000
 
--- a/limits/pull.h
+++ b/limits/pull.h
@@ -15,8 +15,7 @@
 
 /*
  * Time that the bodies under way take on the line: two of 50 kB on 11 Mbit/s.
- * At 110 ms, uploads of vbbg-mesh-grown gained as much as the calls beside them
- * lost.
+ * At 110 ms, bodies gained as much as the small requests beside them lost.
  */
 #define PULL_WINDOW_MS 80
 /* A body that was asked for and has not come: its sender is gone. */
