--- a/routing/gate_slot.c
+++ b/routing/gate_slot.c
@@ -67,10 +67,15 @@
 	       clk_ns() >= s->busy_until_ns;
 }
 
+/* Only the time of what was given up is missing to the report, if anything. */
+static int is_idle(const struct gate_slot *s)
+{
+	return s->releasing && !s->in_flight && !s->reported;
+}
+
 static int is_empty(const struct gate_slot *s)
 {
-	return s->releasing && !s->in_flight && !s->reported &&
-	       clk_ns() >= s->busy_until_ns;
+	return is_idle(s) && clk_ns() >= s->busy_until_ns;
 }
 
 static void start_check(struct gate *g)
@@ -84,7 +89,7 @@
 static void report_if_empty(struct gate *g, struct gate_slot *s)
 {
 	if (!is_empty(s)) {
-		if (s->releasing && !s->in_flight && !s->reported)
+		if (is_idle(s))
 			start_check(g);
 		return;
 	}
@@ -177,7 +182,7 @@
 	const struct gate_slot *s, *next;
 
 	HASH_ITER(hh, g->slots, s, next) {
-		if (s->releasing && !s->in_flight && !s->reported)
+		if (is_idle(s))
 			return 1;
 	}
 	return 0;
