--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -196,15 +196,18 @@
 	return strcmp(m->info->data_centre, c->config.set->data_centre) != 0;
 }
 
-/* Is x a better standby than y? A line of unknown rate is no thin one. */
+/* A line of unknown rate is no thin one. */
+static uint32_t line_kbps(const struct co_member *m)
+{
+	return m->info->link_kbps ? m->info->link_kbps : UINT32_MAX;
+}
+
+/* Is x a better standby than y? */
 static int is_better_standby(const struct coord *c, const struct co_member *x,
 			     const struct co_member *y)
 {
-	uint32_t x_kbps = x->info->link_kbps - 1;
-	uint32_t y_kbps = y->info->link_kbps - 1;
-
-	if (x_kbps != y_kbps)
-		return x_kbps > y_kbps;
+	if (line_kbps(x) != line_kbps(y))
+		return line_kbps(x) > line_kbps(y);
 	return is_outside(c, x) > is_outside(c, y);
 }
 
