--- a/test/run/platform.sh
+++ b/test/run/platform.sh
@@ -45,6 +45,8 @@
 	local i=$1 service=$2 id=$3
 	local base=$((PORT + 1 + 8 * i))
 	shift 3
+	# A log of its own for each process: what an ended one held is over.
+	[ -e "$WORK/s$i.log" ] && mv "$WORK/s$i.log" "$WORK/s$i-before-$id.log"
 	start_process "s$i" "$BIN/mpin-server" --port $((base + 5)) \
 		--control $((base + 4)) --id "$id" --service "$service" "$@"
 }
@@ -88,11 +90,23 @@
 	done
 }
 
+map_changes() {
+	cat "$WORK"/n*.log | grep -c 'event=map_changed'
+}
+
+map_is_settled() { # true if the map does not change for two seconds
+	local before
+	before=$(map_changes)
+	sleep 2
+	[ "$(map_changes)" = "$before" ]
+}
+
 is_status() { # is_status STATUS I PATH
 	[ "$(request_status "$2" "$3")" = "$1" ]
 }
 
-# print_held_ranges I: the last line "holds" of server I, as lines FIRST LAST.
+# print_held_ranges I: the last line "holds" of the running process of server I,
+# as lines FIRST LAST; nothing if it has not held any key.
 print_held_ranges() {
 	grep '^holds' "$WORK/s$1.log" | tail -n 1 | tr ' ' '\n' |
 		sed -n 's|\([0-9]*\)-\([0-9]*\)/.*|\1 \2|p'
@@ -150,6 +164,9 @@
 echo "held twice: $(print_keys_held_twice | wc -l)"
 grep -h '^refused' "$WORK"/s*.log | head -n 1
 
+# A slot that was released but whose move is not in the store yet stays without
+# an owner until the store is back (KNOWN-RED.txt: move-during-outage).
+wait_for 15 "the end of the moves" map_is_settled
 curl -s -o /dev/null -X POST \
 	"http://127.0.0.1:$KV/control/down?mode=refuse"
 sleep 3
