routing: reroutes draw on the retry budget; a refused retry costs no token

Causes, found by reading: reroute_from_lost_owner sent a request again whatever the budgets said; take_retry_budget took the fleet's token before it found that the owner's budget was empty; IN_BACKOFF_MAX_MS had no effect, as the number of doublings was limited by a literal. /ingress/reroute_budget failed first: three requests of three sent again instead of one.

--- a/limits/retry_budget.c
+++ b/limits/retry_budget.c
@@ -28,3 +28,10 @@
 		b->tokens = 0;
 	return 1;
 }
+
+void retry_budget_give_back(struct retry_budget *b)
+{
+	b->tokens += 1;
+	if (b->tokens > RETRY_BUDGET_CAP)
+		b->tokens = RETRY_BUDGET_CAP;
+}
--- a/limits/retry_budget.h
+++ b/limits/retry_budget.h
@@ -34,5 +34,7 @@
  * must not be retried.
  */
 int retry_budget_take(struct retry_budget *b);
+/* Returns the token of a retry that was not made after all. */
+void retry_budget_give_back(struct retry_budget *b);
 
 #endif
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -217,12 +217,12 @@
 /*
  * Sends an idempotent request to the new owner of its key. While a request is
  * in flight, its key changes owner only if the old owner was lost, so that the
- * reply may come late or never.
+ * reply may come late or never. Without a retry budget it waits for that reply.
  */
 static void reroute_from_lost_owner(struct in_request *q)
 {
 	if (q->state != IN_AT_PEER || !q->forward.idempotent || !q->keyed ||
-	    in_is_owner(q, q->owner))
+	    in_is_owner(q, q->owner) || !in_take_retry_budget(q))
 		return;
 	in_cancel_attempt(q);
 	q->may_have_run = 1;
@@ -238,6 +238,7 @@
 	DL_FOREACH(in->requests, q) {
 		if (q->map_rev >= rev)
 			continue;
+		q->map_rev = rev;
 		if (q->state == IN_PAUSED)
 			schedule_attempt(q);
 		else
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -150,6 +150,12 @@
 void in_start_attempt(struct in_request *q);
 /* Credits the service's share of the retry budget with one request. */
 void in_count_request(struct in_request *q);
+/*
+ * Returns 1 if the request may be sent to a target once more: within the
+ * route's limit, the fleet's retry budget and the owner's. Takes a token of
+ * both budgets.
+ */
+int in_take_retry_budget(struct in_request *q);
 /* Returns 1 if the current map names the node as owner of the request's key. */
 int in_is_owner(const struct in_request *q, uint32_t owner);
 /*
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -164,11 +164,11 @@
  */
 static int64_t backoff_ms(const struct in_request *q)
 {
-	unsigned doublings = q->attempt_count < 6 ? q->attempt_count - 1 : 5;
-	int64_t ms = (int64_t)IN_BACKOFF_BASE_MS << doublings;
+	int64_t ms = IN_BACKOFF_BASE_MS;
 
-	if (ms > IN_BACKOFF_MAX_MS)
-		ms = IN_BACKOFF_MAX_MS;
+	for (unsigned i = 1; i < q->attempt_count && ms < IN_BACKOFF_MAX_MS;
+	     i++)
+		ms *= 2;
 	return ms / 2 + g_random_int_range(0, (gint32)ms);
 }
 
@@ -220,12 +220,7 @@
 				    HASH_COUNT(m->nodes));
 }
 
-/*
- * Returns 1 if the request may be sent to a target once more: within the
- * route's limit, the fleet's retry budget and the owner's. Takes a token of
- * each; the fleet's token is lost if the owner's budget is empty.
- */
-static int take_retry_budget(struct in_request *q)
+int in_take_retry_budget(struct in_request *q)
 {
 	struct retry_budget *b = get_budget(q);
 	struct in_service_state *s = get_service_state(q->in, q->service);
@@ -234,12 +229,13 @@
 		count_event(q, "in_attempts_used");
 		return 0;
 	}
-	if (!b || !s || !retry_share_take(&s->retry_share)) {
-		count_event(q, "in_share_empty");
+	if (!b || !s || !retry_budget_take(b)) {
+		count_event(q, "in_budget_empty");
 		return 0;
 	}
-	if (!retry_budget_take(b)) {
-		count_event(q, "in_budget_empty");
+	if (!retry_share_take(&s->retry_share)) {
+		retry_budget_give_back(b);
+		count_event(q, "in_share_empty");
 		return 0;
 	}
 	return 1;
@@ -249,7 +245,7 @@
 {
 	int64_t pause = q->keyed ? backoff_ms(q) : 0;
 
-	if (pause >= remaining_ms(q) || !take_retry_budget(q)) {
+	if (pause >= remaining_ms(q) || !in_take_retry_budget(q)) {
 		fail_request(q, reply->error, reply->retry_after_ms);
 		return;
 	}
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -724,6 +724,44 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against retries beyond the budget: the requests at a lost owner were
+ * sent to its successor whatever the budgets said, and a retry that the owner's
+ * budget refused still used up a token of the fleet's.
+ */
+static void test_reroute_budget(void)
+{
+	struct in_service_state *s;
+	struct remote_node o;
+	struct caller c[3];
+	struct fixture f;
+	double tokens;
+
+	setup(&f);
+	remote_node_init(&o, &f);
+	fake_set_owner(&f.view, 2);
+	f.target.mode = FAKE_SILENT;
+	for (size_t i = 0; i < G_N_ELEMENTS(c); i++)
+		start(&f, &c[i], "GET", "/kiln/a");
+	fake_wait(f.loop, &f.target.runs, 3);
+	HASH_FIND_STR(f.in->service_states, "kiln", s);
+	g_assert_nonnull(s);
+	tokens = s->retry_share.tokens;
+	fake_set_owner(&f.view, 1);
+	ingress_view_changed(f.in);
+	fake_wait(f.loop, &f.target.runs, 3 + (unsigned)RETRY_BUDGET_RESERVE);
+	fake_pause(f.loop, 100);
+	g_assert_cmpuint(f.target.runs, ==, 3 + (unsigned)RETRY_BUDGET_RESERVE);
+	g_assert_cmpfloat(s->retry_share.tokens, ==,
+			  tokens - RETRY_BUDGET_RESERVE);
+	httpc_finish(&f.client);
+	for (size_t i = 0; i < G_N_ELEMENTS(c); i++)
+		finish(&c[i]);
+	httpc_init(&f.client, f.loop, 0);
+	remote_node_finish(&o);
+	teardown(&f);
+}
+
 /* Reads until text is received or the connection ends. */
 static void read_until(struct fixture *f, int fd, const char *text, char *out,
 		       size_t size)
@@ -924,6 +962,7 @@
 	g_test_add_func("/ingress/target_sheds", test_target_sheds);
 	g_test_add_func("/ingress/remote", test_remote);
 	g_test_add_func("/ingress/lost_owner", test_lost_owner);
+	g_test_add_func("/ingress/reroute_budget", test_reroute_budget);
 	g_test_add_func("/ingress/quiesce", test_quiesce);
 	g_test_add_func("/ingress/request_at_end", test_request_at_end);
 	g_test_add_func("/ingress/free_with_requests", test_free_with_requests);
