transport: HTTP server of the project's own on http_parser, requests side by side

Cause: libmicrohttpd suspends a connection while its request waits for an answer, so that a pipelined request began when the one before it had ended.

Changed: connections, limits, order of answers and closing are the project's own logic on libev; http_parser only parses. Answers to malformed requests and answers without memory state their outcome now. New settings limits.max_pipeline and limits.max_held_bytes.

--- a/config/settings.h
+++ b/config/settings.h
@@ -86,7 +86,10 @@
 	/* How long new requests are served after SIGTERM, at least. */
 	int notice_ms;
 	/* [limits] */
-	int max_callers;    /* open connections of callers */
+	int max_callers;  /* open connections of callers */
+	int max_pipeline; /* unanswered requests of one connection */
+	/* Bodies and answers that one connection holds at a time. */
+	int max_held_bytes;
 	int max_body_bytes; /* upper bound for the document's limits */
 	int max_in_flight;  /* requests in the ingress at one time */
 	double link_mbps;   /* rate of the VM's network link; 0: not known */
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -203,10 +203,6 @@
 {
 	struct node *n = priv;
 
-	if (r->error != ERR_OK) {
-		httpd_answer_text(r, 413, "text/plain", "body too large\n");
-		return;
-	}
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
 		if (strcmp(r->method, routes[i].method) != 0 ||
 		    !path_equals(r->path, routes[i].path))
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -90,9 +90,7 @@
 
 static void on_control(struct httpd_request *r, void *priv)
 {
-	if (r->error != ERR_OK)
-		httpd_answer_text(r, 413, "text/plain", "body too large\n");
-	else if (!node_handle_target_call(priv, r))
+	if (!node_handle_target_call(priv, r))
 		httpd_answer_text(r, 404, "text/plain", "no such page\n");
 }
 
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -61,12 +61,10 @@
 
 	in->open_requests++;
 	if (!q) {
-		httpd_answer_text(r, 503, "text/plain", "no_memory\n");
+		in_answer_no_memory(in, r);
 		return;
 	}
-	e = r->error;
-	if (e == ERR_OK)
-		e = check_admission(in, doc);
+	e = check_admission(in, doc);
 	if (e == ERR_OK)
 		e = in_parse(q, doc);
 	if (e != ERR_OK) {
@@ -77,22 +75,32 @@
 	in_start_attempt(q);
 }
 
-static void on_refuse(struct httpd_request *r, void *priv)
+static void answer_not_run(struct httpd_request *r, struct ingress *in,
+			   enum err error)
 {
-	struct ingress *in = priv;
 	struct in_request *q = request_new(in, r);
 
 	in->open_requests++;
 	if (q)
-		in_answer_error(q, OUTCOME_NOT_RUN, ERR_CLOSED, 0);
+		in_answer_error(q, OUTCOME_NOT_RUN, error, 0);
 	else
-		httpd_answer_text(r, 503, "text/plain", "no_memory\n");
+		in_answer_no_memory(in, r);
+}
+
+static void on_refuse(struct httpd_request *r, void *priv)
+{
+	answer_not_run(r, priv, ERR_CLOSED);
+}
+
+static void on_reject(struct httpd_request *r, void *priv)
+{
+	answer_not_run(r, priv, r->error);
 }
 
 /*
  * The caller closed its connection. The attempt is cancelled; a target that
- * already runs a request that is not idempotent finishes it. libmicrohttpd
- * needs an answer even so; this one states no outcome.
+ * already runs a request that is not idempotent finishes it. The server needs
+ * an answer even so; this one states no outcome.
  */
 static void on_disconnected(struct httpd_request *r, void *priv)
 {
@@ -125,6 +133,7 @@
 static const struct httpd_ops http_ops = {
 	.request = on_request,
 	.refuse = on_refuse,
+	.reject = on_reject,
 	.disconnected = on_disconnected,
 	.completed = on_completed,
 };
@@ -136,6 +145,11 @@
 		     uint64_t incarnation, struct err_info *info)
 {
 	struct ingress *in = calloc(1, sizeof(*in));
+	const struct httpd_limits limits = {
+		.connections = (unsigned)settings->max_callers,
+		.pipeline = (unsigned)settings->max_pipeline,
+		.held_bytes = (size_t)settings->max_held_bytes,
+	};
 	enum err e;
 
 	if (!in)
@@ -159,8 +173,7 @@
 	e = httpd_init_limited(&in->http, loop, settings->address,
 			       (unsigned)settings->http_port,
 			       (size_t)settings->max_body_bytes,
-			       IN_IDLE_SECONDS, (unsigned)settings->max_callers,
-			       &http_ops, in, info);
+			       IN_IDLE_SECONDS, &limits, &http_ops, in, info);
 	if (e != ERR_OK) {
 		free(in);
 		return e;
--- a/routing/ingress_answer.c
+++ b/routing/ingress_answer.c
@@ -69,6 +69,16 @@
 	return h->list ? ERR_OK : ERR_NOMEM;
 }
 
+void in_answer_no_memory(struct ingress *in, struct httpd_request *r)
+{
+	struct httpd_header h = { "Monsoonpin-Outcome",
+				  outcome_name(OUTCOME_NOT_RUN) };
+
+	cnt_add(in->cnt, "in_no_memory", "", 1);
+	httpd_answer(r, 503, &h, in->dialect->adds_outcome_headers ? 1 : 0, "",
+		     0);
+}
+
 /* Requests whose service is not known are counted without labels. */
 static void count_answer(struct in_request *q, enum wire_outcome outcome,
 			 enum err error)
@@ -161,17 +171,6 @@
 	return NULL;
 }
 
-/*
- * libmicrohttpd does not accept tabs in header values; a space has the same
- * meaning there.
- */
-static void replace_tabs(char *value)
-{
-	for (; *value; value++)
-		if (*value == '\t')
-			*value = ' ';
-}
-
 void in_answer_reply(struct in_request *q, const Wire__ForwardReply *reply)
 {
 	const char *length = head_content_length(q, reply);
@@ -186,7 +185,6 @@
 
 		if (strcasecmp(from->name, "Content-Length") == 0)
 			continue;
-		replace_tabs(from->value);
 		add_header(&h, from->name, from->value);
 	}
 	add_router_headers(&h, q, OUTCOME_ANSWERED);
@@ -259,17 +257,13 @@
 {
 	unsigned status = outcome == OUTCOME_NOT_RUN ? not_run_status(error)
 						     : unknown_status(error);
-	struct answer_headers h;
+	struct httpd_header list[IN_MAX_ROUTER_HEADERS];
+	struct answer_headers h = { .list = list };
 	char body[64];
 
 	in_cancel_attempt(q);
 	count_answer(q, outcome, error);
 	log_request_end(q, outcome, error, status);
-	if (headers_init(&h, 0) != ERR_OK) {
-		httpd_answer_text(q->http, status, "text/plain", "no_memory\n");
-		in_request_free(q);
-		return;
-	}
 	snprintf(body, sizeof(body), "%s %s\n", outcome_name(outcome),
 		 err_name(error));
 	add_router_headers(&h, q, outcome);
@@ -281,5 +275,4 @@
 	if (status == 503)
 		add_retry_after(&h, q->in->dialect, retry_after_ms);
 	send_answer(q, status, &h, body, strlen(body));
-	free(h.list);
 }
--- a/routing/ingress_parse.c
+++ b/routing/ingress_parse.c
@@ -298,8 +298,8 @@
 
 	q->forward.service = q->service;
 	q->forward.key = q->key;
-	q->forward.method = q->http->method;
-	q->forward.path = q->http->path;
+	q->forward.method = (char *)(uintptr_t)q->http->method;
+	q->forward.path = (char *)(uintptr_t)q->http->path;
 	q->forward.body.data = q->http->body.data;
 	q->forward.body.len = q->http->body.len;
 	q->forward.tenant = q->tenant;
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -180,4 +180,10 @@
 void in_answer_error(struct in_request *q, enum wire_outcome outcome,
 		     enum err error, uint32_t retry_after_ms);
 
+/*
+ * Answers a request that was not run for lack of memory, and for which there is
+ * no struct in_request.
+ */
+void in_answer_no_memory(struct ingress *in, struct httpd_request *r);
+
 #endif
--- a/transport/httpd.c
+++ b/transport/httpd.c
@@ -1,20 +1,33 @@
-#include "transport/httpd.h"
+#include "transport/httpd_priv.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
-#include <stdio.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
 
-#define HTTPD_CONNECTION_MEMORY_BYTES (32 * 1024)
-#define HTTPD_STREAM_BLOCK_BYTES (16 * 1024)
 #define HTTPD_BACKLOG 1024
 #define HTTPD_DEFAULT_CONNECTIONS 1000
+#define HTTPD_DEFAULT_PIPELINE 16
+#define HTTPD_DEFAULT_HELD_BYTES (1024 * 1024)
+/* Connections accepted before other events get their turn. */
+#define HTTPD_ACCEPT_BATCH 64
+#define HTTPD_ACCEPT_PAUSE_S 0.1
+/* More is not read while requests wait behind the limits of a connection. */
+#define HTTPD_MAX_INPUT_BYTES (64 * 1024)
+/*
+ * A connection that was closed with unread bytes is reset, and the caller may
+ * lose the answer. So the server reads on for so long, and so many bytes, after
+ * an answer that ends the connection.
+ */
+#define HTTPD_LINGER_S 1.0
+#define HTTPD_MAX_DISCARD_BYTES (1024 * 1024)
+
+/* ---- connections ---- */
 
 /* Empty: the active idle watcher only keeps the loop from blocking. */
 static void on_idle(struct ev_loop *loop, ev_idle *w, int events)
@@ -24,232 +37,261 @@
 	(void)events;
 }
 
-static void schedule_run(struct httpd *d)
+void httpd_conn_set_due(struct httpd_conn *c)
 {
-	d->run_needed = 1;
+	struct httpd *d = c->server;
+
+	if (c->is_due)
+		return;
+	c->is_due = 1;
+	LL_PREPEND2(d->due, c, due_next);
 	if (!ev_is_active(&d->idle))
 		ev_idle_start(d->loop, &d->idle);
 }
 
-static void run_daemon(struct httpd *d)
+static void conn_close(struct httpd_conn *c)
 {
-	d->run_needed = 0;
-	ev_idle_stop(d->loop, &d->idle);
-	MHD_run(d->daemon);
+	struct httpd *d = c->server;
+
+	ev_io_stop(d->loop, &c->read_io);
+	ev_io_stop(d->loop, &c->write_io);
+	ev_timer_stop(d->loop, &c->timer);
+	c->broken = 1;
+	while (c->requests)
+		httpd_complete(c->requests);
+	if (c->is_due)
+		LL_DELETE2(d->due, c, due_next);
+	if (c->receiving)
+		httpd_request_free(c->receiving);
+	DL_DELETE(d->conns, c);
+	d->conn_count--;
+	close(c->fd);
+	buf_finish(&c->input);
+	free(c);
+	if (d->fd >= 0 && !d->stopping && !ev_is_active(&d->accept_io))
+		ev_io_start(d->loop, &d->accept_io);
 }
 
-static void on_io(struct ev_loop *loop, ev_io *w, int events)
+static void start_lingering(struct httpd_conn *c)
 {
-	(void)loop;
-	(void)events;
-	run_daemon(w->data);
+	struct httpd *d = c->server;
+
+	c->lingering = 1;
+	shutdown(c->fd, SHUT_WR);
+	ev_timer_stop(d->loop, &c->timer);
+	ev_timer_set(&c->timer, HTTPD_LINGER_S, 0.);
+	ev_timer_start(d->loop, &c->timer);
 }
 
-static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+/* Reads unless requests wait behind the limits, or enough was discarded. */
+static void update_reading(struct httpd_conn *c)
 {
-	(void)loop;
-	(void)events;
-	run_daemon(w->data);
+	int wanted = !c->eof && c->input.len < HTTPD_MAX_INPUT_BYTES &&
+		     c->discarded < HTTPD_MAX_DISCARD_BYTES;
+
+	if (wanted && !ev_is_active(&c->read_io))
+		ev_io_start(c->server->loop, &c->read_io);
+	else if (!wanted)
+		ev_io_stop(c->server->loop, &c->read_io);
+}
+
+/* Sends, takes further requests and closes, as the connection's state allows.
+ */
+static void conn_run(struct httpd_conn *c)
+{
+	httpd_flush(c);
+	if (!c->broken)
+		httpd_parse_input(c);
+	if (c->broken || (c->eof && !c->requests)) {
+		conn_close(c);
+		return;
+	}
+	update_reading(c);
+	if (c->requests || !c->closing || c->lingering)
+		return;
+	start_lingering(c);
 }
 
 /*
- * Runs libmicrohttpd if needed and starts the timer for its next timeout. This
- * happens here, before each poll, and not in the idle watcher, since a busy
- * loop never calls its idle watchers.
+ * The caller closed its side: it gets no answers to what it still waits for,
+ * except from a server that does not want to know.
  */
-static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
+static void on_eof(struct httpd_conn *c)
 {
-	struct httpd *d = w->data;
-	MHD_UNSIGNED_LONG_LONG ms;
+	struct httpd *d = c->server;
+	struct httpd_request *r;
 
-	(void)events;
-	if (d->run_needed)
-		run_daemon(d);
-	ev_timer_stop(loop, &d->timer);
-	if (!d->daemon || MHD_get_timeout(d->daemon, &ms) != MHD_YES)
-		return;
-	if (ms == 0) {
-		schedule_run(d);
+	c->eof = 1;
+	c->closing = 1;
+	httpd_conn_set_due(c);
+	if (!d->ops->disconnected)
 		return;
+	DL_FOREACH(c->requests, r) {
+		if (!r->answered)
+			d->ops->disconnected(r, d->priv);
 	}
-	ev_timer_set(&d->timer, (double)ms / 1000., 0.);
-	ev_timer_start(loop, &d->timer);
 }
 
-static struct httpd_request *
-request_new(struct httpd *d, struct MHD_Connection *conn, const char *method)
+static void take_bytes(struct httpd_conn *c, const char *data, size_t len)
 {
-	struct httpd_request *r = calloc(1, sizeof(*r));
-
-	if (!r)
-		return NULL;
-	r->server = d;
-	r->conn = conn;
-	r->method = strdup(method);
-	buf_init(&r->body);
-	buf_init(&r->stream);
-	DL_APPEND(d->requests, r);
-	return r;
+	if (c->closing)
+		c->discarded += len;
+	else if (c->input.len && buf_add(&c->input, data, len) != ERR_OK)
+		c->broken = 1;
+	else if (c->input.len)
+		httpd_parse_input(c);
+	else
+		httpd_parse(c, data, len);
+	if (c->closing || c->broken || c->input.len)
+		httpd_conn_set_due(c);
 }
 
-static void request_free(struct httpd_request *r)
+static void on_readable(struct ev_loop *loop, ev_io *w, int events)
 {
-	ev_io_stop(r->server->loop, &r->disconnect_io);
-	DL_DELETE(r->server->requests, r);
-	if (r->response)
-		MHD_destroy_response(r->response);
-	buf_finish(&r->body);
-	buf_finish(&r->stream);
-	free(r->method);
-	free(r->path);
-	free(r);
+	struct httpd_conn *c = w->data;
+	ssize_t n =
+		recv(c->fd, c->server->scratch, HTTPD_READ_BYTES, MSG_DONTWAIT);
+
+	(void)events;
+	if (n < 0 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+		return;
+	c->active_s = ev_now(loop);
+	if (n > 0) {
+		take_bytes(c, c->server->scratch, (size_t)n);
+		return;
+	}
+	if (n < 0)
+		c->broken = 1;
+	ev_io_stop(loop, w);
+	on_eof(c);
 }
 
-static enum MHD_Result queue_response(struct httpd_request *r)
+static void on_writable(struct ev_loop *loop, ev_io *w, int events)
 {
-	enum MHD_Result ok =
-		MHD_queue_response(r->conn, r->status, r->response);
+	(void)loop;
+	(void)events;
+	httpd_conn_set_due(w->data);
+}
+
+/* Returns 1 if a request is at its target: then the caller has to wait. */
+static int has_unanswered(const struct httpd_conn *c)
+{
+	const struct httpd_request *r;
 
-	MHD_destroy_response(r->response);
-	r->response = NULL;
-	return ok;
+	DL_FOREACH(c->requests, r) {
+		if (!r->answered || (r->streaming && !r->stream_ended))
+			return 1;
+	}
+	return 0;
 }
 
-/*
- * Detects that the caller has disconnected, since libmicrohttpd does not read
- * from the connection while a request waits for its answer. The bytes of a
- * further request stay in the socket.
- */
-static void on_caller_readable(struct ev_loop *loop, ev_io *w, int events)
+static void on_conn_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
-	struct httpd_request *r = w->data;
-	char byte;
-	ssize_t n = recv(w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	struct httpd_conn *c = w->data;
+	double left = c->server->idle_s - (ev_now(loop) - c->active_s);
 
 	(void)events;
-	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+	if (c->lingering || (left <= 0 && !has_unanswered(c))) {
+		conn_close(c);
 		return;
-	ev_io_stop(loop, w);
-	if (n <= 0)
-		r->server->ops->disconnected(r, r->server->priv);
+	}
+	ev_timer_set(w, left > 0 ? left : c->server->idle_s, 0.);
+	ev_timer_start(loop, w);
 }
 
-static void watch_for_disconnect(struct httpd_request *r)
+static void conn_new(struct httpd *d, int fd)
 {
-	const union MHD_ConnectionInfo *ci = MHD_get_connection_info(
-		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct httpd_conn *c = calloc(1, sizeof(*c));
+	int one = 1;
 
-	if (!r->server->ops->disconnected || !ci)
+	if (!c) {
+		close(fd);
 		return;
-	ev_io_init(&r->disconnect_io, on_caller_readable, ci->connect_fd,
-		   EV_READ);
-	r->disconnect_io.data = r;
-	ev_io_start(r->server->loop, &r->disconnect_io);
-}
-
-static enum MHD_Result dispatch(struct httpd_request *r)
+	}
+	/* Answers are sent whole; none waits for the next one. */
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	c->server = d;
+	c->fd = fd;
+	c->active_s = ev_now(d->loop);
+	buf_init(&c->input);
+	httpd_parser_init(c);
+	ev_io_init(&c->read_io, on_readable, fd, EV_READ);
+	ev_io_init(&c->write_io, on_writable, fd, EV_WRITE);
+	ev_timer_init(&c->timer, on_conn_timer, d->idle_s, 0.);
+	c->read_io.data = c;
+	c->write_io.data = c;
+	c->timer.data = c;
+	ev_io_start(d->loop, &c->read_io);
+	if (d->idle_s > 0)
+		ev_timer_start(d->loop, &c->timer);
+	DL_APPEND(d->conns, c);
+	d->conn_count++;
+}
+
+static void on_acceptable(struct ev_loop *loop, ev_io *w, int events)
 {
-	struct httpd *d = r->server;
-
-	r->dispatched = 1;
-	/* libmicrohttpd aborts if it is stopped with a suspended request. */
-	if (!d->stopping)
-		d->ops->request(r, d->priv);
-	else if (d->ops->refuse)
-		d->ops->refuse(r, d->priv);
-	else
-		httpd_answer_text(r, 503, "text/plain", "stopping\n");
-	if (r->answered)
-		return queue_response(r);
-	r->suspended = 1;
-	MHD_suspend_connection(r->conn);
-	watch_for_disconnect(r);
-	return MHD_YES;
+	struct httpd *d = w->data;
+
+	(void)events;
+	for (int i = 0; i < HTTPD_ACCEPT_BATCH; i++) {
+		int fd;
+
+		if (d->conn_count >= d->limits.connections) {
+			ev_io_stop(loop, w);
+			return;
+		}
+		fd = accept4(d->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd >= 0) {
+			conn_new(d, fd);
+			continue;
+		}
+		if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+		    errno == ENOMEM) {
+			/* The socket stays readable; polling it would spin. */
+			ev_io_stop(loop, w);
+			ev_timer_set(&d->accept_timer, HTTPD_ACCEPT_PAUSE_S,
+				     0.);
+			ev_timer_start(loop, &d->accept_timer);
+		}
+		if (errno != ECONNABORTED && errno != EINTR)
+			return;
+	}
 }
 
-/* Dispatches the request at once if its stated length exceeds the limit. */
-static enum MHD_Result check_content_length(struct httpd_request *r)
+static void on_accept_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
-	const char *length = httpd_get_header(r, "Content-Length");
+	struct httpd *d = w->data;
 
-	if (!length || strtoull(length, NULL, 10) <= r->server->max_body_bytes)
-		return MHD_YES;
-	r->error = ERR_TOO_LARGE;
-	return dispatch(r);
+	(void)events;
+	if (d->fd >= 0)
+		ev_io_start(loop, &d->accept_io);
 }
 
 /*
- * Discards what exceeds the body limit. Fails, which closes the connection,
- * once the discarded bytes exceed the limit as well.
+ * This happens before each poll and not in the idle watcher, since a busy loop
+ * never calls its idle watchers.
  */
-static enum MHD_Result add_body(struct httpd_request *r, const char *data,
-				size_t *len)
+static void run_due(struct httpd *d)
 {
-	size_t max = r->server->max_body_bytes;
-	size_t n = *len;
-
-	*len = 0;
-	if (r->error == ERR_OK && r->body.len + n <= max)
-		return buf_add(&r->body, data, n) == ERR_OK ? MHD_YES : MHD_NO;
-	r->error = ERR_TOO_LARGE;
-	r->dropped_bytes += n;
-	return r->dropped_bytes > max ? MHD_NO : MHD_YES;
-}
+	struct httpd_conn *c;
 
-static enum MHD_Result on_access(void *priv, struct MHD_Connection *conn,
-				 const char *url, const char *method,
-				 const char *version, const char *data,
-				 size_t *len, void **state)
-{
-	struct httpd_request *r = *state;
-
-	(void)priv;
-	(void)url;
-	(void)version;
-	if (!r || !r->path)
-		return MHD_NO;
-	if (!r->method) {
-		r->conn = conn;
-		r->method = strdup(method);
-		return r->method ? check_content_length(r) : MHD_NO;
+	ev_idle_stop(d->loop, &d->idle);
+	while ((c = d->due)) {
+		LL_DELETE2(d->due, c, due_next);
+		c->is_due = 0;
+		conn_run(c);
 	}
-	if (*len)
-		return add_body(r, data, len);
-	if (!r->dispatched)
-		return dispatch(r);
-	if (r->response)
-		return queue_response(r);
-	return MHD_YES;
 }
 
-/* Called with the raw request target, before any other callback. */
-static void *on_uri(void *priv, const char *uri, struct MHD_Connection *conn)
+static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
 {
-	struct httpd_request *r = request_new(priv, conn, "");
-
-	if (!r)
-		return NULL;
-	free(r->method);
-	r->method = NULL;
-	r->path = strdup(uri);
-	return r;
+	(void)loop;
+	(void)events;
+	run_due(w->data);
 }
 
-static void on_completed(void *priv, struct MHD_Connection *conn, void **state,
-			 enum MHD_RequestTerminationCode code)
-{
-	struct httpd *d = priv;
-	struct httpd_request *r = *state;
-
-	(void)conn;
-	(void)code;
-	if (!r)
-		return;
-	if (d->ops->completed && r->dispatched)
-		d->ops->completed(r, d->priv);
-	request_free(r);
-	*state = NULL;
-}
+/* ---- server ---- */
 
 static int open_socket(const char *address, unsigned port,
 		       struct err_info *info)
@@ -282,259 +324,135 @@
 	return fd;
 }
 
-static void start_watchers(struct httpd *d)
+static unsigned bound_port(int fd)
 {
-	const union MHD_DaemonInfo *di =
-		MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	struct sockaddr_in sa = { 0 };
+	socklen_t len = sizeof(sa);
 
-	ev_io_init(&d->io, on_io, di->epoll_fd, EV_READ);
-	ev_timer_init(&d->timer, on_timer, 0., 0.);
+	return getsockname(fd, (struct sockaddr *)&sa, &len) == 0
+		       ? ntohs(sa.sin_port)
+		       : 0;
+}
+
+static void set_limits(struct httpd *d, const struct httpd_limits *limits)
+{
+	if (limits)
+		d->limits = *limits;
+	if (!d->limits.connections)
+		d->limits.connections = HTTPD_DEFAULT_CONNECTIONS;
+	if (!d->limits.pipeline)
+		d->limits.pipeline = HTTPD_DEFAULT_PIPELINE;
+	if (!d->limits.held_bytes)
+		d->limits.held_bytes = HTTPD_DEFAULT_HELD_BYTES;
+}
+
+static void start_watchers(struct httpd *d)
+{
+	ev_io_init(&d->accept_io, on_acceptable, d->fd, EV_READ);
+	ev_timer_init(&d->accept_timer, on_accept_timer, 0., 0.);
 	ev_prepare_init(&d->prepare, on_prepare);
 	ev_idle_init(&d->idle, on_idle);
-	d->io.data = d;
-	d->timer.data = d;
+	d->accept_io.data = d;
+	d->accept_timer.data = d;
 	d->prepare.data = d;
-	d->idle.data = d;
-	ev_io_start(d->loop, &d->io);
+	ev_io_start(d->loop, &d->accept_io);
 	ev_prepare_start(d->loop, &d->prepare);
 }
 
-enum err httpd_init(struct httpd *d, struct ev_loop *loop, const char *address,
-		    unsigned port, size_t max_body_bytes, unsigned idle_seconds,
-		    const struct httpd_ops *ops, void *priv,
-		    struct err_info *info)
-{
-	return httpd_init_limited(d, loop, address, port, max_body_bytes,
-				  idle_seconds, HTTPD_DEFAULT_CONNECTIONS, ops,
-				  priv, info);
-}
-
 enum err httpd_init_limited(struct httpd *d, struct ev_loop *loop,
 			    const char *address, unsigned port,
 			    size_t max_body_bytes, unsigned idle_seconds,
-			    unsigned max_connections,
+			    const struct httpd_limits *limits,
 			    const struct httpd_ops *ops, void *priv,
 			    struct err_info *info)
 {
-	int fd;
-
 	memset(d, 0, sizeof(*d));
+	d->fd = -1;
 	d->loop = loop;
 	d->ops = ops;
 	d->priv = priv;
 	d->max_body_bytes = max_body_bytes;
-	fd = open_socket(address, port, info);
-	if (fd < 0)
+	d->idle_s = idle_seconds;
+	set_limits(d, limits);
+	http_parser_set_max_header_size(HTTPD_MAX_HEAD_BYTES);
+	d->scratch = malloc(HTTPD_READ_BYTES);
+	if (!d->scratch)
+		return err_set(info, ERR_NOMEM,
+			       "cannot allocate the HTTP server");
+	d->fd = open_socket(address, port, info);
+	if (d->fd < 0) {
+		free(d->scratch);
+		d->scratch = NULL;
 		return info ? info->code : ERR_SYSTEM;
-	d->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
-		on_access, d, MHD_OPTION_LISTEN_SOCKET, fd,
-		MHD_OPTION_URI_LOG_CALLBACK, on_uri, d,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, d,
-		MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
-		MHD_OPTION_CONNECTION_LIMIT, max_connections,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)HTTPD_CONNECTION_MEMORY_BYTES, MHD_OPTION_END);
-	if (!d->daemon) {
-		close(fd);
-		return err_set(info, ERR_SYSTEM,
-			       "cannot start the HTTP server on %s port %u",
-			       address, port);
 	}
+	d->port = bound_port(d->fd);
 	start_watchers(d);
 	return ERR_OK;
 }
 
-static void resume_connection(struct httpd_request *r)
+enum err httpd_init(struct httpd *d, struct ev_loop *loop, const char *address,
+		    unsigned port, size_t max_body_bytes, unsigned idle_seconds,
+		    const struct httpd_ops *ops, void *priv,
+		    struct err_info *info)
 {
-	if (!r->suspended)
-		return;
-	r->suspended = 0;
-	MHD_resume_connection(r->conn);
-	schedule_run(r->server);
+	return httpd_init_limited(d, loop, address, port, max_body_bytes,
+				  idle_seconds, NULL, ops, priv, info);
 }
 
-void httpd_finish(struct httpd *d)
+/* Answers what a connection has sent and what still waits, then closes it. */
+static void conn_finish(struct httpd_conn *c)
 {
+	struct httpd *d = c->server;
 	struct httpd_request *r;
-
-	if (!d->daemon)
-		return;
-	d->stopping = 1;
-	DL_FOREACH(d->requests, r) {
-		if (r->dispatched && !r->answered)
+	ssize_t n = 0;
+
+	if (!c->closing)
+		n = recv(c->fd, d->scratch, HTTPD_READ_BYTES, MSG_DONTWAIT);
+	if (n > 0)
+		take_bytes(c, d->scratch, (size_t)n);
+	c->closing = 1;
+	DL_FOREACH(c->requests, r) {
+		if (!r->answered)
 			httpd_answer_text(r, 503, "text/plain", "stopping\n");
 		else if (r->streaming)
 			httpd_stream_end(r);
 	}
-	MHD_run(d->daemon);
-	ev_io_stop(d->loop, &d->io);
-	ev_timer_stop(d->loop, &d->timer);
-	ev_prepare_stop(d->loop, &d->prepare);
-	ev_idle_stop(d->loop, &d->idle);
-	MHD_stop_daemon(d->daemon);
-	d->daemon = NULL;
-}
-
-unsigned httpd_port(const struct httpd *d)
-{
-	const union MHD_DaemonInfo *di =
-		MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_BIND_PORT);
-
-	return di ? di->port : 0;
-}
-
-void httpd_quiesce(struct httpd *d)
-{
-	MHD_socket fd = MHD_quiesce_daemon(d->daemon);
-
-	if (fd != MHD_INVALID_SOCKET)
-		close(fd);
-}
-
-const char *httpd_get_header(const struct httpd_request *r, const char *name)
-{
-	return MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, name);
-}
-
-const char *httpd_get_argument(const struct httpd_request *r, const char *name)
-{
-	return MHD_lookup_connection_value(r->conn, MHD_GET_ARGUMENT_KIND,
-					   name);
+	httpd_flush(c);
+	shutdown(c->fd, SHUT_WR);
+	conn_close(c);
 }
 
-struct header_visit {
-	void (*fn)(const char *name, const char *value, void *priv);
-	void *priv;
-};
-
-static enum MHD_Result visit_header(void *priv, enum MHD_ValueKind kind,
-				    const char *name, const char *value)
-{
-	struct header_visit *v = priv;
-
-	(void)kind;
-	v->fn(name, value ? value : "", v->priv);
-	return MHD_YES;
-}
-
-void httpd_each_header(const struct httpd_request *r,
-		       void (*fn)(const char *name, const char *value,
-				  void *priv),
-		       void *priv)
-{
-	struct header_visit v = { fn, priv };
-
-	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, visit_header, &v);
-}
-
-static void answer_with_headers(struct httpd_request *r, unsigned status,
-				struct MHD_Response *response,
-				const struct httpd_header *headers,
-				size_t header_count)
-{
-	for (size_t i = 0; i < header_count; i++)
-		MHD_add_response_header(response, headers[i].name,
-					headers[i].value);
-	httpd_answer_raw(r, status, response);
-}
-
-void httpd_answer(struct httpd_request *r, unsigned status,
-		  const struct httpd_header *headers, size_t header_count,
-		  const void *body, size_t body_len)
-{
-	answer_with_headers(r, status,
-			    MHD_create_response_from_buffer(
-				    body_len,
-				    body_len ? (void *)(uintptr_t)body : "",
-				    MHD_RESPMEM_MUST_COPY),
-			    headers, header_count);
-}
-
-/* Never called, since libmicrohttpd sends no body in answer to HEAD. */
-static ssize_t read_nothing(void *priv, uint64_t pos, char *data, size_t max)
-{
-	(void)priv;
-	(void)pos;
-	(void)data;
-	(void)max;
-	return MHD_CONTENT_READER_END_WITH_ERROR;
-}
-
-void httpd_answer_head(struct httpd_request *r, unsigned status,
-		       const struct httpd_header *headers, size_t header_count,
-		       uint64_t length)
-{
-	answer_with_headers(r, status,
-			    MHD_create_response_from_callback(
-				    length, HTTPD_STREAM_BLOCK_BYTES,
-				    read_nothing, NULL, NULL),
-			    headers, header_count);
-}
-
-void httpd_answer_text(struct httpd_request *r, unsigned status,
-		       const char *content_type, const char *text)
-{
-	struct httpd_header h = { "Content-Type", content_type };
-
-	httpd_answer(r, status, &h, 1, text, strlen(text));
-}
-
-void httpd_answer_raw(struct httpd_request *r, unsigned status,
-		      struct MHD_Response *response)
+void httpd_finish(struct httpd *d)
 {
-	if (r->answered) {
-		MHD_destroy_response(response);
+	if (!d->scratch)
 		return;
-	}
-	r->answered = 1;
-	r->status = status;
-	r->response = response;
-	ev_io_stop(r->server->loop, &r->disconnect_io);
-	resume_connection(r);
+	d->stopping = 1;
+	run_due(d);
+	while (d->conns)
+		conn_finish(d->conns);
+	httpd_quiesce(d);
+	ev_timer_stop(d->loop, &d->accept_timer);
+	ev_prepare_stop(d->loop, &d->prepare);
+	ev_idle_stop(d->loop, &d->idle);
+	free(d->scratch);
+	d->scratch = NULL;
 }
 
-static ssize_t read_stream(void *priv, uint64_t pos, char *data, size_t max)
+unsigned httpd_port(const struct httpd *d)
 {
-	struct httpd_request *r = priv;
-	size_t n = r->stream.len < max ? r->stream.len : max;
-
-	(void)pos;
-	if (n) {
-		memcpy(data, r->stream.data, n);
-		buf_drop(&r->stream, n);
-		return (ssize_t)n;
-	}
-	if (r->stream_ended)
-		return MHD_CONTENT_READER_END_OF_STREAM;
-	r->suspended = 1;
-	MHD_suspend_connection(r->conn);
-	return 0;
+	return d->port;
 }
 
-void httpd_stream_begin(struct httpd_request *r, unsigned status,
-			const char *content_type)
+void httpd_quiesce(struct httpd *d)
 {
-	if (r->answered)
+	if (d->fd < 0)
 		return;
-	r->answered = 1;
-	r->streaming = 1;
-	r->status = status;
-	r->response = MHD_create_response_from_callback(
-		MHD_SIZE_UNKNOWN, HTTPD_STREAM_BLOCK_BYTES, read_stream, r,
-		NULL);
-	MHD_add_response_header(r->response, "Content-Type", content_type);
-	resume_connection(r);
-}
-
-void httpd_stream_send(struct httpd_request *r, const void *data, size_t len)
-{
-	buf_add(&r->stream, data, len);
-	resume_connection(r);
+	ev_io_stop(d->loop, &d->accept_io);
+	close(d->fd);
+	d->fd = -1;
 }
 
-void httpd_stream_end(struct httpd_request *r)
+int httpd_get_fd(const struct httpd_request *r)
 {
-	r->stream_ended = 1;
-	resume_connection(r);
+	return r->conn->fd;
 }
--- /dev/null
+++ b/transport/httpd_parse.c
@@ -0,0 +1,419 @@
+#include "transport/httpd_priv.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <utlist.h>
+
+static struct httpd_request *request_new(struct httpd_conn *c)
+{
+	struct httpd_request *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->server = c->server;
+	r->conn = c;
+	r->method = "";
+	r->path = "";
+	buf_init(&r->text);
+	buf_init(&r->body);
+	buf_init(&r->arguments);
+	buf_init(&r->head);
+	buf_init(&r->answer);
+	return r;
+}
+
+void httpd_request_free(struct httpd_request *r)
+{
+	buf_finish(&r->text);
+	buf_finish(&r->body);
+	buf_finish(&r->arguments);
+	buf_finish(&r->head);
+	buf_finish(&r->answer);
+	free(r->fields);
+	free(r);
+}
+
+int httpd_may_take(const struct httpd_conn *c)
+{
+	const struct httpd_limits *limits = &c->server->limits;
+	const struct httpd_request *r;
+	size_t held = 0;
+
+	if (c->closing || c->broken || c->request_count >= limits->pipeline)
+		return 0;
+	DL_FOREACH(c->requests, r) {
+		held += r->body.len + r->answer.len;
+	}
+	return !c->requests || held < limits->held_bytes;
+}
+
+/* ---- dispatch ---- */
+
+static void append_request(struct httpd_conn *c, struct httpd_request *r)
+{
+	c->receiving = NULL;
+	DL_APPEND(c->requests, r);
+	c->request_count++;
+}
+
+static unsigned reject_status(enum err error)
+{
+	switch (error) {
+	case ERR_TOO_LARGE:
+		return 413;
+	case ERR_RANGE:
+		return 431;
+	case ERR_NOMEM:
+		return 503;
+	default:
+		return 400;
+	}
+}
+
+/* Answers what cannot be taken; the connection ends with that answer. */
+static void reject(struct httpd_conn *c, enum err error)
+{
+	struct httpd *d = c->server;
+	struct httpd_request *r = c->receiving ? c->receiving : request_new(c);
+
+	c->closing = 1;
+	if (!r) {
+		c->broken = 1;
+		httpd_conn_set_due(c);
+		return;
+	}
+	r->error = error;
+	/* The texts of an unfinished head have no end. */
+	if (!c->headers_done)
+		r->field_count = 0;
+	append_request(c, r);
+	if (d->ops->reject)
+		d->ops->reject(r, d->priv);
+	if (!r->answered)
+		httpd_answer_text(r, reject_status(error), "text/plain",
+				  "refused\n");
+}
+
+static void dispatch(struct httpd_conn *c)
+{
+	struct httpd_request *r = c->receiving;
+	struct httpd *d = c->server;
+
+	append_request(c, r);
+	if (!r->keep_alive)
+		c->closing = 1;
+	if (!d->stopping)
+		d->ops->request(r, d->priv);
+	else if (d->ops->refuse)
+		d->ops->refuse(r, d->priv);
+	else
+		httpd_answer_text(r, 503, "text/plain", "stopping\n");
+}
+
+/* ---- callbacks of the parser ---- */
+
+/* Returns the value for the parser: 0, or -1 to make it stop. */
+static int result(struct httpd_conn *c, enum err e)
+{
+	if (e == ERR_OK)
+		return 0;
+	c->receiving->error = e;
+	return -1;
+}
+
+static int on_begin(http_parser *p)
+{
+	struct httpd_conn *c = p->data;
+
+	c->receiving = request_new(c);
+	c->last_was_name = 0;
+	c->headers_done = 0;
+	return c->receiving ? 0 : -1;
+}
+
+static int on_target(http_parser *p, const char *data, size_t len)
+{
+	struct httpd_conn *c = p->data;
+
+	return result(c, buf_add(&c->receiving->text, data, len));
+}
+
+static enum err end_text(struct httpd_request *r)
+{
+	return buf_add(&r->text, "", 1);
+}
+
+static enum err add_field(struct httpd_request *r)
+{
+	if (r->field_count == r->field_cap) {
+		size_t cap = r->field_cap ? 2 * r->field_cap : 16;
+		struct httpd_field *p =
+			realloc(r->fields, cap * sizeof(*r->fields));
+
+		if (!p)
+			return ERR_NOMEM;
+		r->fields = p;
+		r->field_cap = cap;
+	}
+	r->fields[r->field_count].name = (uint32_t)r->text.len;
+	r->fields[r->field_count].value = (uint32_t)r->text.len;
+	r->field_count++;
+	return ERR_OK;
+}
+
+static int on_name(http_parser *p, const char *data, size_t len)
+{
+	struct httpd_conn *c = p->data;
+	struct httpd_request *r = c->receiving;
+	enum err e = ERR_OK;
+
+	/* Trailers are not headers; they are dropped. */
+	if (c->headers_done)
+		return 0;
+	if (!c->last_was_name) {
+		e = end_text(r);
+		if (e == ERR_OK)
+			e = add_field(r);
+		c->last_was_name = 1;
+	}
+	if (e == ERR_OK)
+		e = buf_add(&r->text, data, len);
+	return result(c, e);
+}
+
+static int on_value(http_parser *p, const char *data, size_t len)
+{
+	struct httpd_conn *c = p->data;
+	struct httpd_request *r = c->receiving;
+	enum err e = ERR_OK;
+
+	if (c->headers_done)
+		return 0;
+	if (c->last_was_name) {
+		e = end_text(r);
+		r->fields[r->field_count - 1].value = (uint32_t)r->text.len;
+		c->last_was_name = 0;
+	}
+	if (e == ERR_OK)
+		e = buf_add(&r->text, data, len);
+	return result(c, e);
+}
+
+/* ULLONG_MAX stands for a body without a stated length. */
+static int exceeds_body_limit(const http_parser *p, const struct httpd *d)
+{
+	return p->content_length != UINT64_MAX &&
+	       p->content_length > d->max_body_bytes;
+}
+
+static int expects_continue(const struct httpd_request *r)
+{
+	const char *value = httpd_get_header(r, "Expect");
+
+	return value && strcasecmp(value, "100-continue") == 0;
+}
+
+static int on_headers_complete(http_parser *p)
+{
+	struct httpd_conn *c = p->data;
+	struct httpd_request *r = c->receiving;
+
+	c->headers_done = 1;
+	if (end_text(r) != ERR_OK)
+		return result(c, ERR_NOMEM);
+	r->path = (const char *)r->text.data;
+	r->method = http_method_str((enum http_method)p->method);
+	r->keep_alive = http_should_keep_alive(p);
+	r->http_1_0 = p->http_major == 1 && p->http_minor == 0;
+	if (p->http_major != 1)
+		return result(c, ERR_MALFORMED);
+	if (exceeds_body_limit(p, c->server))
+		return result(c, ERR_TOO_LARGE);
+	r->expects_continue = expects_continue(r);
+	if (r->expects_continue && !c->requests)
+		httpd_send_continue(c);
+	/*
+	 * A request to change the protocol is answered as any other; CONNECT
+	 * stays an upgrade, which the parser cannot read on from.
+	 */
+	if (p->method != HTTP_CONNECT)
+		p->upgrade = 0;
+	return 0;
+}
+
+static int on_body(http_parser *p, const char *data, size_t len)
+{
+	struct httpd_conn *c = p->data;
+	struct httpd_request *r = c->receiving;
+
+	if (r->body.len + len > c->server->max_body_bytes)
+		return result(c, ERR_TOO_LARGE);
+	return result(c, buf_add(&r->body, data, len));
+}
+
+static int on_complete(http_parser *p)
+{
+	struct httpd_conn *c = p->data;
+
+	if (p->method == HTTP_CONNECT)
+		return result(c, ERR_MALFORMED);
+	dispatch(c);
+	if (!httpd_may_take(c))
+		http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_callbacks = {
+	.on_message_begin = on_begin,
+	.on_url = on_target,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void httpd_parser_init(struct httpd_conn *c)
+{
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+}
+
+static enum err parse_error(const struct httpd_conn *c)
+{
+	if (c->receiving && c->receiving->error != ERR_OK)
+		return c->receiving->error;
+	return HTTP_PARSER_ERRNO(&c->parser) == HPE_HEADER_OVERFLOW
+		       ? ERR_RANGE
+		       : ERR_MALFORMED;
+}
+
+void httpd_parse(struct httpd_conn *c, const char *data, size_t len)
+{
+	size_t n;
+
+	/* Behind a request that is not received whole, a limit has no effect.
+	 */
+	if (!c->receiving && !httpd_may_take(c)) {
+		if (!c->closing && buf_add(&c->input, data, len) != ERR_OK)
+			reject(c, ERR_NOMEM);
+		return;
+	}
+	http_parser_pause(&c->parser, 0);
+	n = http_parser_execute(&c->parser, &parser_callbacks, data, len);
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
+		if (!c->closing &&
+		    buf_add(&c->input, data + n, len - n) != ERR_OK)
+			reject(c, ERR_NOMEM);
+		return;
+	}
+	if (!c->closing &&
+	    (n != len || HTTP_PARSER_ERRNO(&c->parser) != HPE_OK))
+		reject(c, parse_error(c));
+}
+
+void httpd_parse_input(struct httpd_conn *c)
+{
+	struct buf b = c->input;
+
+	if (!b.len || c->closing || (!c->receiving && !httpd_may_take(c)))
+		return;
+	buf_init(&c->input);
+	httpd_parse(c, (const char *)b.data, b.len);
+	buf_finish(&b);
+}
+
+/* ---- access to a request ---- */
+
+static const char *text_at(const struct httpd_request *r, uint32_t offset)
+{
+	return (const char *)r->text.data + offset;
+}
+
+const char *httpd_get_header(const struct httpd_request *r, const char *name)
+{
+	for (size_t i = 0; i < r->field_count; i++)
+		if (strcasecmp(text_at(r, r->fields[i].name), name) == 0)
+			return text_at(r, r->fields[i].value);
+	return NULL;
+}
+
+void httpd_each_header(const struct httpd_request *r,
+		       void (*fn)(const char *name, const char *value,
+				  void *priv),
+		       void *priv)
+{
+	for (size_t i = 0; i < r->field_count; i++)
+		fn(text_at(r, r->fields[i].name),
+		   text_at(r, r->fields[i].value), priv);
+}
+
+static int hex_value(char c)
+{
+	static const char digits[] = "0123456789abcdef";
+	const char *p = c ? strchr(digits, c | 0x20) : NULL;
+
+	return p ? (int)(p - digits) : -1;
+}
+
+/* Appends a part of a query, decoded, with a zero at its end. */
+static enum err add_decoded(struct buf *out, const char *s, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		char c = s[i] == '+' ? ' ' : s[i];
+		int high = -1, low = -1;
+
+		if (c == '%' && i + 2 < len) {
+			high = hex_value(s[i + 1]);
+			low = hex_value(s[i + 2]);
+		}
+		if (high >= 0 && low >= 0) {
+			c = (char)(high << 4 | low);
+			i += 2;
+		}
+		if (buf_add(out, &c, 1) != ERR_OK)
+			return ERR_NOMEM;
+	}
+	return buf_add(out, "", 1);
+}
+
+static void decode_arguments(struct httpd_request *r)
+{
+	const char *s = strchr(r->path, '?');
+
+	r->has_arguments = 1;
+	while (s && *s) {
+		size_t len = strcspn(++s, "&");
+		size_t name = strcspn(s, "=&");
+		size_t value = name < len ? name + 1 : len;
+
+		if (add_decoded(&r->arguments, s, name) != ERR_OK ||
+		    add_decoded(&r->arguments, s + value, len - value) !=
+			    ERR_OK) {
+			buf_reset(&r->arguments);
+			return;
+		}
+		s += len;
+	}
+}
+
+const char *httpd_get_argument(const struct httpd_request *r, const char *name)
+{
+	const char *at, *end;
+
+	if (!r->has_arguments)
+		decode_arguments((struct httpd_request *)(uintptr_t)r);
+	if (!r->arguments.len)
+		return NULL;
+	at = (const char *)r->arguments.data;
+	end = at + r->arguments.len;
+	while (at < end) {
+		const char *value = at + strlen(at) + 1;
+
+		if (strcmp(at, name) == 0)
+			return value;
+		at = value + strlen(value) + 1;
+	}
+	return NULL;
+}
