transport: bounds on bytes that are no answer, for all answers and heads

Cause: libcurl drops a chunk extension without bound, 1xx answers and trailers reset the count of header bytes, and each of a gate's calls could collect 8 MiB, more together than a VM of 160 MB has. Counter gate_target_failures by error.

--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -427,6 +427,14 @@
 		gate_slot_mark_abandoned(c->g, c->slot, c->not_after_ns);
 }
 
+static void count_failure(struct gate *g, enum err error)
+{
+	char labels[LABEL_BYTES];
+
+	snprintf(labels, sizeof(labels), "error=\"%s\"", err_name(error));
+	cnt_add(g->cnt, "gate_target_failures", labels, 1);
+}
+
 static void end_failed_call(struct gate_call *c)
 {
 	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
@@ -436,6 +444,7 @@
 		return;
 	}
 	health_failed(&c->g->health, clk_ms());
+	count_failure(c->g, c->http.error);
 	reply.outcome = OUTCOME_UNKNOWN;
 	reply.error = c->http.error;
 	log_failed_call(c, &reply, 0);
--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -473,6 +473,25 @@
 	teardown(&f);
 }
 
+/* Guards against a caller that keeps a connection by a byte now and then. */
+static void test_slow_head(void)
+{
+	struct fixture f;
+
+	setup(&f, NULL);
+	f.d.idle_s = 1;
+	close(f.fd);
+	connect_caller(&f);
+	fake_write(f.fd, "GET /1 HTTP/1.1\r\nX-A: ");
+	for (int i = 0; i < 30 && !f.closed; i++) {
+		send(f.fd, "a", 1, MSG_NOSIGNAL);
+		fake_pause(f.loop, 100);
+		turn(&f);
+	}
+	g_assert_true(f.closed);
+	teardown(&f);
+}
+
 /* Guards against a stop that leaves requests without an answer, or in disorder.
  */
 static void test_finish(void)
@@ -526,6 +545,7 @@
 	g_test_add_func("/httpd/slow_reader", test_slow_reader);
 	g_test_add_func("/httpd/continue", test_continue);
 	g_test_add_func("/httpd/bounds", test_bounds);
+	g_test_add_func("/httpd/slow_head", test_slow_head);
 	g_test_add_func("/httpd/finish", test_finish);
 	g_test_add_func("/httpd/stream", test_stream);
 	return g_test_run();
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <utlist.h>
 
 /*
@@ -14,11 +15,16 @@
  */
 #define HTTPC_IDLE_SECONDS 5L
 #define HTTPC_KEEPALIVE_SECONDS 2L
-#define HTTPC_MAX_HEADER_BYTES (64 * 1024)
+/*
+ * Only after so many reads without a header or a byte of a body are the bytes
+ * counted, which costs a system call for each read.
+ */
+#define HTTPC_UNPARSED_READS 32
 
 struct socket_watcher {
 	ev_io io;
 	struct httpc *client;
+	struct httpc_request *request; /* the last that used the socket */
 };
 
 static void process_finished(struct httpc *c);
@@ -47,13 +53,50 @@
 	return 0;
 }
 
+static int is_started(const struct httpc *c, const struct httpc_request *r)
+{
+	const struct httpc_request *other;
+
+	DL_FOREACH(c->requests, other) {
+		if (other == r)
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * Returns 1 if the request has read too many bytes that are no part of an
+ * answer. libcurl drops them without a bound of its own, in a chunk extension
+ * for instance.
+ */
+static int reads_too_much(struct httpc_request *r, int fd)
+{
+	int bytes = 0;
+
+	if (++r->unparsed_reads <= HTTPC_UNPARSED_READS)
+		return 0;
+	/* One byte at least, if the system cannot tell. */
+	if (ioctl(fd, FIONREAD, &bytes) < 0 || bytes < 1)
+		bytes = 1;
+	r->unparsed_bytes += (size_t)bytes;
+	return r->unparsed_bytes > HTTPC_MAX_UNPARSED_BYTES;
+}
+
+static void end_request(struct httpc_request *r, enum err error);
+
 static void on_socket(struct ev_loop *loop, ev_io *w, int events)
 {
-	struct httpc *c = ((struct socket_watcher *)w->data)->client;
+	struct socket_watcher *s = w->data;
+	struct httpc *c = s->client;
 	int action = 0;
 	int running;
 
 	(void)loop;
+	if ((events & EV_READ) && s->request && is_started(c, s->request) &&
+	    reads_too_much(s->request, w->fd)) {
+		end_request(s->request, ERR_TOO_LARGE);
+		return;
+	}
 	if (events & EV_READ)
 		action |= CURL_CSELECT_IN;
 	if (events & EV_WRITE)
@@ -69,7 +112,6 @@
 	struct socket_watcher *w = socket_priv;
 	int events = 0;
 
-	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		if (w)
 			ev_io_stop(c->loop, &w->io);
@@ -85,6 +127,7 @@
 		w->io.data = w;
 		curl_multi_assign(c->multi, fd, w);
 	}
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &w->request);
 	if (what & CURL_POLL_IN)
 		events |= EV_READ;
 	if (what & CURL_POLL_OUT)
@@ -128,19 +171,40 @@
 	ev_timer_stop(c->loop, &c->timer);
 }
 
+static size_t max_body(const struct httpc_request *r)
+{
+	return r->max_body_bytes ? r->max_body_bytes : FRAME_MAX_BYTES / 2;
+}
+
+/*
+ * Returns 1 if the answers of all requests exceed their limit and this one is
+ * among the larger: an answer without end must not cost the others theirs.
+ */
+static int takes_too_much(const struct httpc_request *r, size_t len)
+{
+	size_t all = r->client->collected_bytes + len;
+
+	return all > HTTPC_MAX_COLLECTED_BYTES &&
+	       (r->answer.len + len) * r->client->request_count >= all;
+}
+
 static size_t on_body(char *data, size_t size, size_t count, void *priv)
 {
 	struct httpc_request *r = priv;
 	size_t len = size * count;
-	size_t max =
-		r->max_body_bytes ? r->max_body_bytes : FRAME_MAX_BYTES / 2;
-
+	r->unparsed_reads = 0;
+	r->unparsed_bytes = 0;
 	/* The bytes for data() are passed on by deliver_data. */
-	if (!r->ops->data && r->answer.len + len > max) {
+	if (!r->ops->data &&
+	    (r->answer.len + len > max_body(r) || takes_too_much(r, len))) {
 		r->abort_error = ERR_TOO_LARGE;
 		return 0;
 	}
-	return buf_add(&r->answer, data, len) == ERR_OK ? len : 0;
+	if (buf_add(&r->answer, data, len) != ERR_OK)
+		return 0;
+	if (!r->ops->data)
+		r->client->collected_bytes += len;
+	return len;
 }
 
 static int has_prefix(const char *line, size_t len, const char *prefix)
@@ -176,6 +240,13 @@
 	size_t len = size * count;
 	size_t text = trimmed_length(line, len);
 
+	r->unparsed_reads = 0;
+	r->unparsed_bytes = 0;
+	r->head_bytes += len;
+	if (r->head_bytes > HTTPC_MAX_HEADER_BYTES) {
+		r->abort_error = ERR_TOO_LARGE;
+		return 0;
+	}
 	/* The final answer follows a 1xx answer, whose headers are dropped. */
 	if (has_prefix(line, text, "HTTP/")) {
 		buf_reset(&r->answer_headers);
@@ -188,10 +259,6 @@
 	/* Trailers, which follow the empty line, are not headers. */
 	if (r->headers_done)
 		return len;
-	if (r->answer_headers.len + text > HTTPC_MAX_HEADER_BYTES) {
-		r->abort_error = ERR_TOO_LARGE;
-		return 0;
-	}
 	if (has_prefix(line, text, "Content-Length:") || is_chunked(line, text))
 		r->framed = 1;
 	if (buf_add(&r->answer_headers, line, text) != ERR_OK ||
@@ -234,6 +301,8 @@
 		return ERR_TIMEOUT;
 	case CURLE_PARTIAL_FILE:
 		return ERR_INCOMPLETE;
+	case CURLE_FILESIZE_EXCEEDED:
+		return ERR_TOO_LARGE;
 	case CURLE_WEIRD_SERVER_REPLY:
 	case CURLE_UNSUPPORTED_PROTOCOL:
 		return ERR_MALFORMED;
@@ -261,6 +330,16 @@
 	r->client->request_count--;
 	if (r->ops->data)
 		r->client->stream_count--;
+	else
+		r->client->collected_bytes -= r->answer.len;
+}
+
+static void read_status(struct httpc_request *r)
+{
+	long status = 0;
+
+	curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &status);
+	r->status = (int)status;
 }
 
 static struct httpc_request *find_pending_data(struct httpc *c)
@@ -301,20 +380,25 @@
 	while (c->multi && (m = curl_multi_info_read(c->multi, &left))) {
 		struct httpc_request *r;
 		CURLcode code = m->data.result;
-		long status = 0;
 
 		if (m->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &r);
-		curl_easy_getinfo(m->easy_handle, CURLINFO_RESPONSE_CODE,
-				  &status);
-		r->status = (int)status;
+		read_status(r);
 		r->error = curl_result_to_err(r, code);
 		release_handle(r);
 		r->ops->done(r, r->priv);
 	}
 }
 
+static void end_request(struct httpc_request *r, enum err error)
+{
+	read_status(r);
+	r->error = error;
+	release_handle(r);
+	r->ops->done(r, r->priv);
+}
+
 static int has_header(const struct httpc_request *r, const char *name)
 {
 	for (size_t i = 0; i < r->header_count; i++)
@@ -409,6 +493,9 @@
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, HTTPC_KEEPALIVE_SECONDS);
 	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, (long)r->new_connection);
 	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, (long)r->close_after);
+	if (!r->ops->data)
+		curl_easy_setopt(e, CURLOPT_MAXFILESIZE_LARGE,
+				 (curl_off_t)max_body(r));
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
@@ -429,6 +516,9 @@
 	r->status = 0;
 	r->framed = 0;
 	r->headers_done = 0;
+	r->head_bytes = 0;
+	r->unparsed_bytes = 0;
+	r->unparsed_reads = 0;
 	r->sends = 0;
 	r->header_list = NULL;
 	buf_init(&r->answer);
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -11,13 +11,28 @@
  * HTTP/1.1 client: libcurl's multi interface on a libev loop. It keeps
  * connections open between requests and reuses them.
  *
+ * A server in trouble may send bytes without end. What one request reads has
+ * bounds: HTTPC_MAX_HEADER_BYTES for all heads (with 1xx answers and trailers),
+ * max_body_bytes for the body, HTTPC_MAX_UNPARSED_BYTES for bytes that become
+ * neither (a line or a chunk extension without end), and timeout_ms. The bodies
+ * that all requests of a client collect have HTTPC_MAX_COLLECTED_BYTES.
+ *
  * An answer is framed if it states its length or is sent in chunks. The end of
  * an unframed answer is the end of its connection, so that an answer that was
  * cut off cannot be told from a whole one.
  */
 
+#define HTTPC_MAX_HEADER_BYTES (64 * 1024)
+#define HTTPC_MAX_UNPARSED_BYTES (64 * 1024)
+/*
+ * Three bodies of the largest size that a frame between daemons can carry;
+ * small VMs have 160 MB.
+ */
+#define HTTPC_MAX_COLLECTED_BYTES (24 * 1024 * 1024)
+
 struct httpc {
 	struct ev_loop *loop;
+	size_t collected_bytes; /* in the answers of all requests */
 	CURLM *multi;
 	ev_timer timer;
 	unsigned request_count;
@@ -100,6 +115,9 @@
 	enum err abort_error;
 	int framed; /* the answer states its length or is sent in chunks */
 	int headers_done;
+	size_t head_bytes;     /* of all heads and trailers */
+	size_t unparsed_bytes; /* read since the last header or body byte */
+	unsigned unparsed_reads;
 	unsigned sends; /* how often libcurl was about to send the request */
 	struct httpc_request *prev;
 	struct httpc_request *next;
--- a/transport/httpd.c
+++ b/transport/httpd.c
@@ -26,6 +26,11 @@
  */
 #define HTTPD_LINGER_S 1.0
 #define HTTPD_MAX_DISCARD_BYTES (1024 * 1024)
+/*
+ * A caller that sends a byte now and then is never idle. So a head has the idle
+ * time from its first byte on, and a whole request so many times that.
+ */
+#define HTTPD_REQUEST_IDLE_TIMES 5
 
 /* ---- connections ---- */
 
@@ -186,13 +191,25 @@
 	return 0;
 }
 
+/* Returns 1 if the request being received takes too long. */
+static int receives_too_slowly(const struct httpd_conn *c, double now_s)
+{
+	double took_s = now_s - c->receiving_since_s;
+
+	return c->receiving &&
+	       took_s >=
+		       c->server->idle_s *
+			       (c->headers_done ? HTTPD_REQUEST_IDLE_TIMES : 1);
+}
+
 static void on_conn_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct httpd_conn *c = w->data;
 	double left = c->server->idle_s - (ev_now(loop) - c->active_s);
 
 	(void)events;
-	if (c->lingering || (left <= 0 && !has_unanswered(c))) {
+	if (c->lingering || receives_too_slowly(c, ev_now(loop)) ||
+	    (left <= 0 && !has_unanswered(c))) {
 		conn_close(c);
 		return;
 	}
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -129,6 +129,7 @@
 	c->receiving = request_new(c);
 	c->last_was_name = 0;
 	c->headers_done = 0;
+	c->receiving_since_s = ev_now(c->server->loop);
 	return c->receiving ? 0 : -1;
 }
 
