httpd: a coded zero in a query stays coded

Cause: add_decoded() turned %00 into a zero byte in a list whose parts end at zeros, so names and values were no longer paired and the last strlen() began at the end of the buffer. Any caller of the admin port could cause it. The test (coded_zero) and the fuzzer's input, kept as a seed, fail with AddressSanitizer before and pass after.

--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -279,6 +279,25 @@
 	g_assert_null(httpd_get_argument(f->held[3], "d"));
 }
 
+/*
+ * Guards against reading past the arguments: a coded zero ended a part early,
+ * so that names and values were no longer paired.
+ */
+static void test_coded_zero(void)
+{
+	struct fixture f;
+
+	setup(&f, NULL);
+	fake_write(f.fd, GET("/1?x=b%00c") GET("/2?a%00b=1&d=%2"));
+	wait_requests(&f, 2);
+	g_assert_null(httpd_get_argument(f.held[0], "a"));
+	g_assert_cmpstr(httpd_get_argument(f.held[0], "x"), ==, "b%00c");
+	g_assert_null(httpd_get_argument(f.held[1], "a"));
+	g_assert_cmpstr(httpd_get_argument(f.held[1], "a%00b"), ==, "1");
+	g_assert_cmpstr(httpd_get_argument(f.held[1], "d"), ==, "%2");
+	teardown(&f);
+}
+
 /* Guards against a body that is taken for a request, however it arrives. */
 static void test_upload_behind(void)
 {
@@ -537,6 +556,7 @@
 	g_test_add_func("/httpd/pipeline_limit", test_pipeline_limit);
 	g_test_add_func("/httpd/held_limit", test_held_limit);
 	g_test_add_func("/httpd/thousand", test_thousand);
+	g_test_add_func("/httpd/coded_zero", test_coded_zero);
 	g_test_add_func("/httpd/upload_behind", test_upload_behind);
 	g_test_add_func("/httpd/close_at_each_byte", test_close_at_each_byte);
 	g_test_add_func("/httpd/bad_third", test_bad_third);
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -181,7 +181,10 @@
 		       void (*fn)(const char *name, const char *value,
 				  void *priv),
 		       void *priv);
-/* Returns the value of a query argument, or NULL if it is absent. */
+/*
+ * Returns the decoded value of a query argument, or NULL if it is absent. "%00"
+ * stays coded.
+ */
 const char *httpd_get_argument(const struct httpd_request *r, const char *name);
 
 /*
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -369,7 +369,8 @@
 			high = hex_value(s[i + 1]);
 			low = hex_value(s[i + 2]);
 		}
-		if (high >= 0 && low >= 0) {
+		/* A coded zero stays coded: the parts are stored as strings. */
+		if (high >= 0 && low >= 0 && (high | low)) {
 			c = (char)(high << 4 | low);
 			i += 2;
 		}
