--- a/membership/coord.c
+++ b/membership/coord.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 enum call_kind { CALL_ELECT, CALL_READ_BACK, CALL_CONFIRM, CALL_LIVE };
 
@@ -18,6 +19,7 @@
 	call->generation = c->generation;
 	call->sent_ms = clk_ms();
 	call->kind = kind;
+	DL_APPEND(c->calls, call);
 	return call;
 }
 
@@ -30,6 +32,7 @@
 		*asked_ms = call->sent_ms;
 	if (kind)
 		*kind = call->kind;
+	DL_DELETE(c->calls, call);
 	free(call);
 	return current ? c : NULL;
 }
@@ -338,12 +341,16 @@
 
 void coord_free(struct coord *c)
 {
+	struct co_call *call, *tmp;
+
 	if (!c)
 		return;
 	co_step_down(c, "stopping");
 	co_conns_close(c);
 	co_conns_reap(c);
 	ev_timer_stop(c->config.loop, &c->reaper);
+	DL_FOREACH_SAFE(c->calls, call, tmp)
+		free(call);
 	map_finish(&c->map);
 	free(c->history);
 	free(c);
--- a/membership/coord.h
+++ b/membership/coord.h
@@ -46,7 +46,11 @@
 
 /* Creates an idle coordinator in out. Returns ERR_NOMEM without memory. */
 enum err coord_new(struct coord **out, const struct coord_config *config);
-/* Steps down, closes all control connections and frees c, which may be NULL. */
+/*
+ * Steps down, closes all control connections and frees c, which may be NULL.
+ * Store calls may be in flight: the store must be finished before the loop runs
+ * again, so that their callbacks do not use the freed memory.
+ */
 void coord_free(struct coord *c);
 
 /*
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -195,8 +195,8 @@
 	 * callbacks of an earlier generation are ignored.
 	 */
 	unsigned generation;
+	struct co_call *calls; /* calls to the store whose callback is due */
 	struct record record;
-	uint64_t elect_term;
 	struct own_coord own;
 	struct map map;
 	uint32_t next_id;
@@ -260,6 +260,8 @@
 	unsigned generation;
 	int64_t sent_ms;
 	int kind; /* any value of the caller */
+	struct co_call *prev;
+	struct co_call *next;
 };
 
 /* Returns a new call, to be ended by its callback; NULL without memory. */
