daemon: serve requests on idle connections during a stop

It now ends when the callers have closed their connections, after 1,000 ms at the latest (NODE_IDLE_CALLERS_MS); each answer until then closes its connection.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -266,10 +266,14 @@
 		   now_ms - n->stop_ms >=
 			   n->settings->grace_ms - NODE_GRACE_MARGIN_MS;
 
+	int callers = !n->settings->notice_ms &&
+		      ingress_open_connections(n->ingress) &&
+		      now_ms - n->finishing_ms < NODE_IDLE_CALLERS_MS;
+
 	if (late && (open || in_flight))
 		log_warn("stop_cut_off", "open=%u in_flight=%u", open,
 			 in_flight);
-	if (late || (!open && !in_flight &&
+	if (late || (!open && !in_flight && !callers &&
 		     (!peers_unacknowledged_bytes(n->peers) ||
 		      now_ms - n->finishing_ms > NODE_UNSENT_TIMEOUT_MS)))
 		ev_break(n->loop, EVBREAK_ALL);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -55,6 +55,12 @@
  * at the other daemons; one that no longer reads would block the stop.
  */
 #define NODE_UNSENT_TIMEOUT_MS 3000
+/*
+ * A stop without a notice period keeps the callers' idle connections open for
+ * this long. A request that comes on one is served with an answer that closes
+ * the connection; on a connection that is closed at once, it would be lost.
+ */
+#define NODE_IDLE_CALLERS_MS 1000
 
 struct node;
 struct doc_feed;
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -208,6 +208,11 @@
 	in->refusing = 1;
 }
 
+unsigned ingress_open_connections(const struct ingress *in)
+{
+	return in->http.conn_count;
+}
+
 unsigned ingress_open_requests(const struct ingress *in)
 {
 	return in->open_requests;
--- a/routing/ingress.h
+++ b/routing/ingress.h
@@ -48,6 +48,8 @@
 void ingress_refuse_requests(struct ingress *in);
 /* Returns the number of requests whose answer has not been sent. */
 unsigned ingress_open_requests(const struct ingress *in);
+/* Returns the number of callers' connections, with or without a request. */
+unsigned ingress_open_connections(const struct ingress *in);
 /*
  * To be called after the map or the document has changed; only a newer map has
  * an effect. Paused requests start their next attempt at once. An idempotent
