--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -87,6 +87,14 @@
 	cnt_set(&n->cnt, "control_tcp_bytes_in", "", membership_in + coord_in);
 	cnt_set(&n->cnt, "control_tcp_bytes_out", "",
 		membership_out + coord_out);
+	for (unsigned type = 1; type < FRAME_TYPE_COUNT; type++) {
+		char label[64];
+
+		snprintf(label, sizeof(label), "frame=\"%s\"",
+			 frame_name(type));
+		cnt_set(&n->cnt, "link_bytes_out", label,
+			tcp_sent_bytes((enum frame_type)type));
+	}
 	cnt_set(&n->cnt, "store_calls", "kind=\"range\"", s->ranges);
 	cnt_set(&n->cnt, "store_calls", "kind=\"txn\"", s->txns);
 	cnt_set(&n->cnt, "store_calls", "kind=\"lease\"", s->leases);
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "platform/platform.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -279,6 +280,30 @@
 		ev_break(n->loop, EVBREAK_ALL);
 }
 
+/* Logs the bytes sent since the start of the process, by their cause. */
+static void log_traffic(struct node *n, int64_t now_ms)
+{
+	struct dgram_counts u = dgram_total_counts(&n->dgram);
+	char text[400] = "";
+	size_t len = 0;
+
+	if (now_ms - n->traffic_logged_ms < NODE_TRAFFIC_LOG_MS)
+		return;
+	n->traffic_logged_ms = now_ms;
+	for (unsigned type = 1; type < FRAME_TYPE_COUNT; type++) {
+		uint64_t bytes = tcp_sent_bytes((enum frame_type)type);
+
+		if (bytes && len < sizeof(text))
+			len += (size_t)snprintf(text + len, sizeof(text) - len,
+						" %s=%llu", frame_name(type),
+						(unsigned long long)bytes);
+	}
+	log_info("traffic", "datagrams=%llu store_out=%llu store_in=%llu%s",
+		 (unsigned long long)u.bytes_out,
+		 (unsigned long long)n->store->counts.bytes_out,
+		 (unsigned long long)n->store->counts.bytes_in, text);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct node *n = w->data;
@@ -287,6 +312,7 @@
 	(void)loop;
 	(void)events;
 	node_target_tick(n, now_ms);
+	log_traffic(n, now_ms);
 	if (n->feed && coord_is_active(n->coord) &&
 	    doc_feed_age_ms(n->feed) >= NODE_DOCUMENT_POLL_MS)
 		doc_feed_poll(n->feed);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -62,6 +62,12 @@
  */
 #define NODE_IDLE_CALLERS_MS 1000
 
+/*
+ * Period of the log line "traffic", which states where the process's bytes
+ * went since its start. It is kept when the process is killed, unlike metrics.
+ */
+#define NODE_TRAFFIC_LOG_MS 10000
+
 struct node;
 struct doc_feed;
 
@@ -107,6 +113,7 @@
 	 */
 	int target_missing_reported;
 	int64_t last_tick_ms;
+	int64_t traffic_logged_ms; /* when "traffic" was last logged */
 	/*
 	 * node_start_target_leave was called, and the target has neither been
 	 * removed nor announced since then that it stays.
--- a/transport/tcp.c
+++ b/transport/tcp.c
@@ -290,26 +290,45 @@
 		ev_io_start(c->loop, &c->io_write);
 }
 
+/* Bytes of the frames that this process has sent, by type. */
+static uint64_t sent_bytes[FRAME_TYPE_COUNT];
+
 enum err tcp_send(struct tcp_conn *c, enum frame_type type,
 		  const ProtobufCMessage *msg)
 {
 	enum err e = check_queue_limit(c);
 
+	size_t before = c->out.len;
+
 	if (e == ERR_OK)
 		e = frame_encode(type, msg, &c->out);
-	if (e == ERR_OK)
+	if (e == ERR_OK) {
+		sent_bytes[type] += c->out.len - before;
 		start_write_io(c);
+	}
 	return e;
 }
 
+uint64_t tcp_sent_bytes(enum frame_type type)
+{
+	return sent_bytes[type];
+}
+
 enum err tcp_send_encoded(struct tcp_conn *c, const struct buf *frames)
 {
 	enum err e = check_queue_limit(c);
 
+	unsigned type =
+		frames->len >= FRAME_HEADER_BYTES
+			? frames->data[FRAME_HEADER_BYTES - 1] & ~FRAME_DEFLATED
+			: 0;
+
 	if (e == ERR_OK)
 		e = buf_add(&c->out, frames->data, frames->len);
-	if (e == ERR_OK)
+	if (e == ERR_OK) {
+		sent_bytes[type < FRAME_TYPE_COUNT ? type : 0] += frames->len;
 		start_write_io(c);
+	}
 	return e;
 }
 
--- a/transport/tcp.h
+++ b/transport/tcp.h
@@ -73,6 +73,11 @@
 		  const ProtobufCMessage *msg);
 /* As tcp_send, for whole frames that frame_encode has written. */
 enum err tcp_send_encoded(struct tcp_conn *c, const struct buf *frames);
+/*
+ * Returns the bytes of the frames of this type that the process has queued on
+ * all its connections.
+ */
+uint64_t tcp_sent_bytes(enum frame_type type);
 /* Closes without a callback and frees the buffers, but not c itself. */
 void tcp_conn_finish(struct tcp_conn *c);
 /* Returns the number of queued bytes that are not yet passed to the kernel. */
