protocol: compress pushes of the map and the document

Cause: the coordinator's pushes grow with nodes times changes, and each join sent a whole map of its own. They are now encoded and compressed (zlib) once for all members; the frames of the whole map and document are kept while they stay the same. Only these two frame types may be compressed, and the size after decompression is bounded as that of a frame.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 VARIANT ?= rel
 B := build/$(VARIANT)
 CC ?= gcc
-PKGS := libprotobuf-c libcurl glib-2.0 jansson libxxhash
+PKGS := libprotobuf-c libcurl glib-2.0 jansson libxxhash zlib
 LIBDIRS := common transport protocol store config ownership membership \
 	placement routing limits platform
 GENERATED := protocol/wire.pb-c.c protocol/wire.pb-c.h
--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -114,12 +114,13 @@
 	free_push(&p);
 }
 
-void co_doc_send_full(struct coord *c, struct co_member *m)
+/* Encodes the whole document for co_doc_send_full. */
+static void encode_full(struct coord *c)
 {
 	Wire__DocPush p = WIRE__DOC_PUSH__INIT;
 
-	if (!c->has_doc)
-		return;
+	buf_reset(&c->doc_frame);
+	c->doc_frame_rev = 0;
 	p.term = c->record.term;
 	p.rev = c->doc_rev;
 	p.sections = calloc(c->sections.count + 1, sizeof(*p.sections));
@@ -127,11 +128,25 @@
 		return;
 	for (size_t i = 0; i < c->sections.count; i++)
 		add_section(&p, &c->sections.items[i], 0);
-	co_send(m, FRAME_DOC_PUSH, &p.base);
-	m->doc_sent_rev = c->doc_rev;
+	if (frame_encode_deflated(FRAME_DOC_PUSH, &p.base, &c->doc_frame) ==
+	    ERR_OK)
+		c->doc_frame_rev = c->doc_rev;
 	free_push(&p);
 }
 
+/* The frame is kept, since many nodes may join under the same document. */
+void co_doc_send_full(struct coord *c, struct co_member *m)
+{
+	if (!c->has_doc)
+		return;
+	if (!c->doc_frame_rev || c->doc_frame_rev != c->doc_rev)
+		encode_full(c);
+	if (!c->doc_frame_rev)
+		return;
+	co_send_encoded(m, &c->doc_frame);
+	m->doc_sent_rev = c->doc_rev;
+}
+
 /* Takes ownership of the sections, also if they are invalid. */
 static enum err replace_doc(struct coord *c, const struct doc_head *head,
 			    struct doc_sections *sections, int64_t mod_revision)
--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -74,6 +74,12 @@
 		tcp_send(m->conn->tcp, type, msg);
 }
 
+void co_send_encoded(struct co_member *m, const struct buf *frame)
+{
+	if (m->conn && !m->conn->dead && frame->len)
+		tcp_send_encoded(m->conn->tcp, frame);
+}
+
 void coord_on_ask(struct coord *c, const struct dgram_ask *ask,
 		  const struct sockaddr_in *from)
 {
@@ -323,17 +329,25 @@
 void co_push_map(struct coord *c, const Wire__MapDelta *delta)
 {
 	struct co_member *m, *tmp;
+	struct buf frame;
 
+	/* A node that gets no frame fetches the map at the next change. */
+	buf_init(&frame);
+	frame_encode_deflated(FRAME_MAP_PUSH, &delta->base, &frame);
 	HASH_ITER(hh, c->members, m, tmp) {
 		if (m->join == CO_JOIN_DONE)
-			co_send(m, FRAME_MAP_PUSH, &delta->base);
+			co_send_encoded(m, &frame);
 	}
+	buf_finish(&frame);
 }
 
 void co_push_doc(struct coord *c, uint64_t base_rev, const Wire__DocPush *delta)
 {
 	struct co_member *m, *tmp;
+	struct buf frame;
 
+	buf_init(&frame);
+	frame_encode_deflated(FRAME_DOC_PUSH, &delta->base, &frame);
 	HASH_ITER(hh, c->members, m, tmp) {
 		if (m->join != CO_JOIN_DONE || !m->conn)
 			continue;
@@ -341,7 +355,8 @@
 			co_doc_send_full(c, m);
 			continue;
 		}
-		co_send(m, FRAME_DOC_PUSH, &delta->base);
+		co_send_encoded(m, &frame);
 		m->doc_sent_rev = delta->rev;
 	}
+	buf_finish(&frame);
 }
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -62,6 +62,7 @@
 	uint64_t rev; /* 0: unused */
 	uint8_t *bytes;
 	size_t len;
+	struct buf frame; /* the same for members, once it is needed */
 };
 
 /* The control connection of a node. */
@@ -206,6 +207,11 @@
 	struct doc doc;
 	int has_doc;
 	struct doc_sections sections;
+	/* The whole document and map as frames for members. */
+	struct buf doc_frame;
+	struct buf map_frame;
+	uint64_t doc_frame_rev; /* revision of doc_frame; 0: none */
+	uint64_t map_frame_rev; /* revision of map_frame; 0: none */
 	uint64_t doc_rev;
 	int64_t doc_mod_revision;
 	struct store_watch *doc_watch;
@@ -330,6 +336,8 @@
 /* Sends a frame if the member is connected. */
 void co_send(struct co_member *m, enum frame_type type,
 	     const ProtobufCMessage *msg);
+/* Does the same with an encoded frame, which is copied. */
+void co_send_encoded(struct co_member *m, const struct buf *frame);
 /* Tells a departed node that it may exit. */
 void co_confirm_leave(struct co_member *m);
 /* Returns 1 if the node stops or the document drains it. */
--- a/membership/coord_sync.c
+++ b/membership/coord_sync.c
@@ -18,6 +18,7 @@
 static void recent_clear(struct co_recent_delta *r)
 {
 	free(r->bytes);
+	buf_finish(&r->frame);
 	memset(r, 0, sizeof(*r));
 }
 
@@ -25,6 +26,10 @@
 {
 	for (size_t i = 0; i < CO_RECENT_DELTAS; i++)
 		recent_clear(&c->recent[i]);
+	buf_finish(&c->map_frame);
+	buf_finish(&c->doc_frame);
+	c->map_frame_rev = 0;
+	c->doc_frame_rev = 0;
 }
 
 void co_recent_add(struct coord *c, const Wire__MapDelta *d,
@@ -45,15 +50,24 @@
 	r->rev = d->rev;
 }
 
+/* The frame is kept, since many nodes may join while the map stays the same. */
 void co_send_full_map(struct coord *c, struct co_member *m)
 {
-	Wire__MapDelta *d = map_snapshot(&c->map);
-
-	if (!d)
-		return;
-	d->term = c->record.term;
-	co_send(m, FRAME_MAP_PUSH, &d->base);
-	map_delta_free(d);
+	Wire__MapDelta *d;
+
+	if (!c->map_frame_rev || c->map_frame_rev != c->map.rev) {
+		buf_reset(&c->map_frame);
+		c->map_frame_rev = 0;
+		d = map_snapshot(&c->map);
+		if (!d)
+			return;
+		d->term = c->record.term;
+		if (frame_encode_deflated(FRAME_MAP_PUSH, &d->base,
+					  &c->map_frame) == ERR_OK)
+			c->map_frame_rev = c->map.rev;
+		map_delta_free(d);
+	}
+	co_send_encoded(m, &c->map_frame);
 }
 
 static int has_changes_since(struct coord *c, uint64_t rev)
@@ -70,16 +84,20 @@
 }
 
 static void send_recent(struct coord *c, struct co_member *m,
-			const struct co_recent_delta *r)
+			struct co_recent_delta *r)
 {
-	Wire__MapDelta *d = wire__map_delta__unpack(NULL, r->len, r->bytes);
+	Wire__MapDelta *d;
 
 	/* The node fetches the full map when it finds the gap. */
-	if (!d)
-		return;
-	d->term = c->record.term;
-	co_send(m, FRAME_MAP_PUSH, &d->base);
-	wire__map_delta__free_unpacked(d, NULL);
+	if (!r->frame.len) {
+		d = wire__map_delta__unpack(NULL, r->len, r->bytes);
+		if (!d)
+			return;
+		d->term = c->record.term;
+		frame_encode_deflated(FRAME_MAP_PUSH, &d->base, &r->frame);
+		wire__map_delta__free_unpacked(d, NULL);
+	}
+	co_send_encoded(m, &r->frame);
 }
 
 /* Tells the node that its map is up to date. */
--- a/protocol/frame.c
+++ b/protocol/frame.c
@@ -1,18 +1,24 @@
 #include "protocol/frame.h"
 
+#include <stdlib.h>
 #include <string.h>
+#include <zlib.h>
+
+/* Size of the uncompressed message, in front of the zlib stream. */
+#define DEFLATED_SIZE_BYTES 4
 
 struct frame_info {
 	const char *name;
 	const ProtobufCMessageDescriptor *message;
+	int may_be_deflated;
 };
 
 static const struct frame_info frame_types[FRAME_TYPE_COUNT] = {
 	[FRAME_HELLO] = { "hello", &wire__hello__descriptor },
 	[FRAME_JOIN] = { "join", &wire__join__descriptor },
 	[FRAME_JOIN_REPLY] = { "join_reply", &wire__join_reply__descriptor },
-	[FRAME_DOC_PUSH] = { "doc_push", &wire__doc_push__descriptor },
-	[FRAME_MAP_PUSH] = { "map_push", &wire__map_delta__descriptor },
+	[FRAME_DOC_PUSH] = { "doc_push", &wire__doc_push__descriptor, 1 },
+	[FRAME_MAP_PUSH] = { "map_push", &wire__map_delta__descriptor, 1 },
 	[FRAME_FETCH] = { "fetch", &wire__fetch__descriptor },
 	[FRAME_RELEASE] = { "release", &wire__release__descriptor },
 	[FRAME_RELEASED] = { "released", &wire__released__descriptor },
@@ -87,11 +93,85 @@
 	return ERR_OK;
 }
 
+/*
+ * Replaces the whole frame at offset start of out by a compressed one, unless
+ * that is no smaller.
+ */
+static enum err deflate_frame(struct buf *out, size_t start)
+{
+	const uint8_t *plain = out->data + start;
+	size_t size = out->len - start - FRAME_HEADER_BYTES;
+	uLongf packed = compressBound(size);
+	uint8_t *space = malloc(packed);
+	int status;
+
+	if (!space)
+		return ERR_NOMEM;
+	status = compress2(space, &packed, plain + FRAME_HEADER_BYTES, size,
+			   Z_DEFAULT_COMPRESSION);
+	if (status == Z_OK && packed + DEFLATED_SIZE_BYTES < size) {
+		uint8_t *p = out->data + start;
+
+		put_u32(p, (uint32_t)(packed + DEFLATED_SIZE_BYTES + 1));
+		p[4] |= FRAME_DEFLATED;
+		put_u32(p + FRAME_HEADER_BYTES, (uint32_t)size);
+		memcpy(p + FRAME_HEADER_BYTES + DEFLATED_SIZE_BYTES, space,
+		       packed);
+		out->len = start + FRAME_HEADER_BYTES + DEFLATED_SIZE_BYTES +
+			   packed;
+	}
+	free(space);
+	return status == Z_MEM_ERROR ? ERR_NOMEM : ERR_OK;
+}
+
+enum err frame_encode_deflated(enum frame_type type,
+			       const ProtobufCMessage *msg, struct buf *out)
+{
+	size_t start = out->len;
+	enum err e = frame_encode(type, msg, out);
+
+	if (e != ERR_OK || !frame_types[type].may_be_deflated ||
+	    out->len - start < FRAME_HEADER_BYTES + FRAME_DEFLATE_MIN_BYTES)
+		return e;
+	e = deflate_frame(out, start);
+	if (e != ERR_OK)
+		out->len = start;
+	return e;
+}
+
+/* Returns the message in a compressed body, or NULL if it is malformed. */
+static ProtobufCMessage *
+unpack_deflated(const ProtobufCMessageDescriptor *message, const uint8_t *body,
+		size_t len)
+{
+	ProtobufCMessage *msg = NULL;
+	uLongf size, want;
+	uint8_t *plain;
+
+	if (len < DEFLATED_SIZE_BYTES)
+		return NULL;
+	want = get_u32(body);
+	if (want >= FRAME_MAX_BYTES)
+		return NULL;
+	plain = malloc(want + 1);
+	if (!plain)
+		return NULL;
+	size = want;
+	if (uncompress(plain, &size, body + DEFLATED_SIZE_BYTES,
+		       len - DEFLATED_SIZE_BYTES) == Z_OK &&
+	    size == want)
+		msg = protobuf_c_message_unpack(message, NULL, size, plain);
+	free(plain);
+	return msg;
+}
+
 enum err frame_decode(const uint8_t *data, size_t len, struct frame *frame,
 		      size_t *used)
 {
+	const ProtobufCMessageDescriptor *message;
 	uint32_t size;
 	uint8_t type;
+	int deflated;
 
 	memset(frame, 0, sizeof(*frame));
 	*used = 0;
@@ -105,15 +185,19 @@
 	if (len < FRAME_HEADER_BYTES)
 		return ERR_OK;
 	/* An invalid type is refused before the rest of the frame arrives. */
-	type = data[4];
-	if (type >= FRAME_TYPE_COUNT || !frame_types[type].message)
+	type = data[4] & ~FRAME_DEFLATED;
+	deflated = (data[4] & FRAME_DEFLATED) != 0;
+	if (type >= FRAME_TYPE_COUNT || !frame_types[type].message ||
+	    (deflated && !frame_types[type].may_be_deflated))
 		return ERR_MALFORMED;
 	if (len < 4 + (size_t)size)
 		return ERR_OK;
 	frame->type = type;
-	frame->msg =
-		protobuf_c_message_unpack(frame_types[type].message, NULL,
-					  size - 1, data + FRAME_HEADER_BYTES);
+	message = frame_types[type].message;
+	data += FRAME_HEADER_BYTES;
+	frame->msg = deflated ? unpack_deflated(message, data, size - 1)
+			      : protobuf_c_message_unpack(message, NULL,
+							  size - 1, data);
 	if (!frame->msg)
 		return ERR_MALFORMED;
 	*used = 4 + (size_t)size;
--- a/protocol/frame.h
+++ b/protocol/frame.h
@@ -16,6 +16,14 @@
 #define FRAME_MAX_BYTES (16 * 1024 * 1024)
 /* Size of the length and type fields. */
 #define FRAME_HEADER_BYTES 5
+/*
+ * Bit of the type byte: the message is compressed. Its size (4 bytes, big
+ * endian) and a zlib stream follow. Only types that coordinators push to all
+ * members may be compressed.
+ */
+#define FRAME_DEFLATED 0x80
+/* Smaller messages are not compressed: the gain would be a few bytes. */
+#define FRAME_DEFLATE_MIN_BYTES 200
 
 enum frame_type {
 	FRAME_HELLO = 1,
@@ -83,6 +91,13 @@
  */
 enum err frame_encode(enum frame_type type, const ProtobufCMessage *msg,
 		      struct buf *out);
+/*
+ * Does the same, but compresses the message if its type allows that and it
+ * becomes smaller. Compression takes about 20 us per kB, so the result should
+ * be sent to several receivers.
+ */
+enum err frame_encode_deflated(enum frame_type type,
+			       const ProtobufCMessage *msg, struct buf *out);
 
 /*
  * Decodes the frame at the start of data and sets *used to its size in bytes.
--- a/test/unit/test_common.c
+++ b/test/unit/test_common.c
@@ -127,6 +127,90 @@
 			ERR_MALFORMED);
 }
 
+#define LARGE_SLOTS 4096
+
+/* A map change as after the first assignment of a large fleet. */
+static void encode_large_delta(struct buf *plain, struct buf *deflated)
+{
+	static Wire__MapSlot slots[LARGE_SLOTS];
+	static Wire__MapSlot *list[LARGE_SLOTS];
+	Wire__MapDelta d = WIRE__MAP_DELTA__INIT;
+
+	for (uint32_t i = 0; i < LARGE_SLOTS; i++) {
+		wire__map_slot__init(&slots[i]);
+		slots[i].slot = i;
+		slots[i].owner = 1 + i % 150;
+		slots[i].fence = 25;
+		list[i] = &slots[i];
+	}
+	d.n_slots = LARGE_SLOTS;
+	d.slots = list;
+	buf_init(plain);
+	buf_init(deflated);
+	g_assert_cmpint(frame_encode(FRAME_MAP_PUSH, &d.base, plain), ==,
+			ERR_OK);
+	g_assert_cmpint(
+		frame_encode_deflated(FRAME_MAP_PUSH, &d.base, deflated), ==,
+		ERR_OK);
+}
+
+/*
+ * Guards against pushes that fill the coordinator's network link: 295 members
+ * on a link of 20 Mbit/s have room for 17 kB each within two seconds.
+ */
+static void test_frame_deflated(void)
+{
+	struct buf plain, deflated;
+	const Wire__MapDelta *d;
+	struct frame f;
+	size_t used;
+
+	encode_large_delta(&plain, &deflated);
+	g_assert_cmpuint(deflated.len, <, 17000);
+	g_assert_cmpint(
+		frame_decode(deflated.data, deflated.len - 1, &f, &used), ==,
+		ERR_OK);
+	g_assert_cmpuint(used, ==, 0);
+	g_assert_cmpint(frame_decode(deflated.data, deflated.len, &f, &used),
+			==, ERR_OK);
+	g_assert_cmpuint(used, ==, deflated.len);
+	g_assert_cmpint(f.type, ==, FRAME_MAP_PUSH);
+	d = (const Wire__MapDelta *)f.msg;
+	g_assert_cmpuint(d->n_slots, ==, LARGE_SLOTS);
+	g_assert_cmpuint(d->slots[4095]->owner, ==, 1 + 4095 % 150);
+	frame_finish(&f);
+	buf_finish(&plain);
+	buf_finish(&deflated);
+}
+
+/* Guards against trusting the size or the type of a compressed message. */
+static void test_frame_deflated_malformed(void)
+{
+	static const uint8_t type[] = { 0, 0, 0, 5, FRAME_QUERY | 0x80,
+					0, 0, 0, 1 };
+	static const uint8_t no_size[] = { 0, 0, 0, 3, FRAME_MAP_PUSH | 0x80,
+					   0, 0 };
+	static const size_t changed[] = { 5, 6, 8, 40 };
+	struct buf plain, deflated;
+	struct frame f;
+	size_t used;
+
+	g_assert_cmpint(frame_decode(type, sizeof(type), &f, &used), ==,
+			ERR_MALFORMED);
+	g_assert_cmpint(frame_decode(no_size, sizeof(no_size), &f, &used), ==,
+			ERR_MALFORMED);
+	encode_large_delta(&plain, &deflated);
+	for (size_t i = 0; i < G_N_ELEMENTS(changed); i++) {
+		deflated.data[changed[i]] ^= 0x7f;
+		g_assert_cmpint(
+			frame_decode(deflated.data, deflated.len, &f, &used),
+			==, ERR_MALFORMED);
+		deflated.data[changed[i]] ^= 0x7f;
+	}
+	buf_finish(&plain);
+	buf_finish(&deflated);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -135,5 +219,8 @@
 	g_test_add_func("/common/metrics_format", test_metrics_format);
 	g_test_add_func("/frame/round_trip", test_frame_round_trip);
 	g_test_add_func("/frame/malformed", test_frame_refuses_malformed);
+	g_test_add_func("/frame/deflated", test_frame_deflated);
+	g_test_add_func("/frame/deflated_malformed",
+			test_frame_deflated_malformed);
 	return g_test_run();
 }
--- a/tools/deps.sh
+++ b/tools/deps.sh
@@ -6,7 +6,7 @@
 PACKAGES="gcc g++ make pkg-config git curl python3
 	libev-dev libprotobuf-c-dev libhttp-parser-dev libcurl4-openssl-dev
 	libglib2.0-dev libjansson-dev libxxhash-dev uthash-dev
-	libtomlplusplus-dev clang clang-format clang-tidy libclang-rt-14-dev
+	libtomlplusplus-dev zlib1g-dev clang clang-format clang-tidy libclang-rt-14-dev
 	cppcheck valgrind"
 
 missing=
