ranges: 4,096 shards in blocks; moves by the number of targets

Pattern: hot ranges of numbered keys on many targets. After the loss of 55% of the processes, at most six shards every 1.5 s went back to targets that returned without any. Changed: 4,096 shards of 16 keys, assigned and moved in blocks that are the longer the fewer targets there are (8 shards with 6 targets, as many keys as before); as many moves a pass as there are targets; a target whose only block has all its load no longer stops the others' moves; a block is not taken out of a row if the target has as many rows as fit into an answer.

--- a/placement/ranges.c
+++ b/placement/ranges.c
@@ -9,6 +9,7 @@
 	double load;	   /* of the slots that it has or is to get */
 	double fair_share; /* part of the whole load, by its capacity */
 	size_t rows;	   /* runs of neighbouring slots that it has */
+	int fixed;	   /* has no block whose move would help */
 };
 
 struct pass {
@@ -18,6 +19,7 @@
 	size_t slot_count;
 	double *slot_loads; /* by slot, with RANGES_MIN_LOAD_PART added */
 	uint32_t *owners;   /* by slot, after the moves decided so far */
+	size_t block;	    /* neighbouring slots that move together */
 	struct place_moves *out;
 };
 
@@ -115,19 +117,21 @@
 }
 
 /*
- * Returns how many neighbouring slots to assign to one target, so that its rows
- * stay within RANGES_ROWS_PER_TARGET however few targets there are.
+ * Returns how many neighbouring slots to assign and to move together, a power
+ * of two, so that a target's rows stay within RANGES_ROWS_PER_TARGET however
+ * few targets there are.
  */
-static size_t max_run_length(const struct pass *p)
+static size_t block_size(const struct pass *p)
 {
 	size_t receivers = 0;
+	size_t block = 1;
 
 	for (size_t k = 0; k < p->target_count; k++)
 		receivers += may_receive(p->targets[k].node) != 0;
-	if (!receivers)
-		return 1;
-	return (p->slot_count + receivers * RANGES_ROWS_PER_TARGET - 1) /
-	       (receivers * RANGES_ROWS_PER_TARGET);
+	while (receivers &&
+	       block * receivers * RANGES_ROWS_PER_TARGET < p->slot_count)
+		block *= 2;
+	return block;
 }
 
 /* Returns the length of the run of one owner that ends before slot i. */
@@ -150,7 +154,7 @@
 	struct target *best = i ? find_target(p, p->owners[i - 1]) : NULL;
 
 	if (best && may_receive(best->node) && best->load < best->fair_share &&
-	    run_length_before(p, i) < max_run_length(p))
+	    run_length_before(p, i) < p->block)
 		return best;
 	best = NULL;
 
@@ -222,7 +226,8 @@
 
 		if (!may_receive(t->node))
 			continue;
-		if (!*most || utilisation(t) > utilisation(*most))
+		if (!t->fixed &&
+		    (!*most || utilisation(t) > utilisation(*most)))
 			*most = t;
 		if (t->rows < RANGES_MAX_ROWS &&
 		    (!*least || utilisation(t) < utilisation(*least)))
@@ -230,37 +235,105 @@
 	}
 }
 
+/* Returns the index after the last slot of the block that starts at slot i. */
+static size_t block_end(const struct pass *p, size_t i)
+{
+	size_t end = i + p->block;
+
+	return end < p->slot_count ? end : p->slot_count;
+}
+
+/*
+ * Sets *load to the load of the block that starts at slot i. Returns 0 if it
+ * cannot move from the target as a whole.
+ */
+static int block_may_move(const struct pass *p, const struct target *from,
+			  size_t i, double *load)
+{
+	uint32_t id = from->node->id;
+
+	*load = 0;
+	for (size_t k = i; k < block_end(p, i); k++) {
+		const struct place_slot *s = &p->slots[k];
+
+		if (p->owners[k] != id || s->owner != id || s->held || s->to)
+			return 0;
+		*load += p->slot_loads[k];
+	}
+	return 1;
+}
+
+/* Would taking the block at slot i leave its owner with too many rows? */
+static int splits_last_row(const struct pass *p, const struct target *from,
+			   size_t i)
+{
+	size_t end = block_end(p, i);
+
+	return from->rows >= RANGES_MAX_ROWS && i && end < p->slot_count &&
+	       p->owners[i - 1] == p->owners[i] &&
+	       p->owners[end] == p->owners[i];
+}
+
 /*
- * Chooses the slot with the highest load whose move makes the receiver no
+ * Chooses the block with the highest load whose move makes the receiver no
  * busier than the source was and leaves the source at least 0.9 of its fair
- * share; the first one among equals. Returns its index, or SIZE_MAX.
+ * share; the first one among equals. Sets *load to its load. Returns the index
+ * of its first slot, or SIZE_MAX.
  */
-static size_t choose_slot(const struct pass *p, const struct target *from,
-			  const struct target *to)
+static size_t choose_block(const struct pass *p, const struct target *from,
+			   const struct target *to, double *load)
 {
 	size_t best = SIZE_MAX;
+	double w;
 
-	for (size_t i = 0; i < p->slot_count; i++) {
-		double w = p->slot_loads[i];
-
-		if (p->owners[i] != from->node->id || p->slots[i].held ||
-		    p->slots[i].to || p->slots[i].owner != from->node->id)
+	for (size_t i = 0; i < p->slot_count; i += p->block) {
+		if (!block_may_move(p, from, i, &w))
 			continue;
 		if ((to->load + w) * from->fair_share >
 			    from->load * to->fair_share ||
 		    from->load - w < from->fair_share * 0.9)
 			continue;
-		if (best == SIZE_MAX || w > p->slot_loads[best])
+		if (splits_last_row(p, from, i))
+			continue;
+		if (best == SIZE_MAX || w > *load) {
 			best = i;
+			*load = w;
+		}
 	}
 	return best;
 }
 
+/* Most blocks that one pass moves to balance the load. */
+static size_t max_moves(const struct pass *p)
+{
+	size_t max = p->slot_count / p->block / RANGES_BLOCKS_PER_MOVE;
+
+	if (max < p->target_count * RANGES_MOVES_PER_TARGET)
+		max = p->target_count * RANGES_MOVES_PER_TARGET;
+	return max < RANGES_MIN_MOVES ? RANGES_MIN_MOVES : max;
+}
+
+/* Moves the block that starts at slot i. */
+static enum err move_block(struct pass *p, size_t i, struct target *from,
+			   struct target *to, double load)
+{
+	enum err e = ERR_OK;
+
+	for (size_t k = i; e == ERR_OK && k < block_end(p, i); k++)
+		e = add_move(p, k, to->node->id, PLACE_IMBALANCE);
+	from->load -= load;
+	to->load += load;
+	from->rows = count_rows(p, from->node->id);
+	to->rows = count_rows(p, to->node->id);
+	return e;
+}
+
 static enum err move_for_balance(struct ranges *r, struct pass *p,
 				 int64_t now_ms)
 {
+	size_t max = max_moves(p);
 	struct target *most, *least;
-	int moved = 0;
+	size_t moved = 0;
 
 	find_most_and_least_loaded(p, &most, &least);
 	if (!most || !least || most == least)
@@ -269,24 +342,22 @@
 	if (now_ms - r->balanced_ms < RANGES_BALANCE_MS ||
 	    utilisation(most) < RANGES_MOVE_ABOVE)
 		return ERR_OK;
-	while (moved < RANGES_MAX_MOVES &&
+	while (most && least && most != least && moved < max &&
 	       utilisation(most) > RANGES_MOVE_UNTIL) {
-		size_t i = choose_slot(p, most, least);
-		enum err e;
-
-		if (i == SIZE_MAX)
-			break;
-		most->load -= p->slot_loads[i];
-		least->load += p->slot_loads[i];
-		e = add_move(p, i, least->node->id, PLACE_IMBALANCE);
+		double load = 0;
+		size_t i = choose_block(p, most, least, &load);
+		enum err e = ERR_OK;
+
+		/* E.g. one block has all its load: others still move. */
+		if (i == SIZE_MAX) {
+			most->fixed = 1;
+		} else {
+			e = move_block(p, i, most, least, load);
+			moved++;
+		}
 		if (e != ERR_OK)
 			return e;
-		most->rows = count_rows(p, most->node->id);
-		least->rows = count_rows(p, least->node->id);
-		moved++;
 		find_most_and_least_loaded(p, &most, &least);
-		if (!least || most == least)
-			break;
 	}
 	if (moved)
 		r->balanced_ms = now_ms;
@@ -362,6 +433,7 @@
 		goto out;
 	fill_slot_loads(&p);
 	fill_targets(&p, nodes, node_count);
+	p.block = block_size(&p);
 	e = move_forced(&p, nodes, node_count);
 	if (e == ERR_OK)
 		e = move_for_balance(r, &p, now_ms);
--- a/placement/ranges.h
+++ b/placement/ranges.h
@@ -7,10 +7,11 @@
  * Placement for a service whose keys are numbers. Its slots are consecutive
  * ranges of keys, and a target is told which keys it owns as rows: one row for
  * each run of neighbouring slots. The answer that tells it has room for a
- * limited number of rows. Slots are therefore assigned in runs of neighbours,
- * to each target a part of the load by its capacity. To balance the load,
- * slots are moved one by one, the one with the highest load first. There is no
- * clock: times are arguments, in milliseconds of one clock.
+ * limited number of rows. Slots are therefore assigned and moved in blocks of
+ * neighbours, which are longer the fewer targets there are; each target gets a
+ * part of the load by its capacity. To balance the load, blocks are moved one
+ * by one, the one with the highest load first. There is no clock: times are
+ * arguments, in milliseconds of one clock.
  */
 
 /*
@@ -22,10 +23,15 @@
 /* A target with this many rows gets no more slots to balance the load. */
 #define RANGES_MAX_ROWS 140
 /*
- * Most slots moved in one pass to balance the load; a slot is not served while
- * it moves.
+ * Most blocks moved in one pass to balance the load: RANGES_MIN_MOVES, one of
+ * RANGES_BLOCKS_PER_MOVE blocks or RANGES_MOVES_PER_TARGET for each target,
+ * whichever is most. A slot is not served while it moves, so the bound is a
+ * part of the keys. Without the bound by targets, a hundred targets that return
+ * without slots would stay nearly idle for a minute.
  */
-#define RANGES_MAX_MOVES 6
+#define RANGES_MIN_MOVES 6
+#define RANGES_BLOCKS_PER_MOVE 85
+#define RANGES_MOVES_PER_TARGET 1
 /*
  * Load of the busiest target, relative to its fair share, above which slots
  * are moved and at which moving stops. The gap keeps noise in the load reports
--- a/test/unit/test_ranges.c
+++ b/test/unit/test_ranges.c
@@ -1,16 +1,20 @@
 #include "placement/ranges.h"
+#include "platform/document.h"
 
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define SLOTS 512
-#define MAX_NODES 8
+#define MAX_NODES 150
+/* Keys of a service, as the platform numbers them. */
+#define KEYS 65536
 
 struct fixture {
 	struct place_node nodes[MAX_NODES];
 	size_t node_count;
-	struct place_slot slots[SLOTS];
+	struct place_slot slots[DOCUMENT_KEYED_SHARDS];
+	size_t slot_count; /* SLOTS unless a test changes it */
 	struct ranges state;
 	struct place_moves moves;
 	int64_t now_ms;
@@ -20,13 +24,14 @@
 {
 	memset(f, 0, sizeof(*f));
 	f->node_count = nodes;
+	f->slot_count = SLOTS;
 	f->now_ms = 100000;
 	for (size_t i = 0; i < nodes; i++) {
 		f->nodes[i].id = (uint32_t)i + 1;
 		f->nodes[i].capacity = 100;
 		f->nodes[i].eligible = 1;
 	}
-	for (uint32_t i = 0; i < SLOTS; i++)
+	for (uint32_t i = 0; i < DOCUMENT_KEYED_SHARDS; i++)
 		f->slots[i].slot = i;
 	place_moves_init(&f->moves);
 }
@@ -37,7 +42,8 @@
 	size_t balance_moves = 0;
 
 	g_assert_cmpint(ranges_pass(&f->state, f->nodes, f->node_count,
-				    f->slots, SLOTS, f->now_ms, &f->moves),
+				    f->slots, f->slot_count, f->now_ms,
+				    &f->moves),
 			==, ERR_OK);
 	for (size_t i = 0; i < f->moves.count; i++) {
 		const struct place_move *m = &f->moves.items[i];
@@ -53,7 +59,7 @@
 {
 	double load = 0;
 
-	for (size_t i = 0; i < SLOTS; i++) {
+	for (size_t i = 0; i < f->slot_count; i++) {
 		if (f->slots[i].owner == id)
 			load += f->slots[i].load;
 	}
@@ -125,16 +131,83 @@
  */
 static void test_rows(void)
 {
-	for (size_t nodes = 1; nodes <= MAX_NODES; nodes++) {
-		struct fixture f;
+	static const size_t counts[] = { SLOTS, DOCUMENT_KEYED_SHARDS };
+
+	for (size_t nodes = 1; nodes <= 8; nodes++) {
+		for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+			struct fixture f;
+
+			fixture_init(&f, nodes);
+			f.slot_count = counts[i];
+			run_pass(&f);
+			for (uint32_t n = 1; n <= nodes; n++)
+				g_assert_cmpuint(
+					ranges_rows(f.slots, f.slot_count, n),
+					<=, RANGES_MAX_ROWS);
+			fixture_finish(&f);
+		}
+	}
+}
+
+/* Guards against rows that grow without bound by moves out of long runs. */
+static void test_rows_after_moves(void)
+{
+	GRand *rand = g_rand_new_with_seed(3);
+	struct fixture f;
 
-		fixture_init(&f, nodes);
+	fixture_init(&f, 6);
+	f.slot_count = DOCUMENT_KEYED_SHARDS;
+	run_pass(&f);
+	for (int round = 0; round < 60; round++) {
+		size_t hot = (size_t)g_rand_int_range(rand, 0, 4000);
+
+		for (size_t i = 0; i < f.slot_count; i++)
+			f.slots[i].load = i - hot < 96 ? 100 : 1;
 		run_pass(&f);
-		for (uint32_t n = 1; n <= nodes; n++)
-			g_assert_cmpuint(ranges_rows(f.slots, SLOTS, n), <=,
-					 RANGES_MAX_ROWS);
-		fixture_finish(&f);
+		for (uint32_t n = 1; n <= 6; n++)
+			g_assert_cmpuint(ranges_rows(f.slots, f.slot_count, n),
+					 <=, RANGES_MAX_ROWS + 1);
+	}
+	g_rand_free(rand);
+	fixture_finish(&f);
+}
+
+/*
+ * Requests for a key: 128 neighbours get 8% of all requests, 2,048 more around
+ * them 40%, and the other keys the rest.
+ */
+static double load_of_key(size_t key)
+{
+	if (key - 30208 < 128)
+		return .08 / 128;
+	return key - 29696 < 2048 ? .40 / 2048 : .52 / KEYS;
+}
+
+/*
+ * Guards against a hot range that one of many targets gets alone: 150 targets
+ * can serve 1.6 times the load. With shards of 128 keys, one target had twelve
+ * times the mean load and refused most of it while half of the others idled.
+ */
+static void test_hot_range(void)
+{
+	struct fixture f;
+	double sum = 0;
+
+	fixture_init(&f, 150);
+	f.slot_count = DOCUMENT_KEYED_SHARDS;
+	run_pass(&f);
+	for (size_t key = 0; key < KEYS; key++) {
+		size_t slot = key * f.slot_count / KEYS;
+
+		f.slots[slot].load += 3000 * load_of_key(key);
+		sum += 3000 * load_of_key(key);
 	}
+	/* 30 s of passes */
+	for (int round = 0; round < 15; round++)
+		run_pass(&f);
+	for (uint32_t n = 1; n <= 150; n++)
+		g_assert_cmpfloat(sum_load(&f, n), <=, 1.6 * sum / 150);
+	fixture_finish(&f);
 }
 
 /*
@@ -205,6 +278,60 @@
 	fixture_finish(&f);
 }
 
+/*
+ * Guards against targets that stay idle for long after a restart: 80 of 150
+ * lose their slots and return, and 30 s later all serve again by their part.
+ */
+static void test_return_of_many(void)
+{
+	struct fixture f;
+	double sum = 0;
+
+	fixture_init(&f, 150);
+	f.slot_count = DOCUMENT_KEYED_SHARDS;
+	run_pass(&f);
+	for (size_t i = 0; i < 80; i++)
+		f.nodes[i].state = PLACE_LOST;
+	run_pass(&f);
+	for (size_t i = 0; i < 80; i++)
+		f.nodes[i].state = PLACE_LIVE;
+	for (size_t i = 0; i < f.slot_count; i++)
+		sum += f.slots[i].load = 1;
+	for (int round = 0; round < 15; round++)
+		run_pass(&f);
+	for (uint32_t n = 1; n <= 150; n++)
+		g_assert_cmpfloat(sum_load(&f, n), >=, 0.6 * sum / 150);
+	fixture_finish(&f);
+}
+
+/*
+ * Guards against one slot that cannot move, as it alone is more than a target's
+ * part, and keeps all others from moving.
+ */
+static void test_fixed_slot(void)
+{
+	struct fixture f;
+	double sum = 0;
+
+	fixture_init(&f, 12);
+	run_pass(&f);
+	for (size_t i = 0; i < SLOTS; i++) {
+		f.slots[i].load = f.slots[i].owner == 2 ? 6 : 1;
+		sum += f.slots[i].load;
+	}
+	f.slots[0].load += 400;
+	sum += 400;
+	g_assert_cmpfloat(sum_load(&f, 2), >, 2 * sum / 12);
+	for (int round = 0; round < 20; round++)
+		run_pass(&f);
+	for (uint32_t n = 1; n <= 12; n++) {
+		if (n != f.slots[0].owner)
+			g_assert_cmpfloat(sum_load(&f, n), <,
+					  RANGES_MOVE_ABOVE * sum / 12);
+	}
+	fixture_finish(&f);
+}
+
 /* Guards against a new destination for a slot that is being released. */
 static void test_destination_stays(void)
 {
@@ -253,9 +380,13 @@
 	g_test_add_func("/ranges/hot-neighbours", test_hot_neighbours);
 	g_test_add_func("/ranges/capacity", test_capacity);
 	g_test_add_func("/ranges/rows", test_rows);
+	g_test_add_func("/ranges/rows-after-moves", test_rows_after_moves);
+	g_test_add_func("/ranges/hot-range", test_hot_range);
 	g_test_add_func("/ranges/losses", test_losses);
 	g_test_add_func("/ranges/noise", test_noise);
 	g_test_add_func("/ranges/balance", test_balance);
+	g_test_add_func("/ranges/return-of-many", test_return_of_many);
+	g_test_add_func("/ranges/fixed-slot", test_fixed_slot);
 	g_test_add_func("/ranges/destination-stays", test_destination_stays);
 	g_test_add_func("/ranges/no-eligible-target", test_no_eligible_target);
 	return g_test_run();
