selector: compare targets by the latency of the same kind of request

Pattern: one service with short requests (look-ups made by other requests, 80 ms) and long ones (bookings, 900 ms with the calls they wait for). Targets were compared by the mean latency of all that they ran. Requests that waited for such look-ups held places of their own targets meanwhile. Now a gate reports the latency of the kind of the ended request as well, an ingress keeps the mean of each kind over all targets, and a target's slowness is its latency relative to that.

--- a/limits/admission.c
+++ b/limits/admission.c
@@ -446,6 +446,13 @@
 	release_place(a, item);
 }
 
+double admission_kind_service_ms(const struct admission *a, uint32_t kind)
+{
+	const struct admission_kind *k = kind ? kind_find(a, kind) : NULL;
+
+	return k ? k->service_ms : 0;
+}
+
 uint32_t admission_retry_after_ms(const struct admission *a)
 {
 	double wait = ceil(expected_wait_ms(a, a->queued));
--- a/limits/admission.h
+++ b/limits/admission.h
@@ -157,6 +157,11 @@
 struct admission_item *admission_expire(struct admission *a, int64_t now_ms);
 /* Removes a cancelled item from the queue; does nothing if it is not queued. */
 void admission_remove(struct admission *a, struct admission_item *item);
+/*
+ * Returns the moving average of the service time of this kind of request in
+ * milliseconds; 0: unknown.
+ */
+double admission_kind_service_ms(const struct admission *a, uint32_t kind);
 /*
  * Returns the expected time in milliseconds, at least 1, until a place to run
  * is free for a request behind the whole queue; for Retry-After.
--- a/placement/selector.c
+++ b/placement/selector.c
@@ -22,6 +22,13 @@
 
 /* Assumed latency of a target that has not answered yet. */
 #define SELECTOR_DEFAULT_LATENCY_MS 50.0
+/* Weight of one report in the average latency of its kind. */
+#define SELECTOR_KIND_WEIGHT 0.05
+/*
+ * Weight of one report in the slowness of its target. What is reported is
+ * itself an average, so few reports are enough.
+ */
+#define SELECTOR_SLOWNESS_WEIGHT 0.3
 /* Half-life of a reported load. */
 #define SELECTOR_LOAD_HALF_LIFE_MS 400.0
 /* Weight of one outcome in the moving average of failures. */
@@ -59,12 +66,44 @@
 
 void selector_finish(struct selector *s)
 {
+	struct selector_kind *k, *next_kind;
 	struct selector_target *t, *next;
 
 	HASH_ITER(hh, s->targets, t, next) {
 		HASH_DEL(s->targets, t);
 		free(t);
 	}
+	HASH_ITER(hh, s->kinds, k, next_kind) {
+		HASH_DEL(s->kinds, k);
+		free(k);
+	}
+}
+
+static struct selector_kind *find_kind(const struct selector *s, uint32_t id)
+{
+	struct selector_kind *k;
+
+	HASH_FIND(hh, s->kinds, &id, sizeof(id), k);
+	return k;
+}
+
+static struct selector_kind *find_or_add_kind(struct selector *s, uint32_t id)
+{
+	struct selector_kind *k = find_kind(s, id);
+
+	if (k)
+		return k;
+	k = s->kinds;
+	if (k && HASH_COUNT(s->kinds) >= SELECTOR_MAX_KINDS) {
+		HASH_DEL(s->kinds, k);
+		free(k);
+	}
+	k = calloc(1, sizeof(*k));
+	if (!k)
+		return NULL;
+	k->id = id;
+	HASH_ADD(hh, s->kinds, id, sizeof(k->id), k);
+	return k;
 }
 
 static struct selector_target *find_target(const struct selector *s,
@@ -109,11 +148,26 @@
 	return seen > load ? seen : load;
 }
 
+/*
+ * Returns the latency of the target for requests of this kind, or over all
+ * kinds if the kind is NULL. The latency over all kinds says more about what a
+ * target was sent than about the target: those with short requests would get
+ * ever more requests, and the others would idle.
+ */
+static double expected_latency_ms(const struct selector_target *t,
+				  const struct selector_kind *kind)
+{
+	if (kind && kind->latency_ms > 0)
+		return kind->latency_ms * (t->slowness > 0 ? t->slowness : 1);
+	return t->load.latency_us ? t->load.latency_us / 1000.
+				  : SELECTOR_DEFAULT_LATENCY_MS;
+}
+
 static double expected_service_ms(const struct selector_target *t,
+				  const struct selector_kind *kind,
 				  uint32_t announced, int64_t now_ms)
 {
-	double latency = t->load.latency_us ? t->load.latency_us / 1000.
-					    : SELECTOR_DEFAULT_LATENCY_MS;
+	double latency = expected_latency_ms(t, kind);
 	double places = t->load.places ? t->load.places : announced;
 	double load = expected_load(t, now_ms);
 	double ms;
@@ -144,7 +198,8 @@
 }
 
 static double candidate_cost(struct selector *s,
-			     const struct selector_candidate *k, size_t bytes,
+			     const struct selector_candidate *k,
+			     const struct selector_kind *kind, size_t bytes,
 			     int64_t now_ms)
 {
 	static const struct selector_target unknown = { 0 };
@@ -155,7 +210,7 @@
 
 	if (!t)
 		t = &unknown;
-	ms += expected_service_ms(t, k->places, now_ms);
+	ms += expected_service_ms(t, kind, k->places, now_ms);
 	ms += expected_network_ms(t, bytes, now_ms);
 	if (now_ms < t->avoid_until_ms)
 		ms += SELECTOR_FAIL_COST_MS;
@@ -163,14 +218,16 @@
 }
 
 size_t selector_pick(struct selector *s, const struct selector_candidate *list,
-		     size_t count, size_t bytes, int64_t now_ms, double random,
-		     double *cost_ms)
+		     size_t count, uint32_t kind_id, size_t bytes,
+		     int64_t now_ms, double random, double *cost_ms)
 {
+	const struct selector_kind *kind =
+		kind_id ? find_kind(s, kind_id) : NULL;
 	size_t best = SIZE_MAX;
 	double best_cost = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		double cost = candidate_cost(s, &list[i], bytes, now_ms);
+		double cost = candidate_cost(s, &list[i], kind, bytes, now_ms);
 		/* A different random number for each candidate. */
 		double part = fmod(random * 997 + (double)i * 0.618034, 1.);
 
@@ -205,6 +262,27 @@
 	t->fail_updated_ms = now_ms;
 }
 
+static void update_slowness(struct selector *s, struct selector_target *t,
+			    const struct selector_load *load)
+{
+	struct selector_kind *k;
+	double ms = load->kind_latency_us / 1000.;
+	double part;
+
+	if (!load->kind || ms <= 0)
+		return;
+	k = find_or_add_kind(s, load->kind);
+	if (!k)
+		return;
+	if (k->latency_ms <= 0)
+		k->latency_ms = ms;
+	k->latency_ms += SELECTOR_KIND_WEIGHT * (ms - k->latency_ms);
+	part = ms / k->latency_ms;
+	if (t->slowness <= 0)
+		t->slowness = part;
+	t->slowness += SELECTOR_SLOWNESS_WEIGHT * (part - t->slowness);
+}
+
 void selector_note_ended(struct selector *s, uint32_t id,
 			 enum selector_outcome outcome,
 			 const struct selector_load *load, int64_t now_ms)
@@ -220,6 +298,7 @@
 		t->load = *load;
 		t->load_ms = now_ms;
 		t->sent_since_load = 0;
+		update_slowness(s, t, load);
 	}
 	switch (outcome) {
 	case SELECTOR_ANSWERED:
--- a/placement/selector.h
+++ b/placement/selector.h
@@ -38,12 +38,33 @@
 	uint32_t queued;
 	uint32_t places;     /* concurrency limit; 0: unknown */
 	uint32_t latency_us; /* of its answers, without the queue; 0: unknown */
+	/* Kind of the request that ended, e.g. its route; 0: unknown. */
+	uint32_t kind;
+	uint32_t kind_latency_us; /* as latency_us, of this kind only */
+};
+
+/*
+ * Most kinds with latencies of their own. When another one is added, the kind
+ * that was added first is dropped.
+ */
+#define SELECTOR_MAX_KINDS 64
+
+/* One kind of request. */
+struct selector_kind {
+	uint32_t id;
+	double latency_ms; /* moving average over all targets */
+	UT_hash_handle hh;
 };
 
 /* What one ingress knows of one target. */
 struct selector_target {
 	uint32_t id;
 	struct selector_load load;
+	/*
+	 * Its latency relative to that of all targets for the same kinds of
+	 * request, moving average; 0: unknown.
+	 */
+	double slowness;
 	int64_t load_ms;	 /* when load was reported; 0: never */
 	int32_t sent_since_load; /* requests sent less ended since then */
 	uint32_t in_flight;	 /* requests of this ingress */
@@ -59,6 +80,7 @@
 
 struct selector {
 	struct selector_target *targets;
+	struct selector_kind *kinds;
 };
 
 /* One target that may serve the request. */
@@ -76,13 +98,15 @@
 /*
  * Returns the index in list of the candidate with the lowest expected cost for
  * a request that transfers `bytes` with its answer; SIZE_MAX if the list is
- * empty. random is in [0, 1) and varies the costs slightly. *cost_ms, unless
- * cost_ms is NULL, is set to that cost: the expected time with the penalties
- * for distance and failures.
+ * empty. kind: kind of the request, 0 if unknown; the targets' latencies are
+ * then compared over all kinds, so that targets which happen to run short
+ * requests look faster than others. random is in [0, 1) and varies the costs
+ * slightly. *cost_ms, unless cost_ms is NULL, is set to that cost: the expected
+ * time with the penalties for distance and failures.
  */
 size_t selector_pick(struct selector *s, const struct selector_candidate *list,
-		     size_t count, size_t bytes, int64_t now_ms, double random,
-		     double *cost_ms);
+		     size_t count, uint32_t kind, size_t bytes, int64_t now_ms,
+		     double random, double *cost_ms);
 /* Notes that a request was sent to the target. */
 void selector_note_sent(struct selector *s, uint32_t id);
 /*
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -4610,7 +4610,7 @@
   (ProtobufCMessageInit) wire__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[6] =
 {
   {
     "running",
@@ -4672,8 +4672,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kind_latency_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TargetLoad, kind_latency_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__target_load__field_indices_by_name[] = {
+  5,   /* field[5] = kind_latency_us */
   3,   /* field[3] = latency_us */
   2,   /* field[2] = places */
   1,   /* field[1] = queued */
@@ -4683,7 +4696,7 @@
 static const ProtobufCIntRange wire__target_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__target_load__descriptor =
 {
@@ -4693,7 +4706,7 @@
   "Wire__TargetLoad",
   "wire",
   sizeof(Wire__TargetLoad),
-  5,
+  6,
   wire__target_load__field_descriptors,
   wire__target_load__field_indices_by_name,
   1,  wire__target_load__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -828,10 +828,14 @@
    * time that this request spent at the gate
    */
   uint32_t took_us;
+  /*
+   * as latency_us, of requests of the same route
+   */
+  uint32_t kind_latency_us;
 };
 #define WIRE__TARGET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__target_load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -176,6 +176,9 @@
 	reply->arrived = c->sent_ns != 0;
 	fill_reply(g, reply, &load, c->f->attempt);
 	load.took_us = (uint32_t)((clk_ns() - c->arrived_ns) / 1000);
+	load.kind_latency_us = (uint32_t)(admission_kind_service_ms(
+						  &g->admission, c->f->route) *
+					  1000);
 	count_outcome(g, c->f, reply);
 	if (c->fn)
 		c->fn(reply, c->priv);
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -376,6 +376,8 @@
 		load.queued = l->queued;
 		load.places = l->places;
 		load.latency_us = l->latency_us;
+		load.kind = q->forward.route;
+		load.kind_latency_us = l->kind_latency_us;
 	}
 	if (reply->outcome == OUTCOME_ANSWERED)
 		record_answer_size(q, reply->body.len);
@@ -497,7 +499,7 @@
 		list[count].distance = distance_of(q, n->info);
 		list[count++].places = t->concurrency;
 	}
-	best = selector_pick(&q->in->selector, list, count,
+	best = selector_pick(&q->in->selector, list, count, q->forward.route,
 			     expected_transfer_bytes(q), clk_ms(),
 			     g_random_double(), NULL);
 	id = best < count ? list[best].id : 0;
--- a/test/unit/test_selector.c
+++ b/test/unit/test_selector.c
@@ -19,8 +19,16 @@
 	int64_t sent_ms;
 	int64_t done_ms; /* when it ends; 0: queued */
 	int failed;
+	unsigned kind; /* index in kinds; 0: run_load's base_ms */
 };
 
+/*
+ * Kinds of test_kinds: look-ups made by other requests, and bookings. Each
+ * takes half of the capacity.
+ */
+#define KINDS 3
+static const double kind_ms[KINDS] = { 0, 80, 900 };
+
 struct target {
 	double speed;
 	double fail_rate; /* part of the answers that are failures */
@@ -30,6 +38,9 @@
 	unsigned served;
 	unsigned refused;
 	unsigned failed;
+	double busy_ms;	   /* time of its places that was used */
+	double latency_ms; /* moving averages, as a gate has them */
+	double by_kind[KINDS];
 };
 
 struct simulation {
@@ -39,6 +50,8 @@
 	GRand *rand;
 	int64_t now_ms;
 	int use_least_outstanding; /* instead of the selector */
+	int with_kinds;		   /* kinds 1 and 2 instead of base_ms */
+	int apart;		   /* kind 1 to one half of the targets only */
 	double base_ms;
 	double total_answer_ms; /* sum over all answers */
 };
@@ -66,6 +79,12 @@
 	g_rand_free(s->rand);
 }
 
+static double service_ms(const struct simulation *s, const struct target *t,
+			 const struct request *r)
+{
+	return (r->kind ? kind_ms[r->kind] : s->base_ms) / t->speed;
+}
+
 static void start_queued(struct simulation *s, struct target *t)
 {
 	for (guint i = 0; i < t->requests->len && t->running < PLACES; i++) {
@@ -74,22 +93,36 @@
 
 		if (r->done_ms)
 			continue;
-		r->done_ms = s->now_ms + (int64_t)(s->base_ms / t->speed);
+		r->done_ms = s->now_ms + (int64_t)service_ms(s, t, r);
 		t->running++;
 	}
 }
 
+static void update_average(double *mean, double value)
+{
+	*mean = *mean > 0 ? *mean + 0.05 * (value - *mean) : value;
+}
+
 static void finish_request(struct simulation *s, size_t k, guint i)
 {
 	struct target *t = &s->targets[k];
 	struct request r = g_array_index(t->requests, struct request, i);
 	struct selector_load load;
 
+	double ms = service_ms(s, t, &r);
+
 	g_array_remove_index(t->requests, i);
 	t->running--;
+	t->busy_ms += ms;
+	update_average(&t->latency_ms, ms);
+	update_average(&t->by_kind[r.kind], ms);
 	load = (struct selector_load){
-		t->running, t->requests->len - t->running, PLACES,
-		(uint32_t)(s->base_ms / t->speed * 1000)
+		.running = t->running,
+		.queued = t->requests->len - t->running,
+		.places = PLACES,
+		.latency_us = (uint32_t)(t->latency_ms * 1000),
+		.kind = r.kind,
+		.kind_latency_us = (uint32_t)(t->by_kind[r.kind] * 1000),
 	};
 	if (r.failed)
 		t->failed++;
@@ -131,15 +164,32 @@
 	return best;
 }
 
+static unsigned draw_kind(struct simulation *s)
+{
+	double lookups = kind_ms[2] / (kind_ms[1] + kind_ms[2]);
+
+	if (!s->with_kinds)
+		return 0;
+	return g_rand_double(s->rand) < lookups ? 1 : 2;
+}
+
+static size_t choose(struct simulation *s, unsigned kind, size_t bytes)
+{
+	if (s->use_least_outstanding)
+		return least_outstanding(s);
+	if (s->apart)
+		return (size_t)g_rand_int_range(s->rand, 0, TARGETS / 2) +
+		       (kind == 1 ? 0 : TARGETS / 2);
+	return selector_pick(&s->selector, s->list, TARGETS, kind, bytes,
+			     s->now_ms, g_rand_double(s->rand), NULL);
+}
+
 static void send_one(struct simulation *s, size_t bytes)
 {
-	size_t k = s->use_least_outstanding
-			   ? least_outstanding(s)
-			   : selector_pick(&s->selector, s->list, TARGETS,
-					   bytes, s->now_ms,
-					   g_rand_double(s->rand), NULL);
+	unsigned kind = draw_kind(s);
+	size_t k = choose(s, kind, bytes);
 	struct target *t = &s->targets[k];
-	struct request r = { .sent_ms = s->now_ms };
+	struct request r = { .sent_ms = s->now_ms, .kind = kind };
 
 	selector_note_sent(&s->selector, s->list[k].id);
 	if (t->unreachable || t->requests->len >= PLACES + QUEUE_PLACES) {
@@ -292,6 +342,41 @@
 	simulation_finish(&s);
 }
 
+/*
+ * Guards against targets that attract all of the short requests, because these
+ * make them look fast, while targets with long requests idle. For 5 s, one half
+ * of the targets has only short ones, as after refusals of one kind; then the
+ * load is 0.9 of the capacity for 5 s. Each target must do its part of the
+ * work.
+ */
+static void test_kinds(void)
+{
+	double per_s =
+		0.9 * TARGETS * PLACES * 1000 /
+		(2 * kind_ms[1] * kind_ms[2] / (kind_ms[1] + kind_ms[2]));
+	struct simulation s;
+	double sum = 0;
+
+	simulation_init(&s);
+	s.with_kinds = 1;
+	s.apart = 1;
+	run_load(&s, 5000, 0.5 * per_s, 0, 1000);
+	s.apart = 0;
+	for (size_t i = 0; i < TARGETS; i++)
+		s.targets[i].busy_ms = 0;
+	run_load(&s, 5000, per_s, 0, 1000);
+	for (size_t i = 0; i < TARGETS; i++)
+		sum += s.targets[i].busy_ms;
+	for (size_t i = 0; i < TARGETS; i++) {
+		g_assert_cmpfloat(s.targets[i].busy_ms, >,
+				  0.85 * sum / TARGETS);
+		g_assert_cmpfloat(s.targets[i].busy_ms, <,
+				  1.15 * sum / TARGETS);
+	}
+	g_assert_cmpuint(count_refused(&s), ==, 0);
+	simulation_finish(&s);
+}
+
 /* Guards against an equal share of the requests for a cold target. */
 static void test_cold_start(void)
 {
@@ -302,12 +387,13 @@
 	run_load(&s, 1000, 200, 100, 1000);
 	selector_set_cold(&s.selector, 1, s.now_ms + 3000);
 	for (int i = 0; i < 600; i++)
-		cold += selector_pick(&s.selector, s.list, TARGETS, 1000,
+		cold += selector_pick(&s.selector, s.list, TARGETS, 0, 1000,
 				      s.now_ms, g_rand_double(s.rand),
 				      NULL) == 0;
 	g_assert_cmpuint(cold, <, 20);
-	g_assert_cmpuint(selector_pick(&s.selector, s.list, 0, 0, 0, 0, NULL),
-			 ==, SIZE_MAX);
+	g_assert_cmpuint(
+		selector_pick(&s.selector, s.list, 0, 0, 0, 0, 0, NULL), ==,
+		SIZE_MAX);
 	simulation_finish(&s);
 }
 
@@ -319,6 +405,7 @@
 	g_test_add_func("/selector/slow", test_slow);
 	g_test_add_func("/selector/large-bodies", test_large_bodies);
 	g_test_add_func("/selector/unreachable", test_unreachable);
+	g_test_add_func("/selector/kinds", test_kinds);
 	g_test_add_func("/selector/cold-start", test_cold_start);
 	return g_test_run();
 }
