--- a/placement/ranges.c
+++ b/placement/ranges.c
@@ -303,10 +303,10 @@
 	return best;
 }
 
-/* Most blocks that one pass moves to balance the load. */
-static size_t max_moves(const struct pass *p)
+/* Most slots that one pass moves to balance the load. */
+static size_t max_moved_slots(const struct pass *p)
 {
-	size_t max = p->slot_count / p->block / RANGES_BLOCKS_PER_MOVE;
+	size_t max = p->slot_count / RANGES_SLOTS_PER_MOVE;
 
 	if (max < p->target_count * RANGES_MOVES_PER_TARGET)
 		max = p->target_count * RANGES_MOVES_PER_TARGET;
@@ -331,7 +331,7 @@
 static enum err move_for_balance(struct ranges *r, struct pass *p,
 				 int64_t now_ms)
 {
-	size_t max = max_moves(p);
+	size_t max = max_moved_slots(p);
 	struct target *most, *least;
 	size_t moved = 0;
 
@@ -353,7 +353,7 @@
 			most->fixed = 1;
 		} else {
 			e = move_block(p, i, most, least, load);
-			moved++;
+			moved += p->block;
 		}
 		if (e != ERR_OK)
 			return e;
--- a/placement/ranges.h
+++ b/placement/ranges.h
@@ -23,14 +23,15 @@
 /* A target with this many rows gets no more slots to balance the load. */
 #define RANGES_MAX_ROWS 140
 /*
- * Most blocks moved in one pass to balance the load: RANGES_MIN_MOVES, one of
- * RANGES_BLOCKS_PER_MOVE blocks or RANGES_MOVES_PER_TARGET for each target,
- * whichever is most. A slot is not served while it moves, so the bound is a
- * part of the keys. Without the bound by targets, a hundred targets that return
- * without slots would stay nearly idle for a minute.
+ * Most slots moved in one pass to balance the load: RANGES_MIN_MOVES, one of
+ * RANGES_SLOTS_PER_MOVE slots or RANGES_MOVES_PER_TARGET for each target,
+ * whichever is most. A slot is not served while it moves, and its keys are slow
+ * at first at the new target, so the bound is a part of the keys. Without the
+ * bound by targets, a hundred targets that return without slots would stay
+ * nearly idle for a minute.
  */
 #define RANGES_MIN_MOVES 6
-#define RANGES_BLOCKS_PER_MOVE 85
+#define RANGES_SLOTS_PER_MOVE 85
 #define RANGES_MOVES_PER_TARGET 1
 /*
  * Load of the busiest target, relative to its fair share, above which slots
