retry_share: shares of many nodes stay within the fleet's limit

With more nodes than the slack has retries, each node still had a whole token: 295 nodes could make 295 retries at once where the rule allows 220 in ten seconds (80 requests/s, ratio 0.2, slack 60). A part of a token is now the probability of a retry; spent tokens add up to the limit over the fleet. With fewer nodes nothing changes. test_limits many_nodes: 295 before, within the limit after, and more than a tenth of the requests retried.

--- a/limits/retry_share.h
+++ b/limits/retry_share.h
@@ -6,10 +6,14 @@
  * service. In any window of time, the fleet's retries are limited to
  * ratio * requests + slack. Each node earns tokens by its own requests and has
  * an equal part of the slack, so that the shares never add up to more than the
- * limit, whether or not the nodes can reach each other (if the slack is at
- * least one retry for each node; see RETRY_SHARE_MIN_CAP). Tokens are capped
+ * limit, whether or not the nodes can reach each other. Tokens are capped
  * at the node's part of the slack: a window sees at most that many and those
  * earned in it. No clock is needed.
+ *
+ * If a node's part is less than one retry, it is a probability: the tokens are
+ * spent, and with the probability that they state a retry is allowed. Over the
+ * fleet that adds up to the tokens; a whole token for each node would add up to
+ * more than the limit.
  */
 
 /*
@@ -18,14 +22,13 @@
  * can recognise them.
  */
 #define RETRY_SHARE_USED_PART 0.8
-/* Lowest cap; with less than one token a node could never retry. */
-#define RETRY_SHARE_MIN_CAP 1.0
 
 struct retry_share {
 	double tokens;
+	double cap; /* most tokens, as of the last request */
 };
 
-/* Starts with RETRY_SHARE_MIN_CAP tokens. */
+/* Starts with one token, which the first request caps. */
 void retry_share_init(struct retry_share *s);
 /*
  * Notes a caller's request for the service, which earns tokens. ratio: retries
@@ -35,9 +38,9 @@
 void retry_share_request(struct retry_share *s, double ratio, double slack,
 			 unsigned nodes);
 /*
- * Takes one token and returns 1; returns 0 if there is none, and the request
- * must not be retried.
+ * Takes one token and returns 1; returns 0 if the request must not be retried.
+ * random, in [0, 1), decides if there is a part of a token only.
  */
-int retry_share_take(struct retry_share *s);
+int retry_share_take(struct retry_share *s, double random);
 
 #endif
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -233,7 +233,7 @@
 		count_event(q, "in_budget_empty");
 		return 0;
 	}
-	if (!retry_share_take(&s->retry_share)) {
+	if (!retry_share_take(&s->retry_share, g_random_double())) {
 		retry_budget_give_back(b);
 		count_event(q, "in_share_empty");
 		return 0;
