daemon, gate: work for a release does not grow with the number of slots

Trace: sidecar-gp-midrand-1 logged nothing from 23.79 to 25.78 s, all other daemons suspected their links to it, and it then passed on requests whose callers had left at 23.92. Its target was leaving with 683 slots: each slot of a release frame looked at all slots and all rows that the target holds. Released slots are now reported once for a frame, and gate_release() looks at its own slot only, unless calls moved between slots.

--- a/daemon/holds.c
+++ b/daemon/holds.c
@@ -53,7 +53,21 @@
 	if (hold_start_release(&n->hold, slot, first, last) != ERR_OK)
 		log_error("hold_release_failed", "slot=%u error=%s", slot,
 			  err_name(ERR_NOMEM));
-	node_report_hold_releases(n, clk_ms());
+	/* Once for all slots of a frame, since it looks at all slots. */
+	ev_timer_start(n->loop, &n->hold_timer);
+}
+
+static void on_hold_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	node_report_hold_releases(w->data, clk_ms());
+}
+
+void node_holds_init(struct node *n)
+{
+	ev_timer_init(&n->hold_timer, on_hold_timer, 0., 0.);
+	n->hold_timer.data = n;
 }
 
 static void close_gate_for_slot(struct node *n, struct hold_slot *s)
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -425,6 +425,7 @@
 	n->announced_ms = clk_ms();
 	hold_init(&n->hold, n->announced_ms,
 		  own_times_for(settings_grant_ms(settings)).grant_ms);
+	node_holds_init(n);
 	cnt_init(&n->cnt);
 	ev_timer_init(&n->timer, on_tick, NODE_TICK_S, NODE_TICK_S);
 	n->timer.data = n;
@@ -449,6 +450,7 @@
 void node_finish(struct node *n)
 {
 	ev_timer_stop(n->loop, &n->timer);
+	ev_timer_stop(n->loop, &n->hold_timer);
 	if (n->admin_up)
 		httpd_finish(&n->admin);
 	if (n->ready_up)
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -128,6 +128,7 @@
 	uint64_t target_sequence;  /* of the newest announcement */
 	int64_t target_leaving_ms; /* when target_leaving was set */
 	struct hold hold;	   /* keys that the target holds */
+	ev_timer hold_timer;	   /* node_report_hold_releases in this turn */
 
 	enum node_phase phase;
 	int64_t stop_ms;      /* when the planned stop began */
@@ -193,6 +194,9 @@
 
 /* ---- holds.c: the keys that the target holds ---- */
 
+/* Sets up the timer; node_finish stops it. */
+void node_holds_init(struct node *n);
+
 /*
  * Applies the rows of the announcement and fills in which keys the target may
  * hold, and for how long.
--- a/routing/gate_slot.c
+++ b/routing/gate_slot.c
@@ -135,12 +135,13 @@
  * Assigns calls to the slots that their keys have in the current map. A pin
  * that was added or removed since a call was admitted moves its key to another
  * slot, and a slot is drained only if no call for any of its current keys is
- * in flight.
+ * in flight. Returns the number of calls that have moved.
  */
-static void update_call_slots(struct gate *g)
+static unsigned update_call_slots(struct gate *g)
 {
 	struct gate_slot *from, *to;
 	struct gate_call *c;
+	unsigned moved = 0;
 	uint32_t slot;
 
 	DL_FOREACH(g->calls, c) {
@@ -158,18 +159,9 @@
 			to->in_flight++;
 		}
 		c->slot = slot;
+		moved++;
 	}
-}
-
-static struct gate_slot *find_slot_to_report(const struct gate *g)
-{
-	struct gate_slot *s, *next;
-
-	HASH_ITER(hh, g->slots, s, next) {
-		if (is_report_due(s))
-			return s;
-	}
-	return NULL;
+	return moved;
 }
 
 static struct gate_call *find_queued_call(struct gate *g, uint32_t slot)
@@ -183,44 +175,54 @@
 	return NULL;
 }
 
-static int any_slot_awaits_report(const struct gate *g)
+void gate_report_drained_slots(struct gate *g)
 {
-	const struct gate_slot *s, *next;
+	size_t count = 0, max = HASH_COUNT(g->slots);
+	uint32_t *slots = malloc((max + 1) * sizeof(*slots));
+	struct gate_slot *s, *next;
 
+	ev_timer_stop(g->loop, &g->release_timer);
 	HASH_ITER(hh, g->slots, s, next) {
-		if (awaits_release_report(s))
-			return 1;
+		if (awaits_release_report(s) && slots)
+			slots[count++] = s->slot;
+		else if (awaits_release_report(s))
+			start_release_timer(g); /* without memory: later */
 	}
-	return 0;
-}
-
-void gate_report_drained_slots(struct gate *g)
-{
-	struct gate_slot *s;
-
-	while ((s = find_slot_to_report(g)))
-		report_if_drained(g, s);
-	if (any_slot_awaits_report(g))
-		start_release_timer(g);
-	else
-		ev_timer_stop(g->loop, &g->release_timer);
+	/* A report may end the release of another slot. */
+	for (size_t i = 0; i < count; i++) {
+		s = gate_slot_find(g, slots[i]);
+		if (s)
+			report_if_drained(g, s);
+	}
+	free(slots);
 }
 
+/*
+ * A node releases thousands of slots at a time, so that the work for one must
+ * not grow with their number.
+ */
 void gate_release(struct gate *g, uint32_t slot)
 {
 	struct gate_slot *s = gate_slot_get_or_add(g, slot);
 	struct gate_call *c;
+	unsigned moved;
 
 	/* If memory runs out, the coordinator repeats its release request. */
 	if (!s)
 		return;
 	s->releasing = 1;
 	s->release_reported = 0;
-	update_call_slots(g);
+	moved = update_call_slots(g);
 	while ((c = find_queued_call(g, slot)))
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_RELEASING);
 	/* Other slots may have been drained by moving their calls. */
-	gate_report_drained_slots(g);
+	if (moved) {
+		gate_report_drained_slots(g);
+		return;
+	}
+	s = gate_slot_find(g, slot);
+	if (s && !s->release_reported)
+		report_if_drained(g, s);
 }
 
 static void end_release(struct gate *g, uint32_t slot)
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -422,6 +422,39 @@
 	teardown(&f);
 }
 
+#define MANY_SLOTS 4096
+/*
+ * A daemon with a tenth of a processor that is busy for this long stands still
+ * for a second, and its callers leave.
+ */
+#define MANY_RELEASES_MAX_MS 100
+
+static double thread_cpu_ms(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1000 + (double)t.tv_nsec / 1e6;
+}
+
+/*
+ * Guards against a daemon that stands still while a target with thousands of
+ * slots leaves: the work for one release must not grow with their number.
+ */
+static void test_release_many(void)
+{
+	struct fixture f;
+	double before_ms;
+
+	setup(&f, 1);
+	before_ms = thread_cpu_ms();
+	for (uint32_t slot = 0; slot < MANY_SLOTS; slot++)
+		gate_release(f.gate, slot);
+	g_assert_cmpfloat(thread_cpu_ms() - before_ms, <, MANY_RELEASES_MAX_MS);
+	g_assert_cmpuint(f.released_count, ==, MANY_SLOTS);
+	teardown(&f);
+}
+
 /* Guards against requests that run after the release was reported. */
 static void test_release(void)
 {
@@ -958,6 +991,7 @@
 	g_test_add_func("/gate/guard_attempt", test_guard_attempt);
 #endif
 	g_test_add_func("/gate/repeated_attempt", test_repeated_attempt);
+	g_test_add_func("/gate/release_many", test_release_many);
 	g_test_add_func("/gate/release", test_release);
 	g_test_add_func("/gate/release_of_pin", test_release_of_pin);
 	g_test_add_func("/gate/release_while_connecting",
