coord, gate: no push of a document that is not whole; unused members removed

A section for which memory was short was left out of a push, and members took the rest as the whole document; such a push is not sent now. gate_answer_age_ms, gate.last_answer_ms, node.target_leaving_ms and answer.connection had no user.

--- a/daemon/target.c
+++ b/daemon/target.c
@@ -114,7 +114,6 @@
 	log_info("target_leaving", "service=%s id=%s",
 		 LOG_Q(n->target->service), LOG_Q(n->target->id));
 	n->target_leaving = 1;
-	n->target_leaving_ms = clk_ms();
 	gate_set_target_leaving(n->gate);
 	membership_set_target(n->membership, NULL);
 }
--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -66,13 +66,14 @@
 	return other && other->digest == x->digest && other->len == x->len;
 }
 
-static void add_section(Wire__DocPush *p, const struct doc_section *s,
-			int removed)
+/* Returns 0 without memory; the push must not be sent without the section. */
+static int add_section(Wire__DocPush *p, const struct doc_section *s,
+		       int removed)
 {
 	Wire__DocSection *w = malloc(sizeof(*w));
 
 	if (!w)
-		return;
+		return 0;
 	wire__doc_section__init(w);
 	w->name = s->name;
 	w->removed = removed;
@@ -81,6 +82,7 @@
 		w->text.len = s->len;
 	}
 	p->sections[p->n_sections++] = w;
+	return 1;
 }
 
 static void free_push(Wire__DocPush *p)
@@ -94,23 +96,25 @@
 			 const struct doc_sections *from)
 {
 	Wire__DocPush p = WIRE__DOC_PUSH__INIT;
+	int complete;
 
 	p.term = c->record.term;
 	p.base_rev = base_rev;
 	p.rev = c->doc_rev;
 	p.sections = calloc(from->count + c->sections.count + 1,
 			    sizeof(*p.sections));
-	if (!p.sections)
-		return;
-	for (size_t i = 0; i < c->sections.count; i++) {
+	complete = p.sections != NULL;
+	for (size_t i = 0; complete && i < c->sections.count; i++) {
 		if (!has_same_section(from, &c->sections.items[i]))
-			add_section(&p, &c->sections.items[i], 0);
+			complete = add_section(&p, &c->sections.items[i], 0);
 	}
-	for (size_t i = 0; i < from->count; i++) {
+	for (size_t i = 0; complete && i < from->count; i++) {
 		if (!doc_sections_get(&c->sections, from->items[i].name))
-			add_section(&p, &from->items[i], 1);
+			complete = add_section(&p, &from->items[i], 1);
 	}
-	co_push_doc(c, base_rev, &p);
+	/* Members that get no push fetch the document when they ask. */
+	if (complete)
+		co_push_doc(c, base_rev, &p);
 	free_push(&p);
 }
 
@@ -118,18 +122,18 @@
 static void encode_full(struct coord *c)
 {
 	Wire__DocPush p = WIRE__DOC_PUSH__INIT;
+	int complete;
 
 	buf_reset(&c->doc_frame);
 	c->doc_frame_rev = 0;
 	p.term = c->record.term;
 	p.rev = c->doc_rev;
 	p.sections = calloc(c->sections.count + 1, sizeof(*p.sections));
-	if (!p.sections)
-		return;
-	for (size_t i = 0; i < c->sections.count; i++)
-		add_section(&p, &c->sections.items[i], 0);
-	if (frame_encode_deflated(FRAME_DOC_PUSH, &p.base, &c->doc_frame) ==
-	    ERR_OK)
+	complete = p.sections != NULL;
+	for (size_t i = 0; complete && i < c->sections.count; i++)
+		complete = add_section(&p, &c->sections.items[i], 0);
+	if (complete && frame_encode_deflated(FRAME_DOC_PUSH, &p.base,
+					      &c->doc_frame) == ERR_OK)
 		c->doc_frame_rev = c->doc_rev;
 	free_push(&p);
 }
--- a/protocol/frame.h
+++ b/protocol/frame.h
@@ -93,8 +93,8 @@
 		      struct buf *out);
 /*
  * Does the same, but compresses the message if its type allows that and it
- * becomes smaller. Compression takes about 20 us per kB, so the result should
- * be sent to several receivers.
+ * becomes smaller. That takes much longer than encoding it, so the result
+ * should be sent to several receivers.
  */
 enum err frame_encode_deflated(enum frame_type type,
 			       const ProtobufCMessage *msg, struct buf *out);
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -634,11 +634,6 @@
 	g->quiesced = 1;
 }
 
-int64_t gate_answer_age_ms(const struct gate *g)
-{
-	return g->last_answer_ms ? clk_ms() - g->last_answer_ms : INT64_MAX;
-}
-
 unsigned gate_in_flight(const struct gate *g)
 {
 	return g->in_flight;
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -84,8 +84,6 @@
  * and none that the gate gave up can still start at the target.
  */
 int gate_slot_is_drained(const struct gate *g, uint32_t slot);
-/* Returns the milliseconds since the target last answered; INT64_MAX: never. */
-int64_t gate_answer_age_ms(const struct gate *g);
 /*
  * Sets or changes the target, which is copied and not leaving any more. NULL:
  * there is no target, and queued requests end with ERR_NO_TARGET. A target
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -129,7 +129,6 @@
 	Wire__Header *headers;
 	Wire__Header **forwarded; /* those that go to the requester */
 	size_t count;		  /* of forwarded */
-	char *connection;	  /* not used */
 	const char *refused;
 	const char *retry_after;
 	const char *seal;
@@ -310,8 +309,6 @@
 {
 	int64_t now_ms = clk_ms();
 
-	if (reply->outcome == OUTCOME_ANSWERED)
-		g->last_answer_ms = now_ms;
 	if (reply->error == ERR_TARGET_REFUSED)
 		health_refused(&g->health, now_ms);
 	else if (reply->outcome == OUTCOME_ANSWERED)
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -70,7 +70,6 @@
 	int target_leaving;	   /* send only requests with a key */
 	int64_t drain_ms;	   /* stop those too after this; 0: never */
 	int64_t leaving_since_ms;  /* valid while target_leaving is set */
-	int64_t last_answer_ms;	   /* 0: the target never answered */
 	int lost_reported;	   /* ops->target_lost has run */
 	unsigned unanswered_calls; /* calls in a row without a status line */
 	struct admission admission;
