--- a/daemon/holds.c
+++ b/daemon/holds.c
@@ -54,10 +54,10 @@
 		log_error("hold_release_failed", "slot=%u error=%s", slot,
 			  err_name(ERR_NOMEM));
 	/* Once for all slots of a frame, since it looks at all slots. */
-	ev_timer_start(n->loop, &n->hold_timer);
+	ev_timer_start(n->loop, &n->release_timer);
 }
 
-static void on_hold_timer(struct ev_loop *loop, ev_timer *w, int events)
+static void on_release_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	(void)loop;
 	(void)events;
@@ -66,8 +66,8 @@
 
 void node_holds_init(struct node *n)
 {
-	ev_timer_init(&n->hold_timer, on_hold_timer, 0., 0.);
-	n->hold_timer.data = n;
+	ev_timer_init(&n->release_timer, on_release_timer, 0., 0.);
+	n->release_timer.data = n;
 }
 
 static void close_gate_for_slot(struct node *n, struct hold_slot *s)
@@ -235,7 +235,7 @@
 			continue;
 		if (hold_answer_add(&n->hold, slot, first, last,
 				    a->rows[r].fence, now_ms,
-				    a->hold_time_ms) != ERR_OK)
+				    a->hold_ms) != ERR_OK)
 			log_error("hold_add_failed", "slot=%u error=%s", slot,
 				  err_name(ERR_NOMEM));
 	}
@@ -287,19 +287,19 @@
 	if (!s || !s->key_numbers || !map_names_this_target(n, a) ||
 	    membership_may_serve(n->membership, now_ms, &end_ms) != ERR_OK)
 		return;
-	answer->hold_time_ms = hold_remaining_ms(
+	answer->hold_ms = hold_remaining_ms(
 		now_ms, end_ms,
 		own_times_for(settings_grant_ms(n->settings)).grant_ms <
 				n->settings->hold_max_ms
 			? own_times_for(settings_grant_ms(n->settings)).grant_ms
 			: n->settings->hold_max_ms);
-	if (!answer->hold_time_ms)
+	if (!answer->hold_ms)
 		return;
 	answer->has_holds = 1;
 	fill_rows_within_limit(n, s, answer);
 	record_given_rows(n, s, answer, now_ms);
 	log_debug("target_holds", "rows=%zu time_ms=%lld map_revision=%llu",
-		  answer->row_count, (long long)answer->hold_time_ms,
+		  answer->row_count, (long long)answer->hold_ms,
 		  (unsigned long long)m->rev);
 }
 
--- a/daemon/interface.h
+++ b/daemon/interface.h
@@ -49,8 +49,8 @@
 
 /* The answer to an announcement: which keys the target may hold. */
 struct announce_answer {
-	int has_holds;	      /* 0: the answer gives and renews nothing */
-	int64_t hold_time_ms; /* from when it sent the announcement */
+	int has_holds;	 /* 0: the answer gives and renews nothing */
+	int64_t hold_ms; /* from when it sent the announcement */
 	struct hold_row rows[ANNOUNCE_MAX_ROWS];
 	size_t row_count;
 };
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -450,7 +450,7 @@
 void node_finish(struct node *n)
 {
 	ev_timer_stop(n->loop, &n->timer);
-	ev_timer_stop(n->loop, &n->hold_timer);
+	ev_timer_stop(n->loop, &n->release_timer);
 	if (n->admin_up)
 		httpd_finish(&n->admin);
 	if (n->ready_up)
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -127,7 +127,7 @@
 	int64_t target_born_ms;	  /* wall-clock time of the target's start */
 	uint64_t target_sequence; /* of the newest announcement */
 	struct hold hold;	  /* keys that the target holds */
-	ev_timer hold_timer;	  /* node_report_hold_releases in this turn */
+	ev_timer release_timer;	  /* node_report_hold_releases in this turn */
 
 	enum node_phase phase;
 	int64_t stop_ms;      /* when the planned stop began */
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -467,7 +467,7 @@
 	g_assert_cmpstr(buf_text(&b), ==, "{}");
 	buf_reset(&b);
 	a.has_holds = 1;
-	a.hold_time_ms = 4000;
+	a.hold_ms = 4000;
 	a.rows[0] = (struct hold_row){ 0, 4095, 7, "" };
 	a.rows[1] = (struct hold_row){ 9000, 9999, 12, "7a21" };
 	a.row_count = 2;
