coord: a write that is not sent no longer leaves its call in the list

Found by reading the change. proof-assignment with MPIN_GUARDS_OFF=persist: AddressSanitizer reports a heap-use-after-free in co_call_new() before; after, it ends with "verdict: violated", as it must with that guard off.

--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -270,7 +270,10 @@
 	struct co_call *next;
 };
 
-/* Returns a new call, to be ended by its callback; NULL without memory. */
+/*
+ * Returns a new call; NULL without memory. Its callback ends it, or the caller
+ * if it makes no store call after all. Only co_call_end may free it.
+ */
 struct co_call *co_call_new(struct coord *c, int kind);
 /*
  * Frees the call and returns its coordinator, or NULL if the callback must be
--- a/membership/coord_write.c
+++ b/membership/coord_write.c
@@ -372,7 +372,7 @@
 	size_t n = 1;
 
 	if (!puts || !keys) {
-		free(call);
+		co_call_end(call, NULL, NULL);
 		retry_later(c);
 		goto out;
 	}
@@ -414,7 +414,7 @@
 		return;
 	}
 	if (!guard_on(GUARD_PERSIST)) {
-		free(call);
+		co_call_end(call, NULL, NULL);
 		finish_write(c);
 		return;
 	}
