membership: log when a node is out of date, and how long its control connection is silent

A node that learns from a renewal that the coordinator has a newer document or map now logs out_of_date with both revisions and the time since its control connection last delivered a byte; metrics control_fetches, control_silent_ms and document_source_age_ms tell a silent store watch from a silent control connection.

--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -1,5 +1,6 @@
 #include "daemon/node.h"
 #include "common/clk.h"
+#include "membership/doc_feed.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -77,6 +78,7 @@
 	struct dgram_counts u = dgram_total_counts(&n->dgram);
 	const struct store_counts *s = &n->store->counts;
 	uint64_t membership_in, membership_out, coord_in, coord_out;
+	int64_t source_age_ms;
 
 	membership_count_bytes(n->membership, &membership_in, &membership_out);
 	coord_count_bytes(n->coord, &coord_in, &coord_out);
@@ -104,6 +106,14 @@
 	cnt_set(&n->cnt, "store_bytes_out", "", s->bytes_out);
 	cnt_gauge(&n->cnt, "coordinator", "",
 		  (uint64_t)coord_is_active(n->coord));
+	cnt_set(&n->cnt, "control_fetches", "",
+		membership_count_fetches(n->membership));
+	cnt_gauge(&n->cnt, "control_silent_ms", "",
+		  (uint64_t)membership_control_silent_ms(n->membership));
+	source_age_ms = n->feed ? doc_feed_age_ms(n->feed) : INT64_MAX;
+	if (source_age_ms != INT64_MAX)
+		cnt_gauge(&n->cnt, "document_source_age_ms", "",
+			  (uint64_t)source_age_ms);
 }
 
 static void handle_metrics(struct node *n, struct httpd_request *r)
--- a/membership/membership.c
+++ b/membership/membership.c
@@ -168,7 +168,16 @@
 		m->behind_since_ms = now_ms;
 	if (now_ms - m->behind_since_ms < MEMBERSHIP_FETCH_AFTER_MS)
 		return;
+	log_warn("out_of_date",
+		 "term=%llu doc_revision=%llu coordinator_doc_revision=%llu "
+		 "map_revision=%llu coordinator_map_revision=%llu "
+		 "control_silent_ms=%lld",
+		 (unsigned long long)m->own.term,
+		 (unsigned long long)m->doc_rev, (unsigned long long)r->doc_rev,
+		 (unsigned long long)m->map.rev, (unsigned long long)r->map_rev,
+		 (long long)membership_control_silent_ms(m));
 	m->behind_since_ms = now_ms;
+	m->fetches++;
 	membership_send_fetch(m);
 }
 
@@ -298,3 +307,13 @@
 	*in = m->closed_bytes_in + (m->conn ? m->conn->bytes_in : 0);
 	*out = m->closed_bytes_out + (m->conn ? m->conn->bytes_out : 0);
 }
+
+int64_t membership_control_silent_ms(const struct membership *m)
+{
+	return m->conn ? clk_ms() - m->conn->last_read_ms : 0;
+}
+
+uint64_t membership_count_fetches(const struct membership *m)
+{
+	return m->fetches;
+}
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -160,6 +160,13 @@
  */
 void membership_count_bytes(const struct membership *m, uint64_t *in,
 			    uint64_t *out);
+/*
+ * Returns the milliseconds since the control connection last delivered a byte;
+ * 0 without a connection.
+ */
+int64_t membership_control_silent_ms(const struct membership *m);
+/* Returns how often this node fetched a map or document that was not pushed. */
+uint64_t membership_count_fetches(const struct membership *m);
 
 /*
  * Appends the members of a JSON object that describe this node to out, for
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -74,6 +74,7 @@
 	unsigned connect_failures; /* connections lost or refused in a row */
 	uint64_t closed_bytes_in;
 	uint64_t closed_bytes_out;
+	uint64_t fetches; /* because pushes did not arrive */
 
 	Wire__Target *target;
 	int target_unsent; /* changed since the last Join was sent */
