--- a/test/run/lib-proof.sh
+++ b/test/run/lib-proof.sh
@@ -21,19 +21,26 @@
 	done
 }
 
-# start_relay: puts a relay in front of every node's peer port (TCP and UDP). It
-# listens on the ports from PORT+100 on; its control port is PORT+150.
+# start_relay [PROTOCOL]: puts a relay in front of every node's peer port. It
+# listens on the ports from PORT+100 on; its control port is PORT+150. It relays
+# TCP and UDP, or one of them: "udp" has its control port at PORT+151, where no
+# command is sent, so that set_relay affects TCP alone.
 start_relay() {
-	local node first args=()
+	local node first control=$((PORT + 150)) args=()
+	[ "${1:-}" = udp ] && control=$((PORT + 151))
 	for node in "${node_names[@]}"; do
 		first=$((PORT + 100 + node_index[$node]))
-		args+=(--forward "$first:127.0.0.1:$(peer_port "$node")")
-		args+=(--forward "$first:127.0.0.1:$(peer_port "$node"):udp")
-		sed -i "s/^admin_port.*/&\nadvertise_peer_port = $first/" \
-			"$WORK/$node.toml"
+		[ "${1:-tcp}" = tcp ] &&
+			args+=(--forward "$first:127.0.0.1:$(peer_port "$node")")
+		[ "${1:-udp}" = udp ] &&
+			args+=(--forward "$first:127.0.0.1:$(peer_port "$node"):udp")
+		grep -q "^advertise_peer_port" "$WORK/$node.toml" ||
+			sed -i "s/^admin_port.*/&\nadvertise_peer_port = $first/" \
+				"$WORK/$node.toml"
 	done
-	start_process relay "$BIN/mpin-relay" --control $((PORT + 150)) "${args[@]}"
-	wait_for 10 "relay" is_listening $((PORT + 150))
+	start_process "relay${1:+-$1}" "$BIN/mpin-relay" --control "$control" \
+		"${args[@]}"
+	wait_for 10 "relay" is_listening "$control"
 }
 
 peer_port() {
