membership: probe the control connection, and open a new one if it is silent

Cause: the control connection between a node and the coordinator had no timeout of its own. Grants are renewed by datagrams, so when a device on the path drops the connection without a word, neither end notices: the coordinator pushes into it, and a node that finds itself out of date sends its Fetch into it. The node's own watch on the store is a long poll that may be silent for 29.5 s as well.

Evidence: out_of_date lines of all nodes, the coordinator's own included, with control_silent_ms growing from the moment of the fault; control_closed only when the next term began. The same holds for the map, releases, and reports of targets, which use the same connection.

Change: the member sends a Ping every second, which the coordinator answers also before the member's Join is written. Without a byte for another second the member opens a new connection; joining on it makes both ends send what the other lacks. A Join that is not answered is covered too.

--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -406,6 +406,12 @@
 		on_join(k, (const Wire__Join *)f->msg);
 		return;
 	}
+	/* Also before the Join is written, which may take as long as the store.
+	 */
+	if (f->type == FRAME_PING) {
+		tcp_send(k->tcp, FRAME_PONG, f->msg);
+		return;
+	}
 	if (!k->member || k->member->join != CO_JOIN_DONE)
 		return;
 	switch (f->type) {
--- a/membership/membership_discovery.c
+++ b/membership/membership_discovery.c
@@ -110,6 +110,7 @@
 {
 	(void)c;
 	send_join(priv);
+	membership_control_reset(priv, clk_ms());
 }
 
 static void on_frame(struct tcp_conn *c, const struct frame *f, void *priv)
@@ -290,6 +291,7 @@
 	if (now_ms - m->last_tick_ms > MEMBERSHIP_PAUSE_MS) {
 		m->own.unanswered = 0;
 		membership_note_coordinator_alive(m, now_ms);
+		membership_control_resume(m, now_ms);
 	}
 	m->last_tick_ms = now_ms;
 	if (m->coordinator.term && m->own.node_id &&
@@ -300,6 +302,7 @@
 		membership_drop_conn(m, "asks_unanswered");
 		m->connect_failures++;
 	}
+	membership_control_tick(m, now_ms);
 	membership_probe_tick(m, now_ms);
 	if (!m->conn && m->coordinator.term && now_ms >= m->reconnect_at_ms)
 		connect_to_coordinator(m, now_ms);
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -76,6 +76,12 @@
 	uint64_t closed_bytes_out;
 	uint64_t fetches; /* because pushes did not arrive */
 
+	/* membership_control.c */
+	int64_t ping_at_ms;	/* when the next Ping is due */
+	int64_t ping_ms;	/* when the unanswered Ping was sent; 0: none */
+	uint64_t ping_bytes_in; /* bytes_in when it was sent */
+	uint32_t ping_seq;
+
 	Wire__Target *target;
 	int target_unsent; /* changed since the last Join was sent */
 	int leaving;	   /* 0 no, 1 to stop, 2 to restart */
@@ -95,6 +101,15 @@
 int membership_probe_allows_election(const struct membership *m,
 				     int64_t now_ms);
 
+/* ---- membership_control.c ---- */
+
+/* Starts to probe a control connection that is now established. */
+void membership_control_reset(struct membership *m, int64_t now_ms);
+/* After a pause of this process, gives an unanswered Ping its time again. */
+void membership_control_resume(struct membership *m, int64_t now_ms);
+/* Sends due Pings, and closes a control connection that has gone silent. */
+void membership_control_tick(struct membership *m, int64_t now_ms);
+
 /* ---- membership_discovery.c ---- */
 
 void membership_discovery_init(struct membership *m);
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -235,6 +235,7 @@
 {
 	switch (f->type) {
 	case FRAME_HELLO:
+	case FRAME_PONG:
 		break;
 	case FRAME_JOIN_REPLY:
 		on_join_reply(m, (const Wire__JoinReply *)f->msg);
