routing: read and log what a target's answers say of its limit and leaving

No source named Server-Limit or Server-Leaving. The gate now reads both, logs changes (target_rate_limit, target_leaving_named) and has the limit as a metric; nothing depends on them yet. The names are the dialect's.

--- a/routing/dialect.c
+++ b/routing/dialect.c
@@ -12,6 +12,8 @@
 	.not_after = "Monsoonpin-Not-After",
 	.attempt = "Monsoonpin-Attempt",
 	.refused = "Monsoonpin-Refused",
+	.rate_limit = "Monsoonpin-Rate-Limit",
+	.leaving = "Monsoonpin-Leaving",
 	.refused_statuses = native_refused_statuses,
 	.adds_outcome_headers = 1,
 };
--- a/routing/dialect.h
+++ b/routing/dialect.h
@@ -38,6 +38,12 @@
 	/* A success without it is not taken as the target's answer. */
 	const char *seal;
 	const char *load; /* the target's load: "RUNNING,WAITING,PLACES" */
+	/*
+	 * Requests a second, a decimal number, that the target takes from all
+	 * nodes together, for as long as its answers say so.
+	 */
+	const char *rate_limit;
+	const char *leaving; /* "1": the target is about to leave */
 
 	/*
 	 * Statuses with which a target states that it did not run the request;
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -272,6 +272,9 @@
 	int is_new = !g->target || g->target->port != t->port ||
 		     strcmp(g->target->address, t->address) != 0;
 
+	if (is_new || g->target->born_ms != t->born_ms ||
+	    strcmp(g->target->id, t->id) != 0)
+		gate_reset_target_state(g);
 	if (g->target)
 		wire__target__free_unpacked(g->target, NULL);
 	g->target = wire_copy_target(t);
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -133,6 +133,7 @@
 	const char *retry_after;
 	const char *seal;
 	const char *request_id;
+	struct gate_target_headers target;
 	int has_encoding; /* Content-Encoding, which was not asked for */
 };
 
@@ -159,6 +160,10 @@
 		a->seal = value;
 	else if (header_is(name, d->request_id))
 		a->request_id = value;
+	else if (header_is(name, d->rate_limit))
+		a->target.rate_limit = value;
+	else if (header_is(name, d->leaving))
+		a->target.leaving = value;
 	else if (header_is(name, "Retry-After"))
 		a->retry_after = value;
 	else if (header_is(name, "Content-Encoding"))
@@ -400,6 +405,9 @@
 		return;
 	}
 	classify_answer(c, &a, &reply);
+	/* An answer to another request may be old. */
+	if (reply.error != ERR_MALFORMED)
+		gate_note_target_state(c, &a.target);
 	record_result(c, &reply);
 	log_failed_call(c, &reply, reply.status);
 	if (reply.outcome == OUTCOME_ANSWERED) {
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -66,12 +66,18 @@
 	int64_t no_reuse_until_ms; /* until then one request per connection */
 	/* Use the announced concurrency, not the adaptive limit. */
 	int fixed_concurrency;
-	int quiesced;		   /* refuse all new requests */
-	int target_leaving;	   /* send only requests with a key */
-	int64_t drain_ms;	   /* stop those too after this; 0: never */
-	int64_t leaving_since_ms;  /* valid while target_leaving is set */
-	int lost_reported;	   /* ops->target_lost has run */
-	unsigned unanswered_calls; /* calls in a row without a status line */
+	int quiesced;		  /* refuse all new requests */
+	int target_leaving;	  /* send only requests with a key */
+	int64_t drain_ms;	  /* stop those too after this; 0: never */
+	int64_t leaving_since_ms; /* valid while target_leaving is set */
+	/* What the target's answers say of it; see gate_target_state.c. */
+	int rate_limit_named;	     /* they name a limit, which may be 0 */
+	double rate_limit_per_s;     /* valid while rate_limit_named is set */
+	int64_t rate_limit_named_ns; /* when the latest answer named it */
+	int leaving_named;	     /* they say that it is leaving */
+	int64_t leaving_named_ns;    /* when the latest answer said so */
+	int lost_reported;	     /* ops->target_lost has run */
+	unsigned unanswered_calls;   /* calls in a row without a status line */
 	struct admission admission;
 	struct adaptive_limit adaptive_limit;
 	struct attempts attempts;
@@ -127,6 +133,20 @@
  */
 void gate_call_mark_abandoned(const struct gate_call *c);
 
+/* gate_target_state.c */
+
+/* The headers in which an answer states the target's state; NULL: none. */
+struct gate_target_headers {
+	const char *rate_limit;
+	const char *leaving;
+};
+
+/* Notes what the answer to a call says of the target. */
+void gate_note_target_state(const struct gate_call *c,
+			    const struct gate_target_headers *h);
+/* Forgets what the answers of an earlier run of the target said. */
+void gate_reset_target_state(struct gate *g);
+
 /* gate_slot.c */
 
 /* Returns NULL if there is no such slot. */
