limits, routing, placement: keep to the rate that a target names

It is the class of limits that only the back end knows: the router's own limits were all derived from places and latency.

Change: a token bucket in the admission queue, set by the answers and ended by the first answer without the header whose request was sent after the last one that had it. What would not run in time is refused at once. The rate also counts in the wait that decides, in Retry-After, in the places that ingresses see, and in the capacity by which keys are placed. A limit of 0 lets one request through in two seconds, without which the target could not raise it.

Result: test_gate rate_limit_header, test_limits admission/rate and test_ranges rate-limited-targets; the first fails without the bucket (0 of 32 refused where 15 or more must be).

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -64,6 +64,7 @@
 	report->fail_rate = (float)s.target.fail_rate;
 	report->refuse_rate = (float)s.target.refuse_rate;
 	report->answer_us = (float)s.target.latency_us;
+	report->rate_limit = (float)s.rate_limit_per_s;
 }
 
 static void on_free_load(Wire__LoadReport *report, void *priv)
--- a/limits/admission.c
+++ b/limits/admission.c
@@ -34,6 +34,7 @@
 		    double tenant_share)
 {
 	memset(a, 0, sizeof(*a));
+	rate_limit_init(&a->rate);
 	admission_set_limits(a, limit, queue, tenant_share);
 }
 
@@ -62,6 +63,26 @@
 	a->tenant_share = tenant_share;
 }
 
+void admission_set_rate(struct admission *a, double per_s, int64_t now_ms)
+{
+	rate_limit_set(&a->rate, per_s, now_ms);
+}
+
+void admission_clear_rate(struct admission *a)
+{
+	rate_limit_clear(&a->rate);
+}
+
+uint32_t admission_usable_places(const struct admission *a)
+{
+	double busy;
+
+	if (a->rate.per_s <= 0 || a->service_ms <= 0)
+		return a->limit;
+	busy = ceil(a->rate.per_s * a->service_ms / 1000);
+	return busy < a->limit ? (uint32_t)busy : a->limit;
+}
+
 static struct admission_tenant *tenant_find_or_add(struct admission *a,
 						   const char *name)
 {
@@ -97,11 +118,23 @@
 }
 
 /* Expected time until an item with `ahead` queued items before it may run. */
-static double expected_wait_ms(const struct admission *a, uint32_t ahead)
+static double expected_wait_ms(const struct admission *a, uint32_t ahead,
+			       int64_t now_ms)
 {
 	double servers = a->limit ? a->limit : 1;
+	double place_ms = a->service_ms * (ahead + 1.0) / servers;
 
-	return a->service_ms * (ahead + 1.0) / servers;
+	/* What waits for the rate alone finds a free place. */
+	if (a->rate.per_s > 0 && a->running + ahead < a->limit)
+		place_ms = 0;
+	return fmax(place_ms, rate_limit_wait_ms(&a->rate, ahead, now_ms));
+}
+
+/* May an item begin to run now, with no other before it? */
+static int has_capacity(const struct admission *a, int64_t now_ms)
+{
+	return a->running < a->limit &&
+	       rate_limit_wait_ms(&a->rate, 0, now_ms) <= 0;
 }
 
 static struct admission_kind *kind_find(const struct admission *a, uint32_t id)
@@ -213,7 +246,8 @@
 			 int64_t now_ms)
 {
 	double service_ms = expected_service_ms(a, &item->rank);
-	double done = (double)now_ms + expected_wait_ms(a, ahead) + service_ms;
+	double done = (double)now_ms + expected_wait_ms(a, ahead, now_ms) +
+		      service_ms;
 
 	if (done > (double)item->deadline_ms)
 		return 1;
@@ -252,7 +286,7 @@
 			   (double)rank->soft_deadline_ms) {
 		return 1;
 	}
-	if (a->running < a->limit && a->queued == 0)
+	if (has_capacity(a, now_ms) && a->queued == 0)
 		return 0;
 	before = find_queue_position(a, rank, now_ms, &ahead);
 	if (a->queued >= a->queue && (!before || !a->queue))
@@ -284,6 +318,7 @@
 		item->state = ADMISSION_RUNNING;
 		item->started_ms = item->arrived_ms;
 		a->running++;
+		rate_limit_take(&a->rate, item->arrived_ms);
 		update_full_since(a, item->arrived_ms);
 		return ADMISSION_RUN;
 	}
@@ -301,7 +336,7 @@
 			const char *tenant, int64_t now_ms, int64_t deadline_ms,
 			const struct admission_rank *rank)
 {
-	int runs = a->running < a->limit && a->queued == 0;
+	int runs = has_capacity(a, now_ms) && a->queued == 0;
 	struct admission_item *before;
 	struct admission_item *last = NULL;
 	struct admission_tenant *t;
@@ -391,7 +426,7 @@
 {
 	struct admission_item *item;
 
-	if (a->running >= a->limit)
+	if (!has_capacity(a, now_ms))
 		return NULL;
 	DL_FOREACH(a->head, item) {
 		/* admission_expire returns the others. */
@@ -405,6 +440,7 @@
 	a->running++;
 	item->state = ADMISSION_RUNNING;
 	item->started_ms = now_ms;
+	rate_limit_take(&a->rate, now_ms);
 	update_full_since(a, now_ms);
 	return item;
 }
@@ -453,9 +489,9 @@
 	return k ? k->service_ms : 0;
 }
 
-uint32_t admission_retry_after_ms(const struct admission *a)
+uint32_t admission_retry_after_ms(const struct admission *a, int64_t now_ms)
 {
-	double wait = ceil(expected_wait_ms(a, a->queued));
+	double wait = ceil(expected_wait_ms(a, a->queued, now_ms));
 
 	if (wait < ADMISSION_RETRY_MIN_MS)
 		return ADMISSION_RETRY_MIN_MS;
--- a/limits/admission.h
+++ b/limits/admission.h
@@ -1,14 +1,16 @@
 #ifndef LIMITS_ADMISSION_H
 #define LIMITS_ADMISSION_H
 
+#include "limits/rate_limit.h"
+
 #include <stdint.h>
 #include <uthash.h>
 
 /*
  * Admission control in front of one target (a back end): a concurrency limit,
- * a bounded queue, and a bound on one tenant's share of both. The module has
- * no clock: the time is an argument, in milliseconds of one clock that never
- * runs backwards.
+ * a rate limit, a bounded queue, and a bound on one tenant's share of places.
+ * The module has no clock: the time is an argument, in milliseconds of one
+ * clock that never runs backwards.
  *
  * A place is room for one request: `limit` places to run and `queue` places
  * to wait. A request has two times: at its deadline it is dropped; after its
@@ -80,9 +82,10 @@
 };
 
 struct admission {
-	uint32_t limit;	     /* most requests that may run */
-	uint32_t queue;	     /* most requests that may wait */
-	double tenant_share; /* of limit + queue; 0 < share <= 1 */
+	uint32_t limit;		/* most requests that may run */
+	uint32_t queue;		/* most requests that may wait */
+	double tenant_share;	/* of limit + queue; 0 < share <= 1 */
+	struct rate_limit rate; /* of the requests that begin to run */
 	uint32_t running;
 	uint32_t queued;
 	double service_ms;     /* moving average over all kinds; 0: unknown */
@@ -105,6 +108,19 @@
 void admission_set_limits(struct admission *a, uint32_t limit, uint32_t queue,
 			  double tenant_share);
 
+/*
+ * Limits the requests that begin to run in a second; those that cannot run in
+ * time are shed as if places were short. per_s may be 0, see rate_limit_set.
+ */
+void admission_set_rate(struct admission *a, double per_s, int64_t now_ms);
+/* Ends the limit of admission_set_rate. */
+void admission_clear_rate(struct admission *a);
+/*
+ * Returns the requests that can run at a time: the limit, or fewer if the rate
+ * keeps that many from being busy, but at least 1 unless the limit is 0.
+ */
+uint32_t admission_usable_places(const struct admission *a);
+
 /*
  * Admits or sheds a request that has no rank and arrives at now_ms. It is shed
  * if its deadline has passed or is expected to pass while it waits or runs, if
@@ -145,7 +161,8 @@
 		    int64_t now_ms);
 /*
  * Returns the next queued request to dispatch, which then counts as running;
- * NULL if the limit is reached or no queued request may run.
+ * NULL if a limit is reached or no queued request may run. With a rate limit,
+ * the time alone may let the next one run: call it again later.
  */
 struct admission_item *admission_next(struct admission *a, int64_t now_ms);
 /*
@@ -163,9 +180,9 @@
  */
 double admission_kind_service_ms(const struct admission *a, uint32_t kind);
 /*
- * Returns the expected time in milliseconds, at least 1, until a place to run
- * is free for a request behind the whole queue; for Retry-After.
+ * Returns the expected time in milliseconds, at least 1, until a request behind
+ * the whole queue may run; for Retry-After.
  */
-uint32_t admission_retry_after_ms(const struct admission *a);
+uint32_t admission_retry_after_ms(const struct admission *a, int64_t now_ms);
 
 #endif
--- a/membership/coord_place.c
+++ b/membership/coord_place.c
@@ -86,9 +86,12 @@
 {
 	memset(n, 0, sizeof(*n));
 	n->id = m->id;
-	n->capacity = m->info->target && m->info->target->concurrency
-			      ? m->info->target->concurrency
-			      : 1;
+	n->capacity = place_usable_places(
+		m->info->target ? m->info->target->concurrency : 0,
+		m->rate_limit_per_s,
+		m->health.report.evidence >= HEALTH_MIN_EVIDENCE
+			? m->health.report.latency_us
+			: 0);
 	n->region = g_quark_from_string(m->info->region);
 	n->data_centre = g_quark_from_string(m->info->data_centre);
 	n->eligible = is_eligible(m, s);
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -105,6 +105,7 @@
 	uint64_t requests; /* as reported, in total */
 	uint32_t standby_rank;
 	struct health_target health; /* health of its target */
+	double rate_limit_per_s; /* requests that its target takes; 0: any */
 	UT_hash_handle hh;
 };
 
--- a/membership/coord_report.c
+++ b/membership/coord_report.c
@@ -115,6 +115,7 @@
 	m->health.report.fail_rate = r->fail_rate;
 	m->health.report.refuse_rate = r->refuse_rate;
 	m->health.report.latency_us = r->answer_us;
+	m->rate_limit_per_s = r->rate_limit > 0 ? r->rate_limit : 0;
 }
 
 void co_on_load_report(struct coord *c, struct co_member *m,
--- a/placement/place.c
+++ b/placement/place.c
@@ -932,6 +932,16 @@
 	return e;
 }
 
+double place_usable_places(uint32_t announced, double rate_limit_per_s,
+			   double latency_us)
+{
+	double places = announced ? announced : 1;
+
+	if (rate_limit_per_s <= 0 || latency_us <= 0)
+		return places;
+	return fmin(places, rate_limit_per_s * latency_us / 1e6);
+}
+
 void place_average_update(struct place_average *a, double report, double count)
 {
 	double most = fmax(a->load, report);
--- a/placement/place.h
+++ b/placement/place.h
@@ -141,6 +141,15 @@
 		    const struct place_slot *slots, size_t slot_count,
 		    int64_t now_ms, struct place_moves *out);
 
+/*
+ * Returns the requests that a target can run at a time: those that it announced
+ * (0 counts as 1), or fewer if the requests that it takes in a second do not
+ * keep that many busy. rate_limit_per_s: 0 if it takes any number. latency_us:
+ * its usual latency; 0: unknown, and the rate limit is then disregarded.
+ */
+double place_usable_places(uint32_t announced, double rate_limit_per_s,
+			   double latency_us);
+
 /* Moving average of a slot's or key's load. */
 struct place_average {
 	double load;
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -3863,7 +3863,7 @@
   (ProtobufCMessageInit) wire__hot_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__load_report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__load_report__field_descriptors[11] =
 {
   {
     "interval_ms",
@@ -3985,6 +3985,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate_limit",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LoadReport, rate_limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__load_report__field_indices_by_name[] = {
   9,   /* field[9] = answer_us */
@@ -3994,6 +4006,7 @@
   0,   /* field[0] = interval_ms */
   2,   /* field[2] = keys */
   5,   /* field[5] = latency_us */
+  10,   /* field[10] = rate_limit */
   8,   /* field[8] = refuse_rate */
   4,   /* field[4] = shed */
   1,   /* field[1] = slots */
@@ -4001,7 +4014,7 @@
 static const ProtobufCIntRange wire__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__load_report__descriptor =
 {
@@ -4011,7 +4024,7 @@
   "Wire__LoadReport",
   "wire",
   sizeof(Wire__LoadReport),
-  10,
+  11,
   wire__load_report__field_descriptors,
   wire__load_report__field_indices_by_name,
   1,  wire__load_report__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -646,10 +646,14 @@
    * latency of answers
    */
   float answer_us;
+  /*
+   * requests a second that the target takes; 0: no limit
+   */
+  float rate_limit;
 };
 #define WIRE__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__load_report__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -13,12 +13,15 @@
 /* Queue length and tenant share for a service that the document lacks. */
 #define GATE_DEFAULT_QUEUE 64
 #define GATE_DEFAULT_SHARE 0.5
-/* Period at which queued calls past their deadline are ended. */
-#define GATE_EXPIRY_SECONDS 0.005
+/*
+ * Period at which queued calls past their deadline are ended, and those that
+ * waited for the target's rate limit are dispatched.
+ */
+#define GATE_QUEUE_SECONDS 0.005
 /* Time for connecting and sending to a target that is leaving. */
 #define GATE_DRAIN_MARGIN_MS 250
 
-static void on_expiry_timer(struct ev_loop *loop, ev_timer *w, int events);
+static void on_queue_timer(struct ev_loop *loop, ev_timer *w, int events);
 
 static void on_release_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -64,9 +67,9 @@
 	labels_init(&g->labels);
 	hist_init(&g->latency);
 	health_init(&g->health, clk_ms());
-	ev_timer_init(&g->expiry_timer, on_expiry_timer, GATE_EXPIRY_SECONDS,
-		      GATE_EXPIRY_SECONDS);
-	g->expiry_timer.data = g;
+	ev_timer_init(&g->queue_timer, on_queue_timer, GATE_QUEUE_SECONDS,
+		      GATE_QUEUE_SECONDS);
+	g->queue_timer.data = g;
 	ev_timer_init(&g->release_timer, on_release_timer, 0., 0.);
 	g->release_timer.data = g;
 	*out = g;
@@ -91,7 +94,7 @@
 
 	if (!g)
 		return;
-	ev_timer_stop(g->loop, &g->expiry_timer);
+	ev_timer_stop(g->loop, &g->queue_timer);
 	ev_timer_stop(g->loop, &g->release_timer);
 	DL_FOREACH_SAFE(g->calls, c, next) {
 		if (c->state == CALL_IN_FLIGHT)
@@ -147,13 +150,14 @@
 	wire__target_load__init(load);
 	load->running = g->in_flight;
 	load->queued = g->admission.queued;
-	load->places = g->admission.limit;
+	load->places = admission_usable_places(&g->admission);
 	load->latency_us = (uint32_t)g->health.latency_us;
 	reply->load = load;
 	reply->attempt = attempt;
 	reply->map_rev = g->view->ops->map(g->view)->rev;
 	if (reply->error == ERR_SHED)
-		reply->retry_after_ms = admission_retry_after_ms(&g->admission);
+		reply->retry_after_ms =
+			admission_retry_after_ms(&g->admission, clk_ms());
 }
 
 void gate_call_end(struct gate_call *c, Wire__ForwardReply *reply)
@@ -218,7 +222,7 @@
 	g->dispatching = 0;
 }
 
-static void on_expiry_timer(struct ev_loop *loop, ev_timer *w, int events)
+static void on_queue_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct gate *g = w->data;
 	struct admission_item *item;
@@ -228,6 +232,7 @@
 		gate_call_fail(call_from_item(item), OUTCOME_NOT_RUN,
 			       item->deadline_ms <= clk_ms() ? ERR_DEADLINE
 							     : ERR_SHED);
+	gate_dispatch_queued(g);
 	if (!g->admission.queued)
 		ev_timer_stop(loop, w);
 }
@@ -449,10 +454,10 @@
 		gate_call_start(c);
 		break;
 	case ADMISSION_QUEUE:
-		if (!ev_is_active(&g->expiry_timer)) {
-			ev_timer_set(&g->expiry_timer, GATE_EXPIRY_SECONDS,
-				     GATE_EXPIRY_SECONDS);
-			ev_timer_start(g->loop, &g->expiry_timer);
+		if (!ev_is_active(&g->queue_timer)) {
+			ev_timer_set(&g->queue_timer, GATE_QUEUE_SECONDS,
+				     GATE_QUEUE_SECONDS);
+			ev_timer_start(g->loop, &g->queue_timer);
 		}
 		break;
 	case ADMISSION_SHED:
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -45,6 +45,7 @@
 	uint32_t shed;		     /* since the last gate_take_stats */
 	uint32_t latency_us;	     /* median of the answers since then */
 	struct health_report target; /* how the target behaved lately */
+	double rate_limit_per_s;     /* requests that it takes; 0: no limit */
 };
 
 /*
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -84,8 +84,8 @@
 	struct gate_slot *slots;
 	struct gate_call *calls;
 	unsigned in_flight;
-	int dispatching;       /* gate_dispatch_queued is running */
-	ev_timer expiry_timer; /* active while calls are queued */
+	int dispatching;      /* gate_dispatch_queued is running */
+	ev_timer queue_timer; /* active while calls are queued */
 	/* Active while a release waits for a slot's may_start_until_ns. */
 	ev_timer release_timer;
 	struct labels labels;
@@ -110,7 +110,7 @@
 /* Does the same without an answer of the target. */
 void gate_call_fail(struct gate_call *c, enum wire_outcome outcome,
 		    enum err error);
-/* Dispatches queued calls while the concurrency limit allows. */
+/* Dispatches queued calls while the limits allow. */
 void gate_dispatch_queued(struct gate *g);
 
 /*
--- a/routing/gate_slot.c
+++ b/routing/gate_slot.c
@@ -339,6 +339,7 @@
 	};
 
 	health_report(&g->health, clk_ms(), &s.target);
+	s.rate_limit_per_s = g->admission.rate.per_s;
 	g->shed = 0;
 	hist_init(&g->latency);
 	return s;
--- a/routing/gate_target_state.c
+++ b/routing/gate_target_state.c
@@ -34,6 +34,10 @@
 {
 	if (named == g->rate_limit_named && per_s == g->rate_limit_per_s)
 		return;
+	if (named)
+		admission_set_rate(&g->admission, per_s, clk_ms());
+	else
+		admission_clear_rate(&g->admission);
 	log_request(LOG_INFO, "target_rate_limit",
 		    "target=%s named=%d per_s=%.3f before_per_s=%.3f",
 		    target_id(g), named, per_s, g->rate_limit_per_s);
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -970,6 +970,81 @@
 	teardown(&f);
 }
 
+#define LIMITED_OK                                 \
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" \
+	"Monsoonpin-Rate-Limit: 20.0\r\n\r\nok"
+
+/*
+ * Guards against a target that gets more requests than it names in its answers,
+ * requests that wait although the limit keeps them from running in time, and a
+ * limit that outlasts the answers that name it.
+ */
+static void test_rate_limit_header(void)
+{
+	enum { CALLS = 16 + 16 }; /* the fixture's queue holds 16 */
+	struct fake_reply first, r[CALLS], last;
+	unsigned refused = 0, limited;
+	int64_t since_ms;
+	struct fixture f;
+
+	setup(&f, 16);
+	f.target.answer = LIMITED_OK;
+	submit_and_wait(&f, &first, 1, "GET");
+	since_ms = clk_ms();
+	for (unsigned i = 0; i < CALLS; i++) {
+		submit(&f, &r[i], 2 + i, "GET");
+		refused += r[i].count;
+	}
+	/* What does not fit is refused at once, and told when to return. */
+	g_assert_cmpuint(refused, >=, CALLS - 16 - 1);
+	for (unsigned i = 0; i < CALLS; i++) {
+		if (!r[i].count)
+			continue;
+		g_assert_cmpint(r[i].outcome, ==, OUTCOME_NOT_RUN);
+		g_assert_cmpint(r[i].error, ==, ERR_SHED);
+		g_assert_cmpuint(r[i].retry_after_ms, >=, 50);
+	}
+	fake_pause(f.loop, 400);
+	limited = f.target.runs - 1;
+	g_assert_cmpuint(limited, >, 0);
+	/* The bucket is empty when the limit is first named. */
+	g_assert_cmpuint(limited, <=,
+			 20 * (unsigned)(clk_ms() - since_ms) / 1000 + 1);
+	f.target.answer = FAKE_OK;
+	fake_pause(f.loop, 200);
+	/* The first answer without the header has freed the queue. */
+	g_assert_cmpuint(f.target.runs, ==, 1 + CALLS - refused);
+	submit_and_wait(&f, &last, 1000, "GET");
+	g_assert_cmpint(last.outcome, ==, OUTCOME_ANSWERED);
+	teardown(&f);
+}
+
+/* Guards against malformed limits that are taken for a limit. */
+static void test_rate_limit_malformed(void)
+{
+	static const char *const values[] = { "",    "x",   "1e",  "-1",
+					      "nan", "inf", "5 5", "1e300" };
+	struct fake_reply r[4];
+	struct fixture f;
+	uint64_t attempt = 0;
+
+	setup(&f, 16);
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		char *answer = g_strdup_printf(
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+			"Monsoonpin-Rate-Limit: %s\r\n\r\nok",
+			values[i]);
+
+		f.target.answer = answer;
+		for (size_t k = 0; k < G_N_ELEMENTS(r); k++)
+			submit_and_wait(&f, &r[k], ++attempt, "GET");
+		g_assert_cmpfloat(gate_take_stats(f.gate).rate_limit_per_s, ==,
+				  0);
+		g_free(answer);
+	}
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1009,5 +1084,8 @@
 	g_test_add_func("/httpc/cancel_in_data", test_cancel_in_data);
 	g_test_add_func("/httpc/finish", test_finish_with_requests);
 	g_test_add_func("/gate/given_up", test_given_up);
+	g_test_add_func("/gate/rate_limit_header", test_rate_limit_header);
+	g_test_add_func("/gate/rate_limit_malformed",
+			test_rate_limit_malformed);
 	return g_test_run();
 }
--- a/test/unit/test_limits.c
+++ b/test/unit/test_limits.c
@@ -100,7 +100,7 @@
 	/* Service takes 10 ms; 5 ms are left: shed at once. */
 	g_assert_true(admission_submit(&a, &req[3], "t", 10, 15) ==
 		      ADMISSION_SHED);
-	g_assert_true(admission_retry_after_ms(&a) == 10);
+	g_assert_true(admission_retry_after_ms(&a, 10) == 10);
 	admission_done(&a, &req[2], 20);
 	admission_finish(&a);
 }
@@ -785,6 +785,155 @@
 	admission_finish(&a);
 }
 
+/* Guards against a limit that is exceeded, never lifted, or never reached. */
+static void test_rate_limit(void)
+{
+	struct rate_limit r;
+
+	rate_limit_init(&r);
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 1000, 0), ==, 0);
+	rate_limit_set(&r, 20, 1000);
+	/* It starts empty. */
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 0, 1000), ==, 50);
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 3, 1000), ==, 200);
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 0, 1050), ==, 0);
+	rate_limit_take(&r, 1050);
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 0, 1050), ==, 50);
+	/* No more than the tokens of a second are kept. */
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 19, 60000), ==, 0);
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 20, 60000), ==, 50);
+	/* A new rate keeps what was saved, as far as it has room. */
+	rate_limit_set(&r, 10, 60000);
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 10, 60000), ==, 100);
+	/* A target that takes nothing is asked now and then. */
+	rate_limit_set(&r, 0, 60000);
+	rate_limit_take(&r, 60000);
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 0, 60000), <=, 2000);
+	rate_limit_clear(&r);
+	g_assert_cmpfloat(rate_limit_wait_ms(&r, 1000, 60000), ==, 0);
+}
+
+/* What the simulation of a target with a rate limit counts. */
+struct rate_run {
+	unsigned started;
+	unsigned most_in_window; /* started in some four seconds */
+	unsigned in_time;
+	unsigned ended_waiting; /* that were queued and never ran */
+	unsigned shed;
+	unsigned bad_retry_after; /* shed without a time to come back */
+};
+
+#define RATE_WINDOW_MS 4000
+
+static unsigned count_since(const struct admission_item *items, unsigned count,
+			    int64_t since_ms)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < count; i++)
+		n += items[i].started_ms && items[i].started_ms > since_ms;
+	return n;
+}
+
+/*
+ * Twice the requests that a target takes a second, for 20 s: 80/s of 60 ms at
+ * a target with 16 places that names a limit of 40/s.
+ */
+static struct rate_run run_rate_limit(double limit_per_s)
+{
+	enum { ITEMS = 1600, EVERY_MS = 25, PAIR = 2, WORK_MS = 60 };
+	static struct admission_item items[ITEMS];
+	struct rate_run run = { 0 };
+	unsigned next = 0;
+	struct admission a;
+
+	memset(items, 0, sizeof(items));
+	admission_init(&a, 16, 64, 1.0);
+	for (int64_t now = 1; next < ITEMS || a.running || a.queued; now++) {
+		struct admission_item *item;
+		unsigned recent;
+
+		for (unsigned i = 0; i < next; i++) {
+			if (items[i].state != ADMISSION_RUNNING ||
+			    items[i].started_ms + WORK_MS > now)
+				continue;
+			admission_done(&a, &items[i], now);
+			run.in_time += now - items[i].arrived_ms <= 250;
+		}
+		/* The first answer names the limit. */
+		if (now == WORK_MS && limit_per_s > 0)
+			admission_set_rate(&a, limit_per_s, now);
+		while (admission_expire(&a, now))
+			run.ended_waiting++;
+		for (int k = 0; next < ITEMS && now % EVERY_MS == 0 && k < PAIR;
+		     k++) {
+			struct admission_rank rank = { 1, now + 250, 5 };
+
+			item = &items[next++];
+			if (admission_submit_ranked(&a, item, "t", now,
+						    now + 1000,
+						    &rank) != ADMISSION_SHED)
+				continue;
+			run.shed++;
+			run.bad_retry_after +=
+				admission_retry_after_ms(&a, now) <
+				1000 / (limit_per_s > 0 ? limit_per_s : 1000);
+		}
+		while (admission_next(&a, now))
+			;
+		recent = count_since(items, next, now - RATE_WINDOW_MS);
+		if (recent > run.most_in_window)
+			run.most_in_window = recent;
+	}
+	run.started = count_since(items, next, 0);
+	admission_finish(&a);
+	return run;
+}
+
+/*
+ * Guards against more requests than a target in need says that it takes, and
+ * against requests that wait although they cannot run in time. Load: twice the
+ * named rate, at a target whose places are mostly free.
+ */
+static void test_admission_rate(void)
+{
+	struct rate_run without = run_rate_limit(0);
+	struct rate_run run = run_rate_limit(40);
+
+	g_test_message("started %u, in time %u, shed %u, ended waiting %u, "
+		       "at most %u in 4 s; without a limit %u in 4 s",
+		       run.started, run.in_time, run.shed, run.ended_waiting,
+		       run.most_in_window, without.most_in_window);
+	/* One and a half times the rate, and 5, is what it must stay below. */
+	g_assert_cmpuint(without.most_in_window, >, 1.5 * 40 * 4 + 5);
+	g_assert_cmpuint(run.most_in_window, <=, 1.5 * 40 * 4 + 5);
+	/* What the target takes is used, and nothing waits in vain. */
+	g_assert_cmpuint(run.in_time, >=, 0.95 * 40 * 19);
+	g_assert_cmpuint(run.ended_waiting, ==, 0);
+	g_assert_cmpuint(run.shed, >, 0);
+	g_assert_cmpuint(run.bad_retry_after, ==, 0);
+}
+
+/* Guards against places that are reported although the rate keeps them free. */
+static void test_admission_usable_places(void)
+{
+	struct admission_item req = { 0 };
+	struct admission a;
+
+	admission_init(&a, 16, 4, 1.0);
+	admission_set_rate(&a, 40, 0);
+	g_assert_cmpuint(admission_usable_places(&a), ==, 16);
+	g_assert_true(admission_submit(&a, &req, "t", 100, 5000) ==
+		      ADMISSION_RUN);
+	admission_done(&a, &req, 200);
+	g_assert_cmpuint(admission_usable_places(&a), ==, 4);
+	admission_set_rate(&a, 0, 200);
+	g_assert_cmpuint(admission_usable_places(&a), ==, 1);
+	admission_clear_rate(&a);
+	g_assert_cmpuint(admission_usable_places(&a), ==, 16);
+	admission_finish(&a);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -810,6 +959,10 @@
 			test_admission_kinds_bounded);
 	g_test_add_func("/admission/would-shed-after",
 			test_admission_would_shed_after);
+	g_test_add_func("/rate_limit/bucket", test_rate_limit);
+	g_test_add_func("/admission/rate", test_admission_rate);
+	g_test_add_func("/admission/usable-places",
+			test_admission_usable_places);
 	g_test_add_func("/pull/small-requests", test_pull_small_requests);
 	g_test_add_func("/pull/window", test_pull_window);
 	g_test_add_func("/pull/deadline", test_pull_deadline);
--- a/test/unit/test_ranges.c
+++ b/test/unit/test_ranges.c
@@ -381,6 +381,36 @@
 	fixture_finish(&f);
 }
 
+/*
+ * Guards against keys that stay with targets that do not take their requests.
+ * Of six targets with 600 requests/s, four name a limit of 40/s, the others can
+ * answer 130/s each: after the moves, no target has more than its part.
+ */
+static void test_rate_limited_targets(void)
+{
+	const double latency_us = 100000;
+	struct fixture f;
+
+	fixture_init(&f, 6);
+	for (size_t i = 0; i < f.slot_count; i++)
+		f.slots[i].load = 600. / (double)f.slot_count;
+	for (size_t i = 0; i < 6; i++)
+		f.nodes[i].capacity = place_usable_places(13, 0, latency_us);
+	run_pass(&f);
+	for (size_t i = 0; i < 4; i++)
+		f.nodes[i].capacity = place_usable_places(13, 40, latency_us);
+	g_assert_cmpfloat(f.nodes[0].capacity, ==, 4);
+	g_assert_cmpfloat(f.nodes[4].capacity, ==, 13);
+	for (int pass = 0; pass < 40; pass++)
+		run_pass(&f);
+	for (uint32_t id = 1; id <= 6; id++)
+		g_assert_cmpfloat(sum_load(&f, id), <=,
+				  (id <= 4 ? 40 : 130) / 420. * 600 * 1.25);
+	g_assert_cmpfloat(place_usable_places(0, 0, 0), ==, 1);
+	g_assert_cmpfloat(place_usable_places(13, 40, 0), ==, 13);
+	fixture_finish(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -396,5 +426,7 @@
 	g_test_add_func("/ranges/fixed-slot", test_fixed_slot);
 	g_test_add_func("/ranges/destination-stays", test_destination_stays);
 	g_test_add_func("/ranges/no-eligible-target", test_no_eligible_target);
+	g_test_add_func("/ranges/rate-limited-targets",
+			test_rate_limited_targets);
 	return g_test_run();
 }
