routing, daemon: a target that says in its answers that it is leaving leaves

What could be seen: a target whose answers say that it is leaving still gets requests after the drain time, because its announcements do not say so, are late, or are lost (DRAIN).

Cause: no source read the header; a target left by its announcements alone. The same class as the rate limit: the state of the back end is in its answers.

Change: the gate reports it to the node after the call has ended, and the node starts to drain as for an announcement. An announcement that the target is ready may have been under way by then, so it does not revive the target until that has announced that it leaves, or an answer does not say so any more.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -177,9 +177,15 @@
 	node_remove_target(n, refused ? "connection_refused" : "silent");
 }
 
+static void on_target_leaving(int leaving, void *priv)
+{
+	node_note_leaving_answer(priv, leaving);
+}
+
 static const struct gate_ops gate_ops = {
 	.released = on_released,
 	.target_lost = on_target_lost,
+	.target_leaving = on_target_leaving,
 };
 
 /* ---- callbacks for datagrams ---- */
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -124,6 +124,11 @@
 	 * cleared before another run of the target announces itself.
 	 */
 	int target_left;
+	/*
+	 * The target's answers say that it is leaving, and it has not announced
+	 * so itself yet.
+	 */
+	int leaving_by_answer;
 	int64_t target_born_ms;	  /* wall-clock time of the target's start */
 	uint64_t target_sequence; /* of the newest announcement */
 	struct hold hold;	  /* keys that the target holds */
@@ -170,6 +175,13 @@
  * are completed. Does nothing if there is no target or it is leaving already.
  */
 void node_start_target_leave(struct node *n);
+/*
+ * Handles an answer that says that the target is leaving (leaving is 1), or the
+ * first later one that does not (0). An announcement that it is ready may have
+ * been under way when it began to leave, so the answers outweigh those until
+ * the target has announced that it leaves.
+ */
+void node_note_leaving_answer(struct node *n, int leaving);
 /*
  * Returns 1 if the newest announcement is not older than the time after which
  * a target counts as gone.
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -79,6 +79,7 @@
 			node_remove_target(n, "restarted");
 		}
 		n->target_left = 0;
+		n->leaving_by_answer = 0;
 	}
 	n->target_born_ms = a->born_ms;
 	n->target_sequence = a->sequence;
@@ -98,7 +99,9 @@
 	}
 	apply_target_run(n, a);
 	n->announced_ms = clk_ms();
-	if (a->leaving || n->target_left)
+	if (a->leaving)
+		n->leaving_by_answer = 0;
+	if (a->leaving || n->target_left || n->leaving_by_answer)
 		node_start_target_leave(n);
 	else
 		apply_target(n, a);
@@ -118,6 +121,13 @@
 	membership_set_target(n->membership, NULL);
 }
 
+void node_note_leaving_answer(struct node *n, int leaving)
+{
+	n->leaving_by_answer = leaving;
+	if (leaving)
+		node_start_target_leave(n);
+}
+
 void node_handle_target_leave(struct node *n, const char *id)
 {
 	if (id[0] && n->target && strcmp(n->target->id, id) != 0) {
@@ -141,6 +151,9 @@
 	if (!n->target_leaving)
 		membership_set_target(n->membership, NULL);
 	n->target_leaving = 0;
+	/* A target without an id cannot be told from its next run. */
+	if (!n->target_born_ms)
+		n->leaving_by_answer = 0;
 }
 
 /*
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -37,6 +37,12 @@
 	 * set. May call gate_set_target.
 	 */
 	void (*target_lost)(int refused, void *priv);
+	/*
+	 * An answer of the target says that it is leaving (leaving is 1), or a
+	 * later one does not say so any more (0). May call
+	 * gate_set_target_leaving.
+	 */
+	void (*target_leaving)(int leaving, void *priv);
 };
 
 struct gate_stats {
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -473,6 +473,7 @@
 		end_answered_call(c);
 	else
 		end_failed_call(c);
+	gate_report_target_leaving(g);
 	/* This comes last because the callback may remove the target. */
 	if (!lost || g->lost_reported)
 		return;
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -75,6 +75,7 @@
 	double rate_limit_per_s;     /* valid while rate_limit_named is set */
 	int64_t rate_limit_named_ns; /* when the latest answer named it */
 	int leaving_named;	     /* they say that it is leaving */
+	int leaving_changed;	     /* ops->target_leaving is due */
 	int64_t leaving_named_ns;    /* when the latest answer said so */
 	int lost_reported;	     /* ops->target_lost has run */
 	unsigned unanswered_calls;   /* calls in a row without a status line */
@@ -144,6 +145,11 @@
 /* Notes what the answer to a call says of the target. */
 void gate_note_target_state(const struct gate_call *c,
 			    const struct gate_target_headers *h);
+/*
+ * Calls ops->target_leaving if the latest answers changed it. Call it when no
+ * call is being ended, since the callback may end queued ones.
+ */
+void gate_report_target_leaving(struct gate *g);
 /* Forgets what the answers of an earlier run of the target said. */
 void gate_reset_target_state(struct gate *g);
 
--- a/routing/gate_target_state.c
+++ b/routing/gate_target_state.c
@@ -72,6 +72,7 @@
 	log_info("target_leaving_named", "target=%s leaving=%d", target_id(g),
 		 leaving);
 	g->leaving_named = leaving;
+	g->leaving_changed = 1;
 }
 
 static void note_leaving(const struct gate_call *c, const char *value)
@@ -93,10 +94,20 @@
 	note_leaving(c, h->leaving);
 }
 
+void gate_report_target_leaving(struct gate *g)
+{
+	if (!g->leaving_changed)
+		return;
+	g->leaving_changed = 0;
+	g->ops->target_leaving(g->leaving_named, g->priv);
+}
+
 void gate_reset_target_state(struct gate *g)
 {
 	set_rate_limit(g, 0, 0);
 	set_leaving(g, 0);
+	/* Whoever sets another run knows whether that one is leaving. */
+	g->leaving_changed = 0;
 	g->rate_limit_named_ns = 0;
 	g->leaving_named_ns = 0;
 }
--- a/standins/server.c
+++ b/standins/server.c
@@ -66,6 +66,7 @@
 	ev_timer hold_timer;	      /* logs the end of the hold */
 	int64_t highest_fence[65536]; /* highest fence seen, by key */
 	int draining;
+	int says_leaving; /* in its answers, not in its announcements */
 };
 
 /* A request that is running. */
@@ -135,13 +136,12 @@
 {
 	const char *id = httpd_get_header(r, "X-Attempt-Id");
 	const struct httpd_header h[] = {
-		{ "X-Attempt-Id", id ? id : "-" },
-		{ "X-Server-Seal", s->o.id },
-		{ "X-Instance-Id", s->o.id },
-		{ "X-Server-Load", "1,0,4" },
+		{ "X-Attempt-Id", id ? id : "-" }, { "X-Server-Seal", s->o.id },
+		{ "X-Instance-Id", s->o.id },	   { "X-Server-Load", "1,0,4" },
+		{ "Server-Leaving", "1" },
 	};
 
-	httpd_answer(r, 200, h, 4, "done\n", 5);
+	httpd_answer(r, 200, h, s->says_leaving ? 5 : 4, "done\n", 5);
 }
 
 static void on_work_done(struct ev_loop *loop, ev_timer *w, int events)
@@ -396,6 +396,15 @@
 	schedule_heartbeat(s, 0);
 }
 
+static void on_usr2_signal(struct ev_loop *loop, ev_signal *w, int events)
+{
+	struct server *s = w->data;
+
+	(void)loop;
+	(void)events;
+	s->says_leaving = 1;
+}
+
 static void on_stop(struct ev_loop *loop, ev_signal *w, int events)
 {
 	(void)w;
@@ -458,7 +467,7 @@
 	/* Static, as it is too large for the stack. */
 	static struct server s = { .o = { .heartbeat_ms = 200 } };
 	struct err_info info = { 0 };
-	ev_signal on_term, on_usr1;
+	ev_signal on_term, on_usr1, on_usr2;
 
 	s.loop = loop;
 	argp_parse(&argp, argc, argv, 0, NULL, &s.o);
@@ -485,6 +494,9 @@
 	ev_signal_init(&on_usr1, on_drain, SIGUSR1);
 	on_usr1.data = &s;
 	ev_signal_start(loop, &on_usr1);
+	ev_signal_init(&on_usr2, on_usr2_signal, SIGUSR2);
+	on_usr2.data = &s;
+	ev_signal_start(loop, &on_usr2);
 	ev_run(loop, 0);
 	if (s.heartbeat_in_flight)
 		httpc_cancel(&s.heartbeat);
--- /dev/null
+++ b/test/run/lib-platform.sh
@@ -0,0 +1,94 @@
+# Functions for the runs with the platform's interface, against stand-ins of its
+# store and of its targets. Sourced by bash; sources test/lib.sh.
+# shellcheck shell=bash
+
+. test/lib.sh
+
+KV=$PORT
+config='{"version":"0000000c","routes":{"columns":["name","host","pathPrefix",
+"kind","timeout","targetLatency","priority","service","maxAttempts",
+"weightedClusters"],"rows":[["keyed","a.example","/k/","idempotent","2000ms",
+"1000ms",1,"cal",2,null],["plain","a.example","/p/","non_idempotent","2000ms",
+"500ms",1,null,2,[{"service":"desk","weight":1}]]]},"services":{"columns":
+["name","sharded","warm"],"rows":[["cal",true,"2s"],["desk",false,null]]},
+"limits":{"maxHeaderBytes":16384}}'
+
+start_daemon() { # start_daemon I SERVICE
+	local base=$((PORT + 1 + 8 * $1))
+	cat >"$WORK/n$1.toml" <<-TOML
+		[node]
+		name = "n$1"
+		region = "r"
+		data_centre = "z"
+		service = "$2"
+		interface = "platform"
+		[listen]
+		address = "127.0.0.1"
+		http_port = "127.0.0.1:$base"
+		peer_port = $((base + 1))
+		admin_port = $((base + 2))
+		ready_port = "127.0.0.1:$((base + 3))"
+		control_port = "127.0.0.1:$((base + 4))"
+		[store]
+		endpoint = "http://127.0.0.1:$KV"
+		[target]
+		announce_ms = "200ms"
+		hold_max_ms = "2s"
+		adapt_concurrency = false
+		[limits]
+		stale_ms = 0
+	TOML
+	start_process "n$1" "$BIN/mpind" --config "$WORK/n$1.toml"
+}
+
+start_server() { # start_server I SERVICE ID [OPTION...]
+	local i=$1 service=$2 id=$3
+	local base=$((PORT + 1 + 8 * i))
+	shift 3
+	# A log of its own for each process: what an ended one held is over.
+	[ -e "$WORK/s$i.log" ] && mv "$WORK/s$i.log" "$WORK/s$i-before-$id.log"
+	start_process "s$i" "$BIN/mpin-server" --port $((base + 5)) \
+		--control $((base + 4)) --id "$id" --service "$service" "$@"
+}
+
+# request_status I PATH [CURL-OPTION...]: sends a request to daemon I and prints
+# its status.
+request_status() {
+	local port=$((PORT + 1 + 8 * $1)) path=$2
+	shift 2
+	curl -s -o /dev/null -m 3 -w '%{http_code}' -H 'Host: a.example' \
+		-H 'X-Attempt-Id: 0123456789abcdef' \
+		-H 'X-Deadline-Remaining: 2000' "$@" \
+		"http://127.0.0.1:$port$path"
+}
+
+is_ready() { # is_ready I
+	[ "$(curl -s -o /dev/null -m 1 -w '%{http_code}' \
+		"http://127.0.0.1:$((PORT + 4 + 8 * $1))/api/ready")" = 200 ]
+}
+
+# all_keys_served I: true if daemon I answers requests for sixteen keys over the
+# whole range.
+all_keys_served() {
+	local key
+	for key in $(seq 0 4096 65535); do
+		[ "$(request_status "$1" /k/x -H "X-Shard-Key: $key")" = 200 ] ||
+			return 1
+	done
+}
+
+map_changes() {
+	cat "$WORK"/n*.log | grep -c 'event=map_changed'
+}
+
+map_is_settled() { # true if the map does not change for two seconds
+	local before
+	before=$(map_changes)
+	sleep 2
+	[ "$(map_changes)" = "$before" ]
+}
+
+put_config() { # put_config TEXT: writes the operators' configuration
+	printf '%s' "$1" | curl -s -o /dev/null --data-binary @- \
+		"http://127.0.0.1:$KV/control/put?key=op/config"
+}
