routing: a refusal counts only for the request that it names

What callers could see: 'not run, try again' for a request that runs (REFUSED), or a request that may run once at two targets (TWICE), after a faulty target wrote an earlier refusal once more on a kept connection.

Cause: answers were matched with their request by its id only if they were successes. A refusal stood for whatever request was due on the connection.

Change: a refusal needs the request's id, or no id on a connection without an earlier request; otherwise the outcome is unknown. A retry of a request that was sent goes on a new connection, because the refusal of the first attempt has its id. The stand-in of a platform's target names the request, as targets do.

Result: test_dialect repeated_refusal failed before (outcome not-run); it and repeated_refusal_of_retry pass.

--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -4209,7 +4209,7 @@
   (ProtobufCMessageInit) wire__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__forward__field_descriptors[18] =
+static const ProtobufCFieldDescriptor wire__forward__field_descriptors[19] =
 {
   {
     "attempt",
@@ -4427,6 +4427,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_before",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Forward, sent_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__forward__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
@@ -4444,6 +4456,7 @@
   12,   /* field[12] = priority */
   13,   /* field[13] = request_id */
   16,   /* field[16] = route */
+  18,   /* field[18] = sent_before */
   3,   /* field[3] = service */
   9,   /* field[9] = tenant */
   14,   /* field[14] = value_ms */
@@ -4451,7 +4464,7 @@
 static const ProtobufCIntRange wire__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor wire__forward__descriptor =
 {
@@ -4461,7 +4474,7 @@
   "Wire__Forward",
   "wire",
   sizeof(Wire__Forward),
-  18,
+  19,
   wire__forward__field_descriptors,
   wire__forward__field_indices_by_name,
   1,  wire__forward__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -768,10 +768,14 @@
    * size of the body that an offer leaves out
    */
   uint32_t body_bytes;
+  /*
+   * an earlier attempt at the request reached a target
+   */
+  protobuf_c_boolean sent_before;
 };
 #define WIRE__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__forward__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -265,6 +265,20 @@
 	return status < 300 ? a->seal && a->request_id && !a->has_encoding : 1;
 }
 
+/*
+ * Returns 1 if the refusal belongs to this call: it has the request's id, or
+ * none and the connection carried no other request. A faulty target may write
+ * an earlier refusal once more.
+ */
+static int is_refusal_of_call(const struct gate_call *c, const struct answer *a)
+{
+	if (!c->g->dialect->request_id)
+		return 1;
+	if (!a->request_id)
+		return !c->http.reused_connection;
+	return strcmp(a->request_id, c->f->request_id) == 0;
+}
+
 static void suspend_connection_reuse(struct gate *g)
 {
 	int64_t now_ms = clk_ms();
@@ -285,15 +299,18 @@
 {
 	const struct dialect *d = c->g->dialect;
 
+	int refused = states_not_run(d, reply, a->refused);
+
 	reply->outcome = OUTCOME_ANSWERED;
-	if (!states_not_run(d, reply, a->refused)) {
-		if (!is_answer_to_call(c, a, reply->status)) {
-			reply->outcome = OUTCOME_UNKNOWN;
-			reply->error = ERR_MALFORMED;
-			suspend_connection_reuse(c->g);
-		}
+	if (refused ? !is_refusal_of_call(c, a)
+		    : !is_answer_to_call(c, a, reply->status)) {
+		reply->outcome = OUTCOME_UNKNOWN;
+		reply->error = ERR_MALFORMED;
+		suspend_connection_reuse(c->g);
 		return;
 	}
+	if (!refused)
+		return;
 	reply->error = ERR_TARGET_REFUSED;
 	reply->outcome = c->http.sends > 1 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
 	if (a->retry_after)
@@ -553,6 +570,7 @@
 	size_t room = c->f->n_headers + GATE_ROUTER_HEADERS;
 	struct httpc_header *headers = calloc(room, sizeof(*headers));
 	size_t url_size = GATE_URL_BYTES + strlen(c->f->path);
+	int separate = clk_ms() < c->g->no_reuse_until_ms;
 	char *url = malloc(url_size);
 	struct header_values values;
 	enum err e = ERR_NOMEM;
@@ -576,8 +594,9 @@
 		.timeout_ms = (int)(c->deadline_ms - clk_ms()),
 		.connect_timeout_ms = GATE_CONNECT_TIMEOUT_MS,
 		.unframed_ok = c->g->dialect->unframed_answers,
-		.new_connection = clk_ms() < c->g->no_reuse_until_ms,
-		.close_after = clk_ms() < c->g->no_reuse_until_ms,
+		/* What answered the earlier attempt has the same id. */
+		.new_connection = separate || c->f->sent_before,
+		.close_after = separate,
 	};
 	e = c->http.timeout_ms > 0 ? httpc_start(&c->g->http_client, &c->http)
 				   : ERR_DEADLINE;
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -520,6 +520,7 @@
 	if (!q->forward.attempt)
 		q->forward.attempt = ++in->last_attempt;
 	q->forward.map_rev = q->map_rev;
+	q->forward.sent_before = q->target_sends > 0;
 	q->forward.deadline_ms = (uint32_t)remaining_ms(q);
 	q->forward.has_value = q->target_ms != 0;
 	q->forward.value_ms = (int32_t)q->target_ms - (int32_t)elapsed_ms(q);
--- a/standins/server.c
+++ b/standins/server.c
@@ -126,10 +126,12 @@
 static void answer_refused(struct server *s, struct httpd_request *r,
 			   unsigned status)
 {
+	const char *id = httpd_get_header(r, "X-Attempt-Id");
 	const struct httpd_header h[] = { { "X-Not-Executed", "1" },
-					  { "X-Instance-Id", s->o.id } };
+					  { "X-Instance-Id", s->o.id },
+					  { "X-Attempt-Id", id ? id : "-" } };
 
-	httpd_answer(r, status, h, 2, "", 0);
+	httpd_answer(r, status, h, 3, "", 0);
 }
 
 static void answer(struct server *s, struct httpd_request *r)
--- a/test/unit/test_dialect.c
+++ b/test/unit/test_dialect.c
@@ -239,6 +239,64 @@
 	}
 }
 
+/* The refusal of an earlier request, which the target writes once more. */
+#define REFUSAL_OF(id)                         \
+	"HTTP/1.1 503 No\r\nX-Attempt-Id: " id \
+	"\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+#define REFUSAL_WITHOUT_ID \
+	"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+/*
+ * Guards against the outcome not-run for a request that runs: a faulty target
+ * writes an earlier refusal once more, where the answer to the next request on
+ * that connection is due.
+ */
+static void test_repeated_refusal(void)
+{
+	static const char *const repeated[] = { REFUSAL_OF("00"),
+						REFUSAL_WITHOUT_ID };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(repeated); i++) {
+		struct fake_reply r;
+		struct fixture f;
+
+		setup(&f);
+		f.target.answer = REFUSAL_OF(ID);
+		submit_and_wait(&f, &r, 1);
+		g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+		f.target.answer = repeated[i];
+		submit_and_wait(&f, &r, 2);
+		g_assert_cmpuint(f.target.connections, ==, 1);
+		g_assert_cmpint(r.outcome, ==, OUTCOME_UNKNOWN);
+		teardown(&f);
+	}
+}
+
+/*
+ * Guards against the same for a request that was refused and is sent once more:
+ * the refusal has its own id.
+ */
+static void test_repeated_refusal_of_retry(void)
+{
+	Wire__Forward retry = forward(2, 0);
+	struct fake_reply r;
+	struct fixture f;
+
+	setup(&f);
+	f.target.answer = REFUSAL_OF(ID);
+	submit_and_wait(&f, &r, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	f.target.answer = SEALED;
+	retry.sent_before = 1;
+	memset(&r, 0, sizeof(r));
+	gate_submit(f.gate, &retry, fake_on_reply, &r);
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	/* Nothing that was written for the first try can come on it. */
+	g_assert_cmpuint(f.target.connections, ==, 2);
+	teardown(&f);
+}
+
 /* Guards against idempotent requests that go on after their caller left. */
 static void test_cancel(void)
 {
@@ -303,6 +361,9 @@
 	g_test_add_func("/dialect/late_answers", test_late_answers);
 	g_test_add_func("/dialect/unframed", test_unframed);
 	g_test_add_func("/dialect/refusals", test_refusals);
+	g_test_add_func("/dialect/repeated_refusal", test_repeated_refusal);
+	g_test_add_func("/dialect/repeated_refusal_of_retry",
+			test_repeated_refusal_of_retry);
 	g_test_add_func("/dialect/cancel", test_cancel);
 	g_test_add_func("/dialect/leaving", test_leaving);
 	g_test_add_func("/dialect/key_required", test_key_required);
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -337,9 +337,12 @@
 static void read_status(struct httpc_request *r)
 {
 	long status = 0;
+	long new_connections = 0;
 
 	curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &status);
 	r->status = (int)status;
+	curl_easy_getinfo(r->easy, CURLINFO_NUM_CONNECTS, &new_connections);
+	r->reused_connection = !new_connections;
 }
 
 static struct httpc_request *find_pending_data(struct httpc *c)
@@ -513,6 +516,7 @@
 	r->error = ERR_OK;
 	r->abort_error = ERR_OK;
 	r->send_started = 0;
+	r->reused_connection = 0;
 	r->status = 0;
 	r->framed = 0;
 	r->headers_done = 0;
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -104,6 +104,8 @@
 	 * received the request.
 	 */
 	int send_started;
+	/* 1 if an earlier request may have used the connection. */
+	int reused_connection;
 	int status;		   /* HTTP status, 0 if none was received */
 	struct buf answer;	   /* collected body */
 	struct buf answer_headers; /* "Name: value\n" lines */
