httpc: an answer whose head was cut off is incomplete

Cause: libcurl reports success if the connection closes after a complete header line, and where an answer may end with its connection nothing else was missing.

Change: an answer without the empty line that ends its head is incomplete.

Result: test_dialect cut_head cuts four answers at each byte of their heads. It failed before at byte 67 of the first (outcome answered) and passes.

--- a/test/unit/test_dialect.c
+++ b/test/unit/test_dialect.c
@@ -208,6 +208,46 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against an answer whose head was cut off and that is passed on as
+ * whole: the target stops at any byte of the head and closes the connection.
+ */
+static void test_cut_head(void)
+{
+	static const char *const answers[] = {
+		SEALED,
+		/* Its end is the end of the connection. */
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		"\r\nX-Server-Seal: s\r\nX-Server-Load: 1,0,4\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		"\r\nX-Server-Seal: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " ID
+		"\r\nContent-Length: 0\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		size_t head =
+			(size_t)(strstr(answers[i], "\r\n\r\n") - answers[i]) +
+			4;
+
+		for (size_t len = 0; len < head; len++) {
+			char *cut = g_strndup(answers[i], len);
+			struct fake_reply r;
+			struct fixture f;
+
+			setup(&f);
+			f.target.answer = cut;
+			f.target.mode = FAKE_ANSWER_CUT;
+			submit_and_wait(&f, &r, 1);
+			g_test_message("answer %zu, %zu bytes: %d", i, len,
+				       (int)r.outcome);
+			g_assert_cmpint(r.outcome, ==, OUTCOME_UNKNOWN);
+			teardown(&f);
+			g_free(cut);
+		}
+	}
+}
+
 /* Guards against the outcome not-run where the target did not state it. */
 static void test_refusals(void)
 {
@@ -360,6 +400,7 @@
 	g_test_add_func("/dialect/rejected_answers", test_rejected_answers);
 	g_test_add_func("/dialect/late_answers", test_late_answers);
 	g_test_add_func("/dialect/unframed", test_unframed);
+	g_test_add_func("/dialect/cut_head", test_cut_head);
 	g_test_add_func("/dialect/refusals", test_refusals);
 	g_test_add_func("/dialect/repeated_refusal", test_repeated_refusal);
 	g_test_add_func("/dialect/repeated_refusal_of_retry",
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -309,7 +309,8 @@
 	default:
 		return r->status ? ERR_INCOMPLETE : ERR_CLOSED;
 	}
-	if (r->status < 200)
+	/* libcurl takes the end of the connection for the end of the head. */
+	if (r->status < 200 || !r->headers_done)
 		return ERR_INCOMPLETE;
 	/* An unframed answer that was cut off looks like a whole one. */
 	if (!r->framed && !r->unframed_ok && guard_on(GUARD_FRAMING) &&
