--- a/test/run/lib-platform.sh
+++ b/test/run/lib-platform.sh
@@ -13,7 +13,8 @@
 ["name","sharded","warm"],"rows":[["cal",true,"2s"],["desk",false,null]]},
 "limits":{"maxHeaderBytes":16384}}'
 
-start_daemon() { # start_daemon I SERVICE
+# start_daemon I SERVICE: daemon_settings, if set, is added to the settings.
+start_daemon() {
 	local base=$((PORT + 1 + 8 * $1))
 	cat >"$WORK/n$1.toml" <<-TOML
 		[node]
@@ -37,6 +38,7 @@
 		adapt_concurrency = false
 		[limits]
 		stale_ms = 0
+		${daemon_settings:-}
 	TOML
 	start_process "n$1" "$BIN/mpind" --config "$WORK/n$1.toml"
 }
@@ -52,13 +54,14 @@
 }
 
 # request_status I PATH [CURL-OPTION...]: sends a request to daemon I and prints
-# its status.
+# its status. The caller waits for DEADLINE_MS, by default 2000.
 request_status() {
 	local port=$((PORT + 1 + 8 * $1)) path=$2
 	shift 2
-	curl -s -o /dev/null -m 3 -w '%{http_code}' -H 'Host: a.example' \
+	curl -s -o /dev/null -m $((1 + ${DEADLINE_MS:-2000} / 1000)) \
+		-w '%{http_code}' -H 'Host: a.example' \
 		-H 'X-Attempt-Id: 0123456789abcdef' \
-		-H 'X-Deadline-Remaining: 2000' "$@" \
+		-H "X-Deadline-Remaining: ${DEADLINE_MS:-2000}" "$@" \
 		"http://127.0.0.1:$port$path"
 }
 
