ownership, membership: other members take over where the standbys cannot

Cause: the coordinator and both of its standbys had lost their path to the store for 12 s, and only standbys checked whether the store answers them. The fleet stayed in a hold, in which nobody reads the document and no owner changes, although 16 of 24 nodes reached the store. The store's watches heard nothing at that time, so that the nodes did not learn of the change by themselves.

Change: after 3 s in a hold, the other members read the record too, spread by their ids over 1.6 s, and take over if the store answers; after a failed read they pause for 5 s, since in an outage of the whole store they would read for nothing. The coordinator's own node does not.

Result: test/run/standbys-without-store failed before (waited too long: another coordinator) and passes.

--- a/membership/membership_discovery.c
+++ b/membership/membership_discovery.c
@@ -188,12 +188,21 @@
 	return membership_probe_allows_election(m, now_ms);
 }
 
+/* A coordinator without the store is not replaced by its own node. */
+static int wants_takeover(const struct membership *m, int64_t now_ms)
+{
+	return own_member_should_take_over(&m->own, now_ms) &&
+	       (m->coordinator.peer_port !=
+			settings_peer_port(m->config.settings) ||
+		strcmp(m->coordinator.address, m->config.settings->address));
+}
+
 static void on_record(enum err e, const struct store_range *result, void *priv)
 {
 	struct membership *m = priv;
 	struct record r;
 	int64_t now_ms = clk_ms();
-	int handover = own_member_should_take_over(&m->own, now_ms);
+	int handover = wants_takeover(m, now_ms);
 	int replace = handover || wants_election(m, now_ms);
 
 	m->record_read_pending = 0;
@@ -203,6 +212,10 @@
 				? m->read_backoff_ms * 2
 				: MEMBERSHIP_READ_BACKOFF_MAX_MS;
 		m->record_read_at_ms = now_ms + m->read_backoff_ms;
+		/* All other members read in a hold, not the standbys alone. */
+		if (handover && !m->own.standby_rank)
+			m->record_read_at_ms =
+				now_ms + MEMBERSHIP_TAKEOVER_RETRY_MS;
 		return;
 	}
 	m->read_backoff_ms = MEMBERSHIP_READ_BACKOFF_MIN_MS;
@@ -307,8 +320,7 @@
 	if (!m->conn && m->coordinator.term && now_ms >= m->reconnect_at_ms)
 		connect_to_coordinator(m, now_ms);
 	if (!m->coordinator.term || m->connect_failures >= 2 ||
-	    wants_election(m, now_ms) ||
-	    own_member_should_take_over(&m->own, now_ms)) {
+	    wants_election(m, now_ms) || wants_takeover(m, now_ms)) {
 		m->connect_failures = 0;
 		read_record(m, now_ms);
 	}
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -33,6 +33,11 @@
 /* Backoff between reads of the coordinator record while the store fails. */
 #define MEMBERSHIP_READ_BACKOFF_MIN_MS 50
 #define MEMBERSHIP_READ_BACKOFF_MAX_MS 2000
+/*
+ * Pause after such a read by a member that is no standby: in an outage of the
+ * whole store, hundreds of them read to no purpose.
+ */
+#define MEMBERSHIP_TAKEOVER_RETRY_MS 5000
 /* After this many unanswered asks, the source port is changed. */
 #define MEMBERSHIP_ASKS_BEFORE_NEW_PORT 2
 /* After this many unanswered asks, the control connection is closed. */
--- a/ownership/member.c
+++ b/ownership/member.c
@@ -150,18 +150,25 @@
 	return ERR_OK;
 }
 
+static int64_t takeover_after_ms(const struct own_member *m)
+{
+	if (m->standby_rank)
+		return (int64_t)OWN_TAKEOVER_AFTER_MS * m->standby_rank;
+	return OWN_TAKEOVER_OTHERS_MS +
+	       (int64_t)(m->node_id % OWN_TAKEOVER_STEPS) *
+		       OWN_TAKEOVER_STEP_MS;
+}
+
 int own_member_should_take_over(const struct own_member *m, int64_t now_ms)
 {
-	if (!m->standby_rank || !own_member_in_hold(m, now_ms) ||
-	    !guard_on(GUARD_STANDBY))
+	if (!own_member_in_hold(m, now_ms) || !guard_on(GUARD_STANDBY))
 		return 0;
 	/*
 	 * A hold of an earlier term is being resolved by a coordinator that
 	 * has already replaced the one that gave it.
 	 */
 	return m->hold_term == m->term &&
-	       now_ms - m->hold_start_ms >=
-		       OWN_TAKEOVER_AFTER_MS * m->standby_rank;
+	       now_ms - m->hold_start_ms >= takeover_after_ms(m);
 }
 
 int own_member_should_elect(const struct own_member *m, int64_t now_ms)
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -97,6 +97,14 @@
  * causes.
  */
 #define OWN_TAKEOVER_AFTER_MS 1000
+/*
+ * The other members check after the standbys, which may be cut off from the
+ * store together with the coordinator. Their ids spread them over
+ * OWN_TAKEOVER_STEPS steps, so that the first one is seldom one of many.
+ */
+#define OWN_TAKEOVER_OTHERS_MS 3000
+#define OWN_TAKEOVER_STEP_MS 50
+#define OWN_TAKEOVER_STEPS 32
 
 /* What a reply tells the member to do about a hold. */
 enum own_hold {
@@ -192,9 +200,9 @@
 enum err own_member_may_serve(const struct own_member *m, int64_t now_ms,
 			      uint64_t map_rev, int64_t *end_ms);
 /*
- * Returns 1 if the member is a standby and should replace the coordinator
- * provided that the store answers it: the coordinator has been without the
- * store for a while, see OWN_TAKEOVER_AFTER_MS.
+ * Returns 1 if the member should replace the coordinator provided that the
+ * store answers it: the coordinator has been without the store for a while, see
+ * OWN_TAKEOVER_AFTER_MS and OWN_TAKEOVER_OTHERS_MS.
  */
 int own_member_should_take_over(const struct own_member *m, int64_t now_ms);
 /*
