--- a/membership/membership_discovery.c
+++ b/membership/membership_discovery.c
@@ -194,7 +194,8 @@
 	return own_member_should_take_over(&m->own, now_ms) &&
 	       (m->coordinator.peer_port !=
 			settings_peer_port(m->config.settings) ||
-		strcmp(m->coordinator.address, m->config.settings->address));
+		strcmp(m->coordinator.address, m->config.settings->address) !=
+			0);
 }
 
 static void on_record(enum err e, const struct store_range *result, void *priv)
