--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -138,14 +138,24 @@
 	return m->has_doc ? &m->sections : NULL;
 }
 
-/* Reports the slots of a change that this node owns now. */
-static void notify_gained_slots(struct membership *m, const Wire__MapDelta *d)
+/*
+ * Writes the slots that this node gets by the change, which is not applied yet,
+ * to a list that the caller frees, and their number to count. Slots that the
+ * node has already are left out: a snapshot, too, names them, and what the node
+ * has reported as released must not be served again. Returns NULL without
+ * memory.
+ */
+static uint32_t *find_gained_slots(const struct membership *m,
+				   const Wire__MapDelta *d, size_t *count)
 {
-	for (size_t i = 0; i < d->n_slots; i++) {
-		if (owns_slot(m, d->slots[i]->slot))
-			m->config.ops->slot_gained(d->slots[i]->slot,
-						   m->config.priv);
+	uint32_t *slots = calloc(d->n_slots + 1, sizeof(*slots));
+
+	*count = 0;
+	for (size_t i = 0; slots && i < d->n_slots; i++) {
+		if (map_is_gain(&m->map, d->slots[i], m->own.node_id))
+			slots[(*count)++] = d->slots[i]->slot;
 	}
+	return slots;
 }
 
 /*
@@ -166,6 +176,8 @@
 
 static void on_map_push(struct membership *m, const Wire__MapDelta *d)
 {
+	uint32_t *gained;
+	size_t gained_count;
 	enum err e;
 
 	if (d->term < m->own.term) {
@@ -177,20 +189,20 @@
 		resume_after_takeover(m);
 		return;
 	}
-	e = map_apply(&m->map, d);
-	if (e == ERR_STALE) {
-		if (d->rev > m->map.rev)
-			membership_send_fetch(m);
-		return;
-	}
-	if (e != ERR_OK) {
+	gained = find_gained_slots(m, d, &gained_count);
+	e = gained ? map_apply(&m->map, d) : ERR_NOMEM;
+	if (e == ERR_OK) {
+		for (size_t i = 0; i < gained_count; i++)
+			m->config.ops->slot_gained(gained[i], m->config.priv);
+		resume_after_takeover(m);
+		m->config.ops->changed(m->config.priv);
+	} else if (e != ERR_STALE) {
 		log_error("map_refused", "error=%s revision=%llu", err_name(e),
 			  (unsigned long long)d->rev);
-		return;
+	} else if (d->rev > m->map.rev) {
+		membership_send_fetch(m);
 	}
-	notify_gained_slots(m, d);
-	resume_after_takeover(m);
-	m->config.ops->changed(m->config.priv);
+	free(gained);
 }
 
 static void on_release(struct membership *m, const Wire__Release *r)
--- a/routing/map.c
+++ b/routing/map.c
@@ -711,6 +711,18 @@
 	return ERR_OK;
 }
 
+int map_is_gain(const struct map *m, const Wire__MapSlot *entry, uint32_t node)
+{
+	const struct map_slot *s;
+
+	if (!node || entry->owner != node)
+		return 0;
+	if (entry->slot >= m->slot_count)
+		return 1;
+	s = &m->slots[entry->slot];
+	return s->owner != node || s->fence != entry->fence;
+}
+
 enum err map_apply(struct map *m, const Wire__MapDelta *d)
 {
 	if (d->term < m->term)
--- a/routing/map.h
+++ b/routing/map.h
@@ -87,6 +87,12 @@
  *  - ERR_NOMEM: memory ran out.
  */
 enum err map_apply(struct map *m, const Wire__MapDelta *delta);
+/*
+ * Returns 1 if the node gets the slot by this entry of a delta or snapshot that
+ * has not been applied yet: it becomes the owner, or gets a new fence. A
+ * snapshot names all slots, also those that the node has had for long.
+ */
+int map_is_gain(const struct map *m, const Wire__MapSlot *entry, uint32_t node);
 /*
  * Checks a delta as map_apply does, with the same errors, but does not apply
  * it. Two cases differ: a snapshot gives ERR_STALE unless the map is empty, and
--- a/test/unit/test_map.c
+++ b/test/unit/test_map.c
@@ -270,6 +270,40 @@
 	map_finish(&copy);
 }
 
+/*
+ * Guards against slots of a snapshot that are taken for new ones: their node
+ * would serve again what it has released, while the coordinator gives it to
+ * another node.
+ */
+static void test_gain(void)
+{
+	struct delta x = { 0 };
+	Wire__MapDelta *d;
+	struct map m;
+
+	make_map(&m);
+	d = map_snapshot(&m);
+	for (size_t i = 0; i < d->n_slots; i++)
+		g_assert_false(map_is_gain(&m, d->slots[i], 1));
+	map_delta_free(d);
+	delta_init(&x, 5, 6);
+	add_slot(&x, 0, 1, 5); /* as before */
+	add_slot(&x, 1, 1, 6); /* a new fence */
+	add_slot(&x, 2, 2, 6); /* to another node */
+	add_slot(&x, 4, 1, 6); /* from another node */
+	add_slot(&x, 8, 1, 6); /* had no owner */
+	add_slot(&x, 99, 1, 6);
+	g_assert_false(map_is_gain(&m, &x.slot[0], 1));
+	g_assert_true(map_is_gain(&m, &x.slot[1], 1));
+	g_assert_false(map_is_gain(&m, &x.slot[2], 1));
+	g_assert_true(map_is_gain(&m, &x.slot[2], 2));
+	g_assert_true(map_is_gain(&m, &x.slot[3], 1));
+	g_assert_true(map_is_gain(&m, &x.slot[4], 1));
+	g_assert_true(map_is_gain(&m, &x.slot[5], 1));
+	g_assert_false(map_is_gain(&m, &x.slot[4], 0));
+	map_finish(&m);
+}
+
 /* Guards against a pinned key that is still routed by its shard. */
 static void test_pin_before_shard(void)
 {
@@ -357,6 +391,7 @@
 	g_test_add_func("/map/malformed_services", test_malformed_services);
 	g_test_add_func("/map/malformed_pins", test_malformed_pins);
 	g_test_add_func("/map/snapshot", test_snapshot);
+	g_test_add_func("/map/gain", test_gain);
 	g_test_add_func("/map/pin_before_shard", test_pin_before_shard);
 	g_test_add_func("/map/fence", test_fence_survives_snapshot);
 	g_test_add_func("/map/hash", test_hash);
