--- a/membership/membership.c
+++ b/membership/membership.c
@@ -178,7 +178,7 @@
 		 (long long)membership_control_silent_ms(m));
 	m->behind_since_ms = now_ms;
 	m->fetches++;
-	membership_send_fetch(m);
+	membership_send_fetch(m, "out_of_date");
 }
 
 void membership_on_lease_reply(struct membership *m,
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -145,7 +145,8 @@
 
 /* Handles a frame from the coordinator. */
 void membership_on_frame(struct membership *m, const struct frame *f);
-/* Asks the coordinator for the map and the document in full. */
-void membership_send_fetch(struct membership *m);
+/* Asks the coordinator for the map and the document in full; why: for the log.
+ */
+void membership_send_fetch(struct membership *m, const char *why);
 
 #endif
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -6,10 +6,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-void membership_send_fetch(struct membership *m)
+void membership_send_fetch(struct membership *m, const char *why)
 {
 	Wire__Fetch f = WIRE__FETCH__INIT;
 
+	log_info("fetch", "why=%s doc_revision=%llu map_revision=%llu", why,
+		 (unsigned long long)m->doc_rev,
+		 (unsigned long long)m->map.rev);
+
 	f.doc_rev = m->doc_rev;
 	f.map_rev = m->map.rev;
 	membership_send(m, FRAME_FETCH, &f.base);
@@ -90,7 +94,7 @@
 	if (p->rev <= m->doc_rev && guard_on(GUARD_REVISION))
 		return;
 	if (p->base_rev && p->base_rev != m->doc_rev) {
-		membership_send_fetch(m);
+		membership_send_fetch(m, "document_base");
 		return;
 	}
 	buf_init(&problems);
@@ -200,7 +204,7 @@
 		log_error("map_refused", "error=%s revision=%llu", err_name(e),
 			  (unsigned long long)d->rev);
 	} else if (d->rev > m->map.rev) {
-		membership_send_fetch(m);
+		membership_send_fetch(m, "map_base");
 	}
 	free(gained);
 }
@@ -214,7 +218,7 @@
 	 * an older map, the release would miss such a key.
 	 */
 	if (m->map.rev < r->map_rev) {
-		membership_send_fetch(m);
+		membership_send_fetch(m, "release_before_map");
 		return;
 	}
 	for (size_t i = 0; i < r->n_slots; i++) {
