--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -66,6 +66,10 @@
 end_cut() { set_relay "$1" "mode=pass"; }
 begin_reset() { set_relay "$1" "mode=reset&scope=existing"; }
 end_reset() { set_relay "$1" "mode=pass"; }
+# The open connections go silent for good; new ones, and datagrams from new
+# ports, pass.
+begin_silent() { set_relay "$1" "mode=silent&scope=existing"; }
+end_silent() { set_relay "$1" "mode=pass&scope=new"; }
 begin_delay() { set_relay "$1" "mode=delay&ms=120"; }
 end_delay() { set_relay "$1" "mode=pass"; }
 begin_drain() { ctl drain "$1" --wait-s 0 >/dev/null 2>&1 || :; }
@@ -100,6 +104,8 @@
 
 NODE_FAULTS=(kill kill stop freeze freeze target slow_target cut cut reset
 	delay drain hup)
+# Seeds below 300 draw what they drew before there was this fault.
+[ "$SOAK_SEED" -ge 300 ] && NODE_FAULTS+=(silent silent)
 FLEET_FAULTS=(store_down store_down store_silent store_slow store_lossy
 	store_freeze store_compact all)
 
