membership: one time-out for a silent control connection

The doubling by failed connections never went beyond twice, since the count of failures starts again with the second one. Found in reading; two comments are shortened.

--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -406,8 +406,7 @@
 		on_join(k, (const Wire__Join *)f->msg);
 		return;
 	}
-	/* Also before the Join is written, which may take as long as the store.
-	 */
+	/* Also before the Join is written: that may take a while. */
 	if (f->type == FRAME_PING) {
 		tcp_send(k->tcp, FRAME_PONG, f->msg);
 		return;
--- a/membership/membership_control.c
+++ b/membership/membership_control.c
@@ -13,22 +13,10 @@
 /* A Ping is sent in this period. */
 #define CONTROL_PING_MS 1000
 /*
- * The connection is closed if it delivers no byte for this long after a Ping.
- * About as long as unanswered asks take to close it. It doubles with each
- * connection that failed in a row, up to CONTROL_MAX_DOUBLINGS times, so that a
- * crowded link is not crowded further by joins.
+ * The connection is closed if it delivers no byte for this long after a Ping:
+ * about as long as unanswered asks take to close it.
  */
 #define CONTROL_ANSWER_MS 1000
-#define CONTROL_MAX_DOUBLINGS 3
-
-static int answer_timeout_ms(const struct membership *m)
-{
-	unsigned doublings = m->connect_failures;
-
-	if (doublings > CONTROL_MAX_DOUBLINGS)
-		doublings = CONTROL_MAX_DOUBLINGS;
-	return CONTROL_ANSWER_MS << doublings;
-}
 
 void membership_control_reset(struct membership *m, int64_t now_ms)
 {
@@ -52,7 +40,7 @@
 	if (m->ping_ms && m->conn->bytes_in > m->ping_bytes_in)
 		m->ping_ms = 0;
 	if (m->ping_ms) {
-		if (now_ms - m->ping_ms < answer_timeout_ms(m))
+		if (now_ms - m->ping_ms < CONTROL_ANSWER_MS)
 			return;
 		membership_drop_conn(m, "silent");
 		m->connect_failures++;
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -145,8 +145,7 @@
 
 /* Handles a frame from the coordinator. */
 void membership_on_frame(struct membership *m, const struct frame *f);
-/* Asks the coordinator for the map and the document in full; why: for the log.
- */
+/* Asks the coordinator for the whole map and document; why is logged. */
 void membership_send_fetch(struct membership *m, const char *why);
 
 #endif
