--- a/test/run/leaving-answers.sh
+++ b/test/run/leaving-answers.sh
@@ -2,13 +2,7 @@
 # gets requests after the drain time, because its announcements do not say so.
 . test/run/lib-platform.sh
 
-start_process kv "$BIN/mpin-kvstore" "$KV"
-wait_listening kv "$KV"
-for i in 0 1 2; do
-	[ $i = 2 ] && service=desk || service=cal
-	start_daemon $i $service
-	start_server $i $service "i-$i"
-done
+start_platform_fleet
 put_config "$config"
 wait_for 10 "readiness" is_ready 1
 wait_for 15 "all keys" all_keys_served 1
--- a/test/run/lib-platform.sh
+++ b/test/run/lib-platform.sh
@@ -53,6 +53,19 @@
 		--control $((base + 4)) --id "$id" --service "$service" "$@"
 }
 
+# start_platform_fleet: starts the store, two nodes with targets of the keyed
+# service and one of the other. There is no configuration yet.
+start_platform_fleet() {
+	local i service
+	start_process kv "$BIN/mpin-kvstore" "$KV"
+	wait_listening kv "$KV"
+	for i in 0 1 2; do
+		[ "$i" = 2 ] && service=desk || service=cal
+		start_daemon "$i" $service
+		start_server "$i" $service "i-$i"
+	done
+}
+
 # request_status I PATH [CURL-OPTION...]: sends a request to daemon I and prints
 # its status. The caller waits for DEADLINE_MS, by default 2000.
 request_status() {
--- a/test/run/lib-proof.sh
+++ b/test/run/lib-proof.sh
@@ -82,6 +82,22 @@
 	wait_for 20 "announcements" all_announced
 }
 
+# edit_proof_document: changes the document, in the background, since mpinctl waits
+# for all nodes. The change is revision 2.
+edit_proof_document() {
+	sed 's/"deadline_ms": [0-9]*/"deadline_ms": 3003/' \
+		"$WORK/document.json" >"$WORK/edit.json"
+	ctl apply "$WORK/edit.json" >"$WORK/apply.log" 2>&1 &
+}
+
+edit_is_in_force() { # true if all nodes have the change in force
+	local node
+	for node in "${node_names[@]}"; do
+		grep -q "event=document_in_force revision=2 " \
+			"$WORK/daemon-$node.log" || return 1
+	done
+}
+
 # start_proof_fleet [TARGET OPTION...]: starts the store and the nodes, applies
 # the document and waits until all shards have owners.
 start_proof_fleet() {
--- a/test/run/platform.sh
+++ b/test/run/platform.sh
@@ -34,13 +34,7 @@
 		awk 'NR > 1 && $1 <= end { print $1 } { end = $2 }'
 }
 
-start_process kv "$BIN/mpin-kvstore" "$KV"
-wait_listening kv "$KV"
-for i in 0 1 2; do
-	[ $i = 2 ] && service=desk || service=cal
-	start_daemon $i $service
-	start_server $i $service "i-$i"
-done
+start_platform_fleet
 sleep 1
 is_ready 0 || echo "not ready without a document"
 echo "without a document: $(request_status 0 /p/x)"
--- a/test/run/silent-control.sh
+++ b/test/run/silent-control.sh
@@ -11,22 +11,13 @@
 	set_relay "$node" "mode=silent&scope=existing"
 done
 term=$(status_value "s['term']")
-sed 's/"deadline_ms": [0-9]*/"deadline_ms": 3003/' \
-	"$WORK/document.json" >"$WORK/edit.json"
-timeout 30 "$BIN/mpinctl" --store "$STORE" apply "$WORK/edit.json" \
-	>"$WORK/apply.log" 2>&1 &
+edit_proof_document
 wait_accepted() {
 	status_value "s['doc_revision']" | grep -qx 2
 }
 wait_for 6 "the change at the coordinator" wait_accepted
-in_force_everywhere() {
-	for node in "${node_names[@]}"; do
-		grep -q "event=document_in_force revision=2 " \
-			"$WORK/daemon-$node.log" || return 1
-	done
-}
 # An accepted document is in force everywhere within 6 s.
-wait_for 6 "the change on all nodes" in_force_everywhere
+wait_for 6 "the change on all nodes" edit_is_in_force
 echo "in force everywhere within 6 s: yes"
 [ "$(status_value "s['term']")" = "$term" ] &&
 	echo "under the same coordinator: yes"
--- a/test/run/standbys-without-store.sh
+++ b/test/run/standbys-without-store.sh
@@ -39,15 +39,6 @@
 }
 wait_for 10 "another coordinator" is_replaced
 echo "the node that reaches the store takes office"
-sed 's/"deadline_ms": [0-9]*/"deadline_ms": 3003/' \
-	"$WORK/document.json" >"$WORK/edit.json"
-timeout 30 "$BIN/mpinctl" --store "$STORE" apply "$WORK/edit.json" \
-	>"$WORK/apply.log" 2>&1 &
-in_force_everywhere() {
-	for node in "${node_names[@]}"; do
-		grep -q "event=document_in_force revision=2 " \
-			"$WORK/daemon-$node.log" || return 1
-	done
-}
-wait_for 6 "the change on all nodes" in_force_everywhere
+edit_proof_document
+wait_for 6 "the change on all nodes" edit_is_in_force
 echo "in force everywhere within 6 s: yes"
