--- a/test/run/lib-platform.sh
+++ b/test/run/lib-platform.sh
@@ -13,7 +13,9 @@
 ["name","sharded","warm"],"rows":[["cal",true,"2s"],["desk",false,null]]},
 "limits":{"maxHeaderBytes":16384}}'
 
-# start_daemon I SERVICE: daemon_settings, if set, is added to the settings.
+# start_daemon I SERVICE: daemon_settings, if set, is added to the settings;
+# announce_ms and hold_max_ms replace the default times. The daemon reaches the
+# store through the port store_port, if set.
 start_daemon() {
 	local base=$((PORT + 1 + 8 * $1))
 	cat >"$WORK/n$1.toml" <<-TOML
@@ -31,10 +33,10 @@
 		ready_port = "127.0.0.1:$((base + 3))"
 		control_port = "127.0.0.1:$((base + 4))"
 		[store]
-		endpoint = "http://127.0.0.1:$KV"
+		endpoint = "http://127.0.0.1:${store_port:-$KV}"
 		[target]
-		announce_ms = "200ms"
-		hold_max_ms = "2s"
+		announce_ms = "${announce_ms:-200ms}"
+		hold_max_ms = "${hold_max_ms:-2s}"
 		adapt_concurrency = false
 		[limits]
 		stale_ms = 0
