membership, daemon: nodes read a document that nobody confirms as the newest

Cause: while the watches of all nodes are silent, the coordinator alone reads the document. Once it loses its path to the store, nobody reads a change until another node takes over: 2.2 s until the hold, 1 s until a standby acts, and the election. Class: a single reader on whom all others rely, without a way to see that it has stopped reading.

Change: a renewal of a grant states how long ago the store confirmed the coordinator's document. A node reads the document itself once neither that, for the revision that it has, nor its own watch is younger than 1.4 s. The age of a read now counts from when it was sent. A coordinator of an earlier version tells no age, so that nodes read every 1.4 s during a roll over this version.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -311,6 +311,29 @@
 		 (unsigned long long)n->store->counts.bytes_in, text);
 }
 
+static long long age_to_log(int64_t age_ms)
+{
+	return age_ms == INT64_MAX ? -1 : (long long)age_ms;
+}
+
+static void poll_document(struct node *n)
+{
+	int64_t source_ms = doc_feed_age_ms(n->feed);
+	int64_t coordinator_ms = membership_document_age_ms(n->membership);
+
+	if (coord_is_active(n->coord)) {
+		if (source_ms >= NODE_DOCUMENT_POLL_MS)
+			doc_feed_poll(n->feed);
+		return;
+	}
+	if (source_ms < NODE_DOCUMENT_STALE_MS ||
+	    coordinator_ms < NODE_DOCUMENT_STALE_MS || !doc_feed_poll(n->feed))
+		return;
+	log_info("document_unconfirmed",
+		 "source_age_ms=%lld coordinator_age_ms=%lld",
+		 age_to_log(source_ms), age_to_log(coordinator_ms));
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct node *n = w->data;
@@ -320,9 +343,8 @@
 	(void)events;
 	node_target_tick(n, now_ms);
 	log_traffic(n, now_ms);
-	if (n->feed && coord_is_active(n->coord) &&
-	    doc_feed_age_ms(n->feed) >= NODE_DOCUMENT_POLL_MS)
-		doc_feed_poll(n->feed);
+	if (n->feed)
+		poll_document(n);
 	if (n->phase == NODE_LEAVING)
 		tick_leaving(n, now_ms);
 	if (n->phase == NODE_FINISHING)
@@ -347,6 +369,13 @@
 	.updated = on_document,
 };
 
+static int64_t get_document_age_ms(void *priv)
+{
+	struct node *n = priv;
+
+	return n->feed ? doc_feed_age_ms(n->feed) : INT64_MAX;
+}
+
 static const struct doc_sections *get_member_document(uint64_t *rev, void *priv)
 {
 	return membership_document(((struct node *)priv)->membership, rev);
@@ -382,6 +411,8 @@
 		.cnt = &n->cnt,
 		.incarnation = n->incarnation,
 		.document = n->interface->document ? get_member_document : NULL,
+		.document_age_ms =
+			n->interface->document ? get_document_age_ms : NULL,
 		.document_priv = n,
 	};
 
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -44,6 +44,14 @@
  * new document has to be in force.
  */
 #define NODE_DOCUMENT_POLL_MS 700
+/*
+ * Any other node reads the document itself once neither its own watch nor the
+ * coordinator has confirmed for this long that the one in force is the newest.
+ * The coordinator may have lost its path to the store while the watch is
+ * silent. Two of the coordinator's reads, with the time until the next reply,
+ * fit in; what is left of the 2 s is for the read.
+ */
+#define NODE_DOCUMENT_STALE_MS 1400
 /*
  * A stop with a notice period (stop.notice_ms) ends this long before the end of
  * the grace period (stop.grace_ms), when the process would be killed. The last
--- a/membership/coord.h
+++ b/membership/coord.h
@@ -41,6 +41,11 @@
 	 * coordinator reads the document that mpinctl keeps in the store.
 	 */
 	const struct doc_sections *(*document)(uint64_t *rev, void *priv);
+	/*
+	 * Returns the milliseconds since the store confirmed that document;
+	 * INT64_MAX: never. NULL if and only if document is.
+	 */
+	int64_t (*document_age_ms)(void *priv);
 	void *document_priv;
 };
 
--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -80,6 +80,19 @@
 		tcp_send_encoded(m->conn->tcp, frame);
 }
 
+/* The value of dgram_reply.doc_age_ms. */
+static uint32_t document_age_ms(const struct coord *c)
+{
+	int64_t age_ms;
+
+	if (!c->config.document_age_ms)
+		return 0;
+	age_ms = c->config.document_age_ms(c->config.document_priv);
+	if (age_ms > INT32_MAX)
+		return 0;
+	return age_ms > 0 ? (uint32_t)age_ms : 1;
+}
+
 void coord_on_ask(struct coord *c, const struct dgram_ask *ask,
 		  const struct sockaddr_in *from)
 {
@@ -107,6 +120,7 @@
 	}
 	r.doc_rev = c->doc_rev;
 	r.map_rev = c->map.rev;
+	r.doc_age_ms = document_age_ms(c);
 	dgram_send_reply(c->config.dgram, from, &r);
 }
 
--- a/membership/dgram.c
+++ b/membership/dgram.c
@@ -39,6 +39,7 @@
 		},
 		.doc_rev = w->doc_rev,
 		.map_rev = w->map_rev,
+		.doc_age_ms = w->doc_age_ms,
 	};
 
 	if (w->hold > OWN_HOLD_KEEP || w->grant_ms > OWN_GRANT_MAX_MS) {
@@ -172,6 +173,7 @@
 	r.standby_rank = reply->own.standby_rank;
 	r.doc_rev = reply->doc_rev;
 	r.map_rev = reply->map_rev;
+	r.doc_age_ms = reply->doc_age_ms;
 	w.reply = &r;
 	send_datagram(&d->udp, to, &w);
 }
--- a/membership/dgram.h
+++ b/membership/dgram.h
@@ -25,6 +25,11 @@
 	struct own_reply own;
 	uint64_t doc_rev; /* revision of the coordinator's document */
 	uint64_t map_rev; /* revision of the coordinator's map */
+	/*
+	 * Time since the store last confirmed doc_rev to the coordinator, at
+	 * least 1; 0: unknown, as from a coordinator of an earlier version.
+	 */
+	uint32_t doc_age_ms;
 };
 
 /* Called on the event loop for each valid datagram, by its type. */
--- a/membership/doc_feed.c
+++ b/membership/doc_feed.c
@@ -19,7 +19,8 @@
 	int reading;	/* a read is in flight */
 	int retry_ms;
 	uint64_t revision;   /* of the newest value seen */
-	int64_t answered_ms; /* when the store last answered; 0: never */
+	int64_t read_ms;     /* when the last read was sent */
+	int64_t answered_ms; /* of doc_feed_age_ms; 0: never */
 };
 
 static void schedule_read(struct doc_feed *f, int ms)
@@ -90,7 +91,7 @@
 				      : FEED_RETRY_MAX_MS;
 		return;
 	}
-	f->answered_ms = clk_ms();
+	f->answered_ms = f->read_ms;
 	f->retry_ms = FEED_RETRY_FIRST_MS;
 	for (size_t i = 0; i < r->count; i++) {
 		const struct store_kv *kv = &r->kvs[i];
@@ -113,6 +114,7 @@
 	if (f->reading)
 		return;
 	f->reading = 1;
+	f->read_ms = clk_ms();
 	/* A range gives the store's revision even if the key is absent. */
 	f->store->ops->range(f->store, f->source->key, 1, on_read, f);
 }
@@ -138,10 +140,12 @@
 	return ERR_OK;
 }
 
-void doc_feed_poll(struct doc_feed *f)
+int doc_feed_poll(struct doc_feed *f)
 {
-	if (!f->reading && !ev_is_active(&f->timer))
-		schedule_read(f, 0);
+	if (f->reading || ev_is_active(&f->timer))
+		return 0;
+	schedule_read(f, 0);
+	return 1;
 }
 
 void doc_feed_free(struct doc_feed *f)
--- a/membership/doc_feed.h
+++ b/membership/doc_feed.h
@@ -35,11 +35,14 @@
 void doc_feed_free(struct doc_feed *f);
 /*
  * Reads the value now, unless a read is pending. A watch can stop delivering
- * events without an error; the one node that passes documents on to the others
- * calls this to bound the delay.
+ * events without an error; the caller bounds the delay by this. Returns 1 if it
+ * starts a read.
+ */
+int doc_feed_poll(struct doc_feed *f);
+/*
+ * Returns the milliseconds since the last read that the store answered was
+ * sent, or since the last event of the watch; INT64_MAX: never.
  */
-void doc_feed_poll(struct doc_feed *f);
-/* Returns the milliseconds since the store last answered; INT64_MAX: never. */
 int64_t doc_feed_age_ms(const struct doc_feed *f);
 
 #endif
--- a/membership/membership.c
+++ b/membership/membership.c
@@ -181,6 +181,20 @@
 	membership_send_fetch(m, "out_of_date");
 }
 
+/*
+ * Counted from when the ask was sent, which is before the coordinator wrote the
+ * age into its reply.
+ */
+static void note_document_confirmed(struct membership *m,
+				    const struct dgram_reply *r)
+{
+	int64_t at_ms = m->own.confirmed_ms - r->doc_age_ms;
+
+	if (r->doc_age_ms && r->doc_rev == m->doc_rev &&
+	    at_ms > m->doc_confirmed_ms)
+		m->doc_confirmed_ms = at_ms;
+}
+
 void membership_on_lease_reply(struct membership *m,
 			       const struct dgram_reply *r)
 {
@@ -189,6 +203,7 @@
 	if (!own_member_handle_reply(&m->own, now_ms, &r->own))
 		return;
 	membership_note_coordinator_alive(m, now_ms);
+	note_document_confirmed(m, r);
 	fetch_if_behind(m, r, now_ms);
 }
 
@@ -313,6 +328,11 @@
 	return m->conn ? clk_ms() - m->conn->last_read_ms : 0;
 }
 
+int64_t membership_document_age_ms(const struct membership *m)
+{
+	return m->doc_confirmed_ms ? clk_ms() - m->doc_confirmed_ms : INT64_MAX;
+}
+
 uint64_t membership_count_fetches(const struct membership *m)
 {
 	return m->fetches;
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -116,6 +116,11 @@
  */
 const struct doc_sections *membership_document(const struct membership *m,
 					       uint64_t *rev);
+/*
+ * Returns the milliseconds since the document in force was known to be the
+ * newest in the store, by what the coordinator told; INT64_MAX: never.
+ */
+int64_t membership_document_age_ms(const struct membership *m);
 
 /*
  * Tells the coordinator that the target came or changed, or that it is gone
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -52,6 +52,8 @@
 	int has_doc;
 	struct doc_sections sections;
 	uint64_t doc_rev;
+	/* A coordinator has confirmed that doc_rev was the newest then. */
+	int64_t doc_confirmed_ms;
 
 	/* The coordinator with the highest term seen; term 0: none known. */
 	struct record coordinator;
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -2438,7 +2438,7 @@
   (ProtobufCMessageInit) wire__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[12] =
 {
   {
     "term",
@@ -2572,8 +2572,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "doc_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, doc_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__lease_reply__field_indices_by_name[] = {
+  11,   /* field[11] = doc_age_ms */
   7,   /* field[7] = doc_rev */
   3,   /* field[3] = floor_rev */
   2,   /* field[2] = grant_ms */
@@ -2589,7 +2602,7 @@
 static const ProtobufCIntRange wire__lease_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__lease_reply__descriptor =
 {
@@ -2599,7 +2612,7 @@
   "Wire__LeaseReply",
   "wire",
   sizeof(Wire__LeaseReply),
-  11,
+  12,
   wire__lease_reply__field_descriptors,
   wire__lease_reply__field_indices_by_name,
   1,  wire__lease_reply__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -272,10 +272,14 @@
    * length of a committed hold from the ask, 0: no end
    */
   uint32_t hold_ms;
+  /*
+   * since doc_rev was read from the store, 0: unknown
+   */
+  uint32_t doc_age_ms;
 };
 #define WIRE__LEASE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__lease_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -1,4 +1,6 @@
+#include "common/clk.h"
 #include "membership/dgram.h"
+#include "membership/membership_priv.h"
 #include "membership/record.h"
 #include "transport/addr.h"
 
@@ -125,11 +127,50 @@
 	ev_loop_destroy(loop);
 }
 
+static void deliver_reply(struct membership *m, uint64_t doc_rev,
+			  uint32_t doc_age_ms)
+{
+	struct dgram_reply r = { .doc_rev = doc_rev, .doc_age_ms = doc_age_ms };
+	struct own_ask ask;
+
+	own_member_make_ask(&m->own, clk_ms(), &ask);
+	r.own.seq = ask.seq;
+	membership_on_lease_reply(m, &r);
+}
+
+/*
+ * Guards against a document that counts as confirmed by a coordinator that has
+ * another one, that has not heard from the store for long, or that does not
+ * say when it last did.
+ */
+static void test_document_age(void)
+{
+	struct settings settings = { 0 };
+	struct membership m = { .config.settings = &settings, .doc_rev = 7 };
+
+	own_member_init(&m.own, 0);
+	own_member_complete_join(&m.own, 3, clk_ms());
+	deliver_reply(&m, 7, 0);
+	deliver_reply(&m, 8, 1);
+	deliver_reply(&m, 6, 1);
+	g_assert_cmpint(membership_document_age_ms(&m), ==, INT64_MAX);
+	deliver_reply(&m, 7, 60000);
+	g_assert_cmpint(membership_document_age_ms(&m), >=, 60000);
+	deliver_reply(&m, 7, 30000);
+	g_assert_cmpint(membership_document_age_ms(&m), >=, 30000);
+	g_assert_cmpint(membership_document_age_ms(&m), <, 60000);
+	deliver_reply(&m, 8, 1);
+	deliver_reply(&m, 7, 90000);
+	g_assert_cmpint(membership_document_age_ms(&m), >=, 30000);
+	g_assert_cmpint(membership_document_age_ms(&m), <, 60000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/record/round_trip", test_record_round_trip);
 	g_test_add_func("/record/malformed", test_record_malformed);
 	g_test_add_func("/dgram/datagrams", test_datagrams);
+	g_test_add_func("/membership/document_age", test_document_age);
 	return g_test_run();
 }
