--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -491,7 +491,9 @@
 	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)r->timeout_ms);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
-	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, HTTPC_IDLE_SECONDS);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN,
+			 r->max_idle_seconds ? (long)r->max_idle_seconds
+					     : HTTPC_IDLE_SECONDS);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, HTTPC_KEEPALIVE_SECONDS);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, HTTPC_KEEPALIVE_SECONDS);
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -85,8 +85,10 @@
 	/* Limit of a collected answer body; 0: FRAME_MAX_BYTES / 2. */
 	size_t max_body_bytes;
 	int new_connection; /* open a new connection for this request */
-	int close_after;    /* close the connection after this request */
-	int unframed_ok;    /* accept an unframed answer as whole */
+	/* A connection that was idle for longer is not reused; 0: 5 s. */
+	int max_idle_seconds;
+	int close_after; /* close the connection after this request */
+	int unframed_ok; /* accept an unframed answer as whole */
 
 	/*
 	 * Result, valid in done(). error is ERR_OK if the whole answer was
