--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -297,6 +297,7 @@
 		    const Wire__Released *r)
 {
 	int64_t now_ms = clk_ms();
+	size_t cancelled = 0;
 
 	/* The slots of a restarting node wait for it. */
 	if (r->term != c->record.term || m->leaving == 2)
@@ -307,8 +308,7 @@
 		if (s >= c->map.slot_count || c->map.slots[s].owner != m->id)
 			continue;
 		if (!is_release_in_force(c, m, s)) {
-			log_info("release_cancelled", "name=%s slot=%u",
-				 LOG_Q(m->info->name), s);
+			cancelled++;
 			continue;
 		}
 		c->slots[s].releasing = 0;
@@ -318,6 +318,9 @@
 		if (!c->slots[s].unserved_since_ms)
 			c->slots[s].unserved_since_ms = now_ms;
 	}
+	if (cancelled)
+		log_info("release_cancelled", "name=%s slots=%zu of=%zu",
+			 LOG_Q(m->info->name), cancelled, r->n_slots);
 	c->placement_due = 1;
 }
 
