coord: a node that joins again is told which releases are cancelled

What callers would see: a slot that its node refuses until the slot is moved or another coordinator takes over, because the cancel of its release was lost with the control connection.

Change: the state that a joining node is sent includes a cancel of all its slots that are neither to be released nor being moved. One code path for nodes that can keep their slots.

Result: test_coord repeated_cancels failed before and passes.

--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -76,10 +76,35 @@
 	free(slots);
 }
 
+/*
+ * A cancel can be lost with the connection on which it was sent; the node would
+ * then refuse the slot until it is moved.
+ */
+static void repeat_cancels(struct coord *c, struct co_member *m)
+{
+	Wire__ReleaseCancel r = WIRE__RELEASE_CANCEL__INIT;
+	uint32_t *slots = calloc(c->slot_count + 1, sizeof(*slots));
+
+	for (uint32_t i = 0; slots && i < c->map.slot_count; i++) {
+		const struct co_slot *s = &c->slots[i];
+
+		if (c->map.slots[i].owner == m->id && !s->releasing &&
+		    !s->released && !s->changing)
+			slots[r.n_slots++] = i;
+	}
+	r.slots = slots;
+	r.term = c->record.term;
+	if (r.n_slots)
+		co_send(m, FRAME_RELEASE_CANCEL, &r.base);
+	free(slots);
+}
+
 static void send_initial_state(struct coord *c, struct co_member *m)
 {
 	send_join_reply(m->conn, ERR_OK, m->id);
 	co_sync_member(c, m);
+	if (co_can_keep_slots(m))
+		repeat_cancels(c, m);
 	co_send_releases(c, m);
 }
 
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -412,6 +412,8 @@
  * them until then.
  */
 void co_withdraw_moves(struct coord *c);
+/* Returns 1 if the node can serve slots whose release is cancelled. */
+int co_can_keep_slots(const struct co_member *m);
 
 /* ---- coord_place.c ---- */
 
--- a/membership/coord_withdraw.c
+++ b/membership/coord_withdraw.c
@@ -4,8 +4,7 @@
 
 #include <stdlib.h>
 
-/* Returns 1 if the node can serve its slots again. */
-static int can_keep_slots(const struct co_member *m)
+int co_can_keep_slots(const struct co_member *m)
 {
 	return m->info->target && m->join == CO_JOIN_DONE && !m->lost &&
 	       !m->removing && !m->leaving;
@@ -27,7 +26,7 @@
 		if (slot >= c->map.slot_count || !c->slots[slot].released)
 			continue;
 		m = co_member_find(c, c->map.slots[slot].owner);
-		if (!m || !can_keep_slots(m))
+		if (!m || !co_can_keep_slots(m))
 			continue;
 		q->slots[i].owner = m->id;
 		q->slots[i].cause = "hold";
@@ -83,7 +82,7 @@
 	if (requeued)
 		keep_queued_slots(c);
 	HASH_ITER(hh, c->members, m, tmp) {
-		if (can_keep_slots(m))
+		if (co_can_keep_slots(m))
 			count += cancel_releases(c, m, requeued);
 	}
 	if (count || !requeued)
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -418,6 +418,8 @@
 	unsigned deltas;
 	uint64_t base_rev; /* of the last map frame */
 	uint64_t rev;
+	size_t releases; /* slots to be released */
+	size_t cancels;	 /* slots whose release is cancelled */
 };
 
 static void on_frame(struct tcp_conn *c, const struct frame *f, void *priv)
@@ -426,9 +428,20 @@
 	struct control_conn *w = priv;
 
 	(void)c;
-	if (f->type == FRAME_DOC_PUSH) {
+	switch (f->type) {
+	case FRAME_DOC_PUSH:
 		w->documents++;
 		return;
+	case FRAME_RELEASE:
+		w->releases += ((const Wire__Release *)f->msg)->n_slots;
+		return;
+	case FRAME_RELEASE_CANCEL:
+		w->cancels += ((const Wire__ReleaseCancel *)f->msg)->n_slots;
+		return;
+	case FRAME_JOIN_REPLY:
+		return;
+	default:
+		break;
 	}
 	g_assert_cmpint(f->type, ==, FRAME_MAP_PUSH);
 	if (d->base_rev)
@@ -449,14 +462,19 @@
 static const struct tcp_ops control_ops = { .frame = on_frame,
 					    .closed = on_closed };
 
-/* Joins node 2 with these revisions and reads what it is sent into w. */
-static void sync_member_over_conn(struct fixture *f, struct control_conn *w,
-				  uint64_t doc_rev, uint64_t map_rev)
+/*
+ * Connects node 2, which has these revisions, calls send and reads what the
+ * node is sent into w.
+ */
+static void send_over_conn(struct fixture *f, struct control_conn *w,
+			   uint64_t doc_rev, uint64_t map_rev,
+			   void (*send)(struct coord *c, struct co_member *m))
 {
 	struct co_member *m = co_member_find(&f->c, 2);
 	int fds[2];
 
 	memset(w, 0, sizeof(*w));
+	w->conn.c = &f->c;
 	w->loop = ev_loop_new(EVFLAG_AUTO);
 	g_assert_cmpint(
 		socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds), ==,
@@ -467,7 +485,7 @@
 	m->conn = &w->conn;
 	m->doc_rev = doc_rev;
 	m->map_rev = map_rev;
-	co_sync_member(&f->c, m);
+	send(&f->c, m);
 	for (int i = 0; i < 20; i++)
 		ev_run(w->loop, EVRUN_NOWAIT);
 	m->conn = NULL;
@@ -476,6 +494,12 @@
 	ev_loop_destroy(w->loop);
 }
 
+static void sync_member_over_conn(struct fixture *f, struct control_conn *w,
+				  uint64_t doc_rev, uint64_t map_rev)
+{
+	send_over_conn(f, w, doc_rev, map_rev, co_sync_member);
+}
+
 /* Changes the owner of slot 0 and keeps the change, as a write does. */
 static void change_slot(struct fixture *f, uint32_t owner)
 {
@@ -530,6 +554,37 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against slots that a node refuses for good because the cancel of their
+ * release was lost with its connection, and against a cancel for slots that are
+ * to be released or whose move is being written.
+ */
+static void test_repeated_cancels(void)
+{
+	Wire__Target target = WIRE__TARGET__INIT;
+	struct control_conn w;
+	struct co_member *m;
+	struct fixture f;
+
+	setup(&f);
+	for (uint32_t slot = 0; slot < 4; slot++)
+		co_queue_slot(&f.c, slot, 2, "unowned");
+	co_queue_slot(&f.c, 5, 3, "unowned");
+	apply_queued_changes(&f);
+	f.c.slots[1].releasing = 1;
+	f.c.slots[2].released = 1;
+	f.c.slots[3].changing = 1;
+	m = co_member_find(&f.c, 2);
+	send_over_conn(&f, &w, 0, 0, co_join_written);
+	g_assert_cmpuint(w.cancels, ==, 0);
+	m->info->target = &target;
+	send_over_conn(&f, &w, 0, 0, co_join_written);
+	g_assert_cmpuint(w.cancels, ==, 1);
+	g_assert_cmpuint(w.releases, ==, 1);
+	m->info->target = NULL;
+	teardown(&f);
+}
+
 /* Guards against standbys with less bandwidth than other nodes have. */
 static void test_standbys(void)
 {
@@ -570,6 +625,7 @@
 	g_test_add_func("/coord/first_assignment", test_first_assignment);
 	g_test_add_func("/coord/handover", test_handover);
 	g_test_add_func("/coord/sync", test_sync);
+	g_test_add_func("/coord/repeated_cancels", test_repeated_cancels);
 	g_test_add_func("/coord/standbys", test_standbys);
 	return g_test_run();
 }
