coord, membership: a report of a release counts only if it follows the cancel

What callers would see: two targets that serve one key (OWNER). Found by reading: moves_withdrawn cancels releases when a hold begins, and placement may ask for the same ones again as soon as the store answers.

Cause: a report of a release names the slot only. If it is under way while the coordinator cancels the release and asks for it again, it counts for the second request: the slot is given to another node while the first one serves it after the cancel. The class is a late message that is matched with a newer request.

Change: Release and ReleaseCancel have a number that rises within a term, a report states the last one that the node has acted on, and a report from before the last cancel of the slot is ignored. Nodes of earlier versions state none, and their reports count as before.

--- a/membership/coord.c
+++ b/membership/coord.c
@@ -70,6 +70,7 @@
 	c->takeover_at_ms = now_ms;
 	c->placement_at_ms = 0;
 	c->withdrawn_hold = 0;
+	c->release_seq = 0;
 	c->live_at_ms = 0;
 	c->live_lease = 0;
 	times = own_times_for(settings_grant_ms(c->config.settings));
--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -71,31 +71,45 @@
 	r.slots = slots;
 	r.term = c->record.term;
 	r.map_rev = c->map.rev;
+	r.seq = ++c->release_seq;
 	if (r.n_slots)
 		co_send(m, FRAME_RELEASE, &r.base);
 	free(slots);
 }
 
+void co_send_cancel(struct coord *c, struct co_member *m, uint32_t *slots,
+		    size_t count)
+{
+	Wire__ReleaseCancel r = WIRE__RELEASE_CANCEL__INIT;
+
+	if (!count)
+		return;
+	r.term = c->record.term;
+	r.seq = ++c->release_seq;
+	r.slots = slots;
+	r.n_slots = count;
+	for (size_t i = 0; i < count; i++)
+		c->slots[slots[i]].cancel_seq = r.seq;
+	co_send(m, FRAME_RELEASE_CANCEL, &r.base);
+}
+
 /*
  * A cancel can be lost with the connection on which it was sent; the node would
  * then refuse the slot until it is moved.
  */
 static void repeat_cancels(struct coord *c, struct co_member *m)
 {
-	Wire__ReleaseCancel r = WIRE__RELEASE_CANCEL__INIT;
 	uint32_t *slots = calloc(c->slot_count + 1, sizeof(*slots));
+	size_t count = 0;
 
 	for (uint32_t i = 0; slots && i < c->map.slot_count; i++) {
 		const struct co_slot *s = &c->slots[i];
 
 		if (c->map.slots[i].owner == m->id && !s->releasing &&
 		    !s->released && !s->changing)
-			slots[r.n_slots++] = i;
+			slots[count++] = i;
 	}
-	r.slots = slots;
-	r.term = c->record.term;
-	if (r.n_slots)
-		co_send(m, FRAME_RELEASE_CANCEL, &r.base);
+	co_send_cancel(c, m, slots, count);
 	free(slots);
 }
 
@@ -310,12 +324,18 @@
  * Returns 1 if the coordinator has asked for the release, or if the node gives
  * its slots up because it stops or has no target. Any other report was sent
  * before the node learned that the release was cancelled: the node goes on
- * serving the slot, so it must not be given to another one.
+ * serving the slot, so it must not be given to another one. That holds also if
+ * the release was asked for again since. Nodes of earlier versions report no
+ * seen_seq.
  */
 static int is_release_in_force(const struct coord *c, const struct co_member *m,
-			       uint32_t slot)
+			       const Wire__Released *r, uint32_t slot)
 {
-	return c->slots[slot].releasing || m->leaving || !m->info->target;
+	const struct co_slot *s = &c->slots[slot];
+
+	if (m->leaving || !m->info->target)
+		return 1;
+	return s->releasing && (!r->seen_seq || r->seen_seq >= s->cancel_seq);
 }
 
 void co_on_released(struct coord *c, const struct co_member *m,
@@ -332,7 +352,7 @@
 
 		if (s >= c->map.slot_count || c->map.slots[s].owner != m->id)
 			continue;
-		if (!is_release_in_force(c, m, s)) {
+		if (!is_release_in_force(c, m, r, s)) {
 			cancelled++;
 			continue;
 		}
@@ -355,8 +375,8 @@
  */
 static void cancel_releases(struct coord *c, struct co_member *m)
 {
-	Wire__ReleaseCancel r = WIRE__RELEASE_CANCEL__INIT;
 	uint32_t *slots = calloc(c->slot_count + 1, sizeof(*slots));
+	size_t count = 0;
 
 	if (!slots)
 		return;
@@ -367,12 +387,9 @@
 		c->slots[s].releasing = 0;
 		c->slots[s].new_owner = 0;
 		c->slots[s].unserved_since_ms = 0;
-		slots[r.n_slots++] = s;
+		slots[count++] = s;
 	}
-	r.slots = slots;
-	r.term = c->record.term;
-	if (r.n_slots)
-		co_send(m, FRAME_RELEASE_CANCEL, &r.base);
+	co_send_cancel(c, m, slots, count);
 	free(slots);
 }
 
--- a/membership/coord_place.c
+++ b/membership/coord_place.c
@@ -250,14 +250,9 @@
 
 static void cancel_release(struct coord *c, struct co_member *m, uint32_t slot)
 {
-	Wire__ReleaseCancel r = WIRE__RELEASE_CANCEL__INIT;
-
 	c->slots[slot].releasing = 0;
 	c->slots[slot].new_owner = 0;
-	r.term = c->record.term;
-	r.n_slots = 1;
-	r.slots = &slot;
-	co_send(m, FRAME_RELEASE_CANCEL, &r.base);
+	co_send_cancel(c, m, &slot, 1);
 }
 
 static void start_release(struct coord *c, struct co_member *m, uint32_t slot,
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -111,11 +111,12 @@
 
 /* The coordinator's state of a slot, beyond what the map says. */
 struct co_slot {
-	int releasing;	    /* the owner was asked to release it */
-	int released;	    /* the owner has released it */
-	int changing;	    /* a change of owner is queued or being written */
-	int pinning;	    /* a pin of one of its keys is being written */
-	uint32_t new_owner; /* node it is being released for, 0 none */
+	int releasing;	     /* the owner was asked to release it */
+	int released;	     /* the owner has released it */
+	int changing;	     /* a change of owner is queued or being written */
+	int pinning;	     /* a pin of one of its keys is being written */
+	uint32_t new_owner;  /* node it is being released for, 0 none */
+	uint64_t cancel_seq; /* of the last cancel of its release, 0 none */
 	const char *move_cause;	   /* why it moves to new_owner */
 	struct place_average load; /* requests per second */
 	int64_t unserved_since_ms; /* when its owner stopped serving; 0: is
@@ -223,6 +224,7 @@
 
 	struct co_slot *slots;
 	size_t slot_count;
+	uint64_t release_seq; /* of the last Release or ReleaseCancel sent */
 	struct co_queue queue;
 	struct co_write write;
 	/*
@@ -313,6 +315,9 @@
 void co_join_written(struct coord *c, struct co_member *m);
 /* Asks the owner to release all its slots that are marked as releasing. */
 void co_send_releases(struct coord *c, struct co_member *m);
+/* Tells the owner that the slots stay with it. Does nothing without slots. */
+void co_send_cancel(struct coord *c, struct co_member *m, uint32_t *slots,
+		    size_t count);
 /*
  * Handles a node's report that it has released slots. A slot whose release was
  * cancelled stays with the node.
--- a/membership/coord_withdraw.c
+++ b/membership/coord_withdraw.c
@@ -37,9 +37,8 @@
 static size_t cancel_releases(struct coord *c, struct co_member *m,
 			      int including_queued)
 {
-	Wire__ReleaseCancel r = WIRE__RELEASE_CANCEL__INIT;
 	uint32_t *slots = calloc(c->slot_count + 1, sizeof(*slots));
-	size_t count;
+	size_t count = 0;
 
 	for (uint32_t i = 0; slots && i < c->map.slot_count; i++) {
 		struct co_slot *s = &c->slots[i];
@@ -53,14 +52,10 @@
 		s->new_owner = 0;
 		s->unserved_since_ms = 0;
 		s->handover[0] = 0;
-		slots[r.n_slots++] = i;
+		slots[count++] = i;
 	}
 	m->release_due = 0;
-	r.term = c->record.term;
-	r.slots = slots;
-	if (r.n_slots)
-		co_send(m, FRAME_RELEASE_CANCEL, &r.base);
-	count = r.n_slots;
+	co_send_cancel(c, m, slots, count);
 	free(slots);
 	return count;
 }
--- a/membership/membership.c
+++ b/membership/membership.c
@@ -240,16 +240,23 @@
 	}
 }
 
+static void send_released(struct membership *m, Wire__Released *r)
+{
+	r->term = m->own.term;
+	r->map_rev = m->map.rev;
+	if (m->release_term == m->own.term)
+		r->seen_seq = m->release_seq;
+	if (m->joined)
+		membership_send(m, FRAME_RELEASED, &r->base);
+}
+
 void membership_report_released(struct membership *m, uint32_t slot)
 {
 	Wire__Released r = WIRE__RELEASED__INIT;
 
-	r.term = m->own.term;
-	r.map_rev = m->map.rev;
 	r.n_slots = 1;
 	r.slots = &slot;
-	if (m->joined)
-		membership_send(m, FRAME_RELEASED, &r.base);
+	send_released(m, &r);
 }
 
 void membership_report_released_many(struct membership *m, uint32_t *slots,
@@ -257,14 +264,11 @@
 {
 	Wire__Released r = WIRE__RELEASED__INIT;
 
-	r.term = m->own.term;
-	r.map_rev = m->map.rev;
 	r.n_slots = count;
 	r.slots = slots;
 	r.n_handovers = count;
 	r.handovers = (char **)(uintptr_t)handovers;
-	if (m->joined)
-		membership_send(m, FRAME_RELEASED, &r.base);
+	send_released(m, &r);
 }
 
 uint32_t membership_node_id(const struct membership *m)
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -68,6 +68,8 @@
 	int64_t elect_at_ms;
 	int64_t reconnect_at_ms;
 	int64_t load_report_at_ms;
+	uint64_t release_term; /* of release_seq */
+	uint64_t release_seq;  /* of the last Release or ReleaseCancel */
 	/* When the map or document was found out of date; 0: up to date. */
 	int64_t behind_since_ms;
 	int64_t unanswered_from_ms; /* when the first unanswered ask was sent */
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -209,6 +209,12 @@
 	free(gained);
 }
 
+static void note_release_seq(struct membership *m, uint64_t term, uint64_t seq)
+{
+	m->release_term = term;
+	m->release_seq = seq;
+}
+
 static void on_release(struct membership *m, const Wire__Release *r)
 {
 	if (r->term < m->own.term)
@@ -221,6 +227,7 @@
 		membership_send_fetch(m, "release_before_map");
 		return;
 	}
+	note_release_seq(m, r->term, r->seq);
 	for (size_t i = 0; i < r->n_slots; i++) {
 		if (owns_slot(m, r->slots[i]))
 			m->config.ops->release(r->slots[i], m->config.priv);
@@ -232,6 +239,7 @@
 {
 	if (r->term < m->own.term)
 		return;
+	note_release_seq(m, r->term, r->seq);
 	for (size_t i = 0; i < r->n_slots; i++) {
 		if (owns_slot(m, r->slots[i]))
 			m->config.ops->release_cancel(r->slots[i],
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -3569,7 +3569,7 @@
   (ProtobufCMessageInit) wire__fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__release__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__release__field_descriptors[4] =
 {
   {
     "term",
@@ -3607,16 +3607,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seq",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Release, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__release__field_indices_by_name[] = {
   2,   /* field[2] = map_rev */
+  3,   /* field[3] = seq */
   1,   /* field[1] = slots */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange wire__release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__release__descriptor =
 {
@@ -3626,14 +3639,14 @@
   "Wire__Release",
   "wire",
   sizeof(Wire__Release),
-  3,
+  4,
   wire__release__field_descriptors,
   wire__release__field_indices_by_name,
   1,  wire__release__number_ranges,
   (ProtobufCMessageInit) wire__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__released__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__released__field_descriptors[5] =
 {
   {
     "term",
@@ -3683,17 +3696,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen_seq",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Released, seen_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__released__field_indices_by_name[] = {
   3,   /* field[3] = handovers */
   2,   /* field[2] = map_rev */
+  4,   /* field[4] = seen_seq */
   1,   /* field[1] = slots */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange wire__released__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__released__descriptor =
 {
@@ -3703,14 +3729,14 @@
   "Wire__Released",
   "wire",
   sizeof(Wire__Released),
-  4,
+  5,
   wire__released__field_descriptors,
   wire__released__field_indices_by_name,
   1,  wire__released__number_ranges,
   (ProtobufCMessageInit) wire__released__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__release_cancel__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__release_cancel__field_descriptors[3] =
 {
   {
     "term",
@@ -3736,15 +3762,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seq",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ReleaseCancel, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__release_cancel__field_indices_by_name[] = {
+  2,   /* field[2] = seq */
   1,   /* field[1] = slots */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange wire__release_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__release_cancel__descriptor =
 {
@@ -3754,7 +3793,7 @@
   "Wire__ReleaseCancel",
   "wire",
   sizeof(Wire__ReleaseCancel),
-  2,
+  3,
   wire__release_cancel__field_descriptors,
   wire__release_cancel__field_indices_by_name,
   1,  wire__release_cancel__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -543,10 +543,14 @@
   size_t n_slots;
   uint32_t *slots;
   uint64_t map_rev;
+  /*
+   * common to Release and ReleaseCancel, rises within a term
+   */
+  uint64_t seq;
 };
 #define WIRE__RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__release__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -564,10 +568,14 @@
    */
   size_t n_handovers;
   char **handovers;
+  /*
+   * of the last Release or ReleaseCancel acted on, 0: none
+   */
+  uint64_t seen_seq;
 };
 #define WIRE__RELEASED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__released__descriptor) \
-    , 0, 0,NULL, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -579,10 +587,11 @@
   uint64_t term;
   size_t n_slots;
   uint32_t *slots;
+  uint64_t seq;
 };
 #define WIRE__RELEASE_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__release_cancel__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 struct  Wire__SlotLoad
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -1,4 +1,4 @@
-#include "membership/coord_priv.h"
+#include "membership/coord_place_priv.h"
 #include "common/clk.h"
 
 #include <glib.h>
@@ -204,6 +204,44 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against the report of a release that was cancelled and then asked for
+ * again: the node sent it before it learned of the cancel, and serves the slot
+ * when the report arrives.
+ */
+static void test_report_before_cancel(void)
+{
+	Wire__Target target = WIRE__TARGET__INIT;
+	Wire__Released r = WIRE__RELEASED__INIT;
+	uint32_t slot = 0;
+	struct co_member *m;
+	struct fixture f;
+
+	setup(&f);
+	co_queue_slot(&f.c, slot, 1, "unowned");
+	apply_queued_changes(&f);
+	m = co_member_find(&f.c, 1);
+	m->info->target = &target;
+	r.term = f.c.record.term;
+	r.slots = &slot;
+	r.n_slots = 1;
+	place_request_release(&f.c, slot, 2, "imbalance");
+	co_send_releases(&f.c, m);
+	r.seen_seq = f.c.release_seq;
+	f.c.slots[slot].releasing = 0;
+	co_send_cancel(&f.c, m, &slot, 1);
+	place_request_release(&f.c, slot, 2, "imbalance");
+	co_send_releases(&f.c, m);
+	co_on_released(&f.c, m, &r);
+	g_assert_false(f.c.slots[slot].released);
+	/* The report that follows the second Release. */
+	r.seen_seq = f.c.release_seq;
+	co_on_released(&f.c, m, &r);
+	g_assert_true(f.c.slots[slot].released);
+	m->info->target = NULL;
+	teardown(&f);
+}
+
 /*
  * Leaves slot 0 being released and the moves of the released slots 1 and 2 in a
  * write that failed, and begins a hold.
@@ -619,6 +657,8 @@
 			test_lost_with_queued_slot);
 	g_test_add_func("/coord/check", test_check);
 	g_test_add_func("/coord/cancelled_release", test_cancelled_release);
+	g_test_add_func("/coord/report_before_cancel",
+			test_report_before_cancel);
 	g_test_add_func("/coord/withdrawn_moves", test_withdrawn_moves);
 	g_test_add_func("/coord/forget", test_forget);
 	g_test_add_func("/coord/roster_mark", test_roster_mark);
