membership: a coordinator fetches a newer document from a member

Cause: such nodes have documents from the coordinator's pushes alone, and the coordinator from its own reads alone. The members that had read the change said so with their next renewal, and nothing was done with it.

Change: a coordinator that is behind a member for 0.2 s sends it a Fetch, and the member answers with its document, which is checked like any other and never replaces a newer one. doc_push.c has the code that both ends use for pushes.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -413,6 +413,7 @@
 		.document = n->interface->document ? get_member_document : NULL,
 		.document_age_ms =
 			n->interface->document ? get_document_age_ms : NULL,
+		.offer_document = n->interface->document ? on_document : NULL,
 		.document_priv = n,
 	};
 
--- a/membership/coord.h
+++ b/membership/coord.h
@@ -46,6 +46,12 @@
 	 * INT64_MAX: never. NULL if and only if document is.
 	 */
 	int64_t (*document_age_ms)(void *priv);
+	/*
+	 * Takes ownership of a newer document, which a member has read; this
+	 * node is to have it in force. NULL if and only if document is.
+	 */
+	void (*offer_document)(struct doc *doc, struct doc_sections *sections,
+			       void *priv);
 	void *document_priv;
 };
 
--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -471,6 +471,9 @@
 	case FRAME_FETCH:
 		on_fetch(k);
 		break;
+	case FRAME_DOC_PUSH:
+		co_on_doc_push(k->c, (const Wire__DocPush *)f->msg);
+		break;
 	case FRAME_LOAD_REPORT:
 		co_on_load_report(k->c, k->member,
 				  (const Wire__LoadReport *)f->msg);
--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -1,6 +1,7 @@
 #include "membership/coord_priv.h"
 #include "common/clk.h"
 #include "common/log.h"
+#include "membership/doc_push.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -66,76 +67,45 @@
 	return other && other->digest == x->digest && other->len == x->len;
 }
 
-/* Returns 0 without memory; the push must not be sent without the section. */
-static int add_section(Wire__DocPush *p, const struct doc_section *s,
-		       int removed)
-{
-	Wire__DocSection *w = malloc(sizeof(*w));
-
-	if (!w)
-		return 0;
-	wire__doc_section__init(w);
-	w->name = s->name;
-	w->removed = removed;
-	if (!removed) {
-		w->text.data = (uint8_t *)s->text;
-		w->text.len = s->len;
-	}
-	p->sections[p->n_sections++] = w;
-	return 1;
-}
-
-static void free_push(Wire__DocPush *p)
-{
-	for (size_t i = 0; i < p->n_sections; i++)
-		free(p->sections[i]);
-	free(p->sections);
-}
-
 static void push_changes(struct coord *c, uint64_t base_rev,
 			 const struct doc_sections *from)
 {
-	Wire__DocPush p = WIRE__DOC_PUSH__INIT;
-	int complete;
+	Wire__DocPush p;
+	enum err e = doc_push_init(&p, from->count + c->sections.count);
 
 	p.term = c->record.term;
 	p.base_rev = base_rev;
 	p.rev = c->doc_rev;
-	p.sections = calloc(from->count + c->sections.count + 1,
-			    sizeof(*p.sections));
-	complete = p.sections != NULL;
-	for (size_t i = 0; complete && i < c->sections.count; i++) {
+	for (size_t i = 0; e == ERR_OK && i < c->sections.count; i++) {
 		if (!has_same_section(from, &c->sections.items[i]))
-			complete = add_section(&p, &c->sections.items[i], 0);
+			e = doc_push_add(&p, &c->sections.items[i], 0);
 	}
-	for (size_t i = 0; complete && i < from->count; i++) {
+	for (size_t i = 0; e == ERR_OK && i < from->count; i++) {
 		if (!doc_sections_get(&c->sections, from->items[i].name))
-			complete = add_section(&p, &from->items[i], 1);
+			e = doc_push_add(&p, &from->items[i], 1);
 	}
 	/* Members that get no push fetch the document when they ask. */
-	if (complete)
+	if (e == ERR_OK)
 		co_push_doc(c, base_rev, &p);
-	free_push(&p);
+	doc_push_finish(&p);
 }
 
 /* Encodes the whole document for co_doc_send_full. */
 static void encode_full(struct coord *c)
 {
-	Wire__DocPush p = WIRE__DOC_PUSH__INIT;
-	int complete;
+	Wire__DocPush p;
+	enum err e = doc_push_init(&p, c->sections.count);
 
 	buf_reset(&c->doc_frame);
 	c->doc_frame_rev = 0;
 	p.term = c->record.term;
 	p.rev = c->doc_rev;
-	p.sections = calloc(c->sections.count + 1, sizeof(*p.sections));
-	complete = p.sections != NULL;
-	for (size_t i = 0; complete && i < c->sections.count; i++)
-		complete = add_section(&p, &c->sections.items[i], 0);
-	if (complete && frame_encode_deflated(FRAME_DOC_PUSH, &p.base,
-					      &c->doc_frame) == ERR_OK)
+	if (e == ERR_OK)
+		e = doc_push_add_all(&p, &c->sections);
+	if (e == ERR_OK && frame_encode_deflated(FRAME_DOC_PUSH, &p.base,
+						 &c->doc_frame) == ERR_OK)
 		c->doc_frame_rev = c->doc_rev;
-	free_push(&p);
+	doc_push_finish(&p);
 }
 
 /* The frame is kept, since many nodes may join under the same document. */
@@ -211,6 +181,75 @@
 		c->placement_due = 1;
 }
 
+/* Returns the member with a newer document that was heard last, or NULL. */
+static struct co_member *find_newer_member(const struct coord *c)
+{
+	struct co_member *m, *tmp, *found = NULL;
+	int64_t heard_ms = 0;
+
+	HASH_ITER(hh, c->members, m, tmp) {
+		const struct own_peer *p = own_coord_find(&c->own, m->id);
+
+		if (!m->conn || m->doc_rev <= c->doc_rev || !p ||
+		    p->heard_ms <= heard_ms)
+			continue;
+		heard_ms = p->heard_ms;
+		found = m;
+	}
+	return found;
+}
+
+/*
+ * Asks a member for a document that is newer than this node's. A coordinator
+ * that the store turns away learns of a change in this way alone, and so do the
+ * other nodes that the store turns away. Normally this node reads a change as
+ * soon as the others do.
+ */
+static void fetch_from_member(struct coord *c, int64_t now_ms)
+{
+	Wire__Fetch f = WIRE__FETCH__INIT;
+	struct co_member *m = find_newer_member(c);
+
+	if (!m) {
+		c->doc_fetch_at_ms = 0;
+		return;
+	}
+	if (!c->doc_fetch_at_ms)
+		c->doc_fetch_at_ms = now_ms + CO_DOC_FETCH_AFTER_MS;
+	if (now_ms < c->doc_fetch_at_ms)
+		return;
+	c->doc_fetch_at_ms = now_ms + CO_DOC_FETCH_RETRY_MS;
+	log_info("document_fetch", "from=%s revision=%llu has_revision=%llu",
+		 LOG_Q(m->info->name), (unsigned long long)m->doc_rev,
+		 (unsigned long long)c->doc_rev);
+	f.doc_rev = c->doc_rev;
+	f.map_rev = c->map.rev;
+	co_send(m, FRAME_FETCH, &f.base);
+}
+
+void co_on_doc_push(struct coord *c, const Wire__DocPush *p)
+{
+	struct doc_sections sections;
+	struct buf problems;
+	struct doc doc;
+
+	if (!c->config.offer_document || p->base_rev || p->rev <= c->doc_rev)
+		return;
+	buf_init(&problems);
+	if (doc_push_read(p, NULL, &sections) == ERR_OK &&
+	    doc_parse_sections(&doc, &sections, &problems) == ERR_OK) {
+		doc.revision = p->rev;
+		c->config.offer_document(&doc, &sections,
+					 c->config.document_priv);
+	} else {
+		log_error("document_invalid", "revision=%llu problems=%s",
+			  (unsigned long long)p->rev,
+			  LOG_Q(buf_text(&problems)));
+		doc_sections_finish(&sections);
+	}
+	buf_finish(&problems);
+}
+
 /*
  * An invalid document in the store does not stop the coordinator: the one in
  * force stays until a later change is read.
@@ -431,6 +470,7 @@
 	c->doc_read_pending = 0;
 	c->doc_reread_due = 0;
 	c->doc_poll_at_ms = 0;
+	c->doc_fetch_at_ms = 0;
 	co_doc_tick(c, clk_ms());
 }
 
@@ -461,6 +501,7 @@
 		copy_member_document(c);
 		if (c->doc_rev != before)
 			co_services_update(c);
+		fetch_from_member(c, now_ms);
 		return;
 	}
 	if (now_ms < c->doc_poll_at_ms)
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -20,6 +20,12 @@
 #define CO_TAKEOVER_PERIOD_MS 100
 #define CO_TAKEOVER_LENGTH_MS 5000
 #define CO_DOC_POLL_MS 2000
+/*
+ * After being behind a member for this long, the document is fetched from it,
+ * and again if it has not come: a large one takes a while on a slow line.
+ */
+#define CO_DOC_FETCH_AFTER_MS 200
+#define CO_DOC_FETCH_RETRY_MS 1000
 #define CO_LIVE_TTL_S 10
 #define CO_LIVE_RENEW_MS 3000
 #define CO_RETRY_MS 200
@@ -221,6 +227,7 @@
 	int doc_read_pending; /* the head or a section is being read */
 	struct doc_reading *doc_reading; /* private to coord_doc.c */
 	int doc_reread_due;		 /* it changed while being read */
+	int64_t doc_fetch_at_ms;	 /* 0: no member has a newer document */
 
 	struct co_slot *slots;
 	size_t slot_count;
@@ -443,6 +450,8 @@
  * missing or invalid; then the one in force stays.
  */
 enum err co_doc_load(struct coord *c, const struct store_range *range);
+/* Handles a document that a member was asked for. */
+void co_on_doc_push(struct coord *c, const Wire__DocPush *p);
 /* Sends all sections of the document to one member. */
 void co_doc_send_full(struct coord *c, struct co_member *m);
 /* Queues the document's keyed services that are not in the map yet. */
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -2,6 +2,7 @@
 #include "common/clk.h"
 #include "common/guard.h"
 #include "common/log.h"
+#include "membership/doc_push.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -58,32 +59,6 @@
 		membership_leave(m, m->leaving == 2);
 }
 
-static enum err apply_sections(struct membership *m, const Wire__DocPush *p,
-			       struct doc_sections *out)
-{
-	enum err e = ERR_OK;
-
-	memset(out, 0, sizeof(*out));
-	for (size_t i = 0; p->base_rev && i < m->sections.count; i++) {
-		const struct doc_section *s = &m->sections.items[i];
-
-		e = doc_sections_set(out, s->name, s->text, s->len);
-		if (e != ERR_OK)
-			return e;
-	}
-	for (size_t i = 0; i < p->n_sections; i++) {
-		const Wire__DocSection *s = p->sections[i];
-
-		e = doc_sections_set(out, s->name,
-				     s->removed ? NULL
-						: (const char *)s->text.data,
-				     s->text.len);
-		if (e != ERR_OK)
-			return e;
-	}
-	return ERR_OK;
-}
-
 static void on_doc_push(struct membership *m, const Wire__DocPush *p)
 {
 	struct doc_sections sections;
@@ -98,7 +73,8 @@
 		return;
 	}
 	buf_init(&problems);
-	if (apply_sections(m, p, &sections) != ERR_OK ||
+	if (doc_push_read(p, p->base_rev ? &m->sections : NULL, &sections) !=
+		    ERR_OK ||
 	    doc_parse_sections(&doc, &sections, &problems) != ERR_OK) {
 		log_error("document_invalid", "revision=%llu problems=%s",
 			  (unsigned long long)p->rev,
@@ -247,6 +223,22 @@
 	}
 }
 
+/* The coordinator asks for the document, which it cannot read itself. */
+static void on_fetch(struct membership *m, const Wire__Fetch *f)
+{
+	Wire__DocPush p;
+
+	if (!m->has_doc || m->doc_rev <= f->doc_rev)
+		return;
+	if (doc_push_init(&p, m->sections.count) == ERR_OK &&
+	    doc_push_add_all(&p, &m->sections) == ERR_OK) {
+		p.term = m->own.term;
+		p.rev = m->doc_rev;
+		membership_send(m, FRAME_DOC_PUSH, &p.base);
+	}
+	doc_push_finish(&p);
+}
+
 static void on_leave_reply(struct membership *m, const Wire__LeaveReply *r)
 {
 	if (!r->done || !m->leaving)
@@ -276,6 +268,9 @@
 	case FRAME_RELEASE_CANCEL:
 		on_release_cancel(m, (const Wire__ReleaseCancel *)f->msg);
 		break;
+	case FRAME_FETCH:
+		on_fetch(m, (const Wire__Fetch *)f->msg);
+		break;
 	case FRAME_LEAVE_REPLY:
 		on_leave_reply(m, (const Wire__LeaveReply *)f->msg);
 		break;
--- a/test/run/lib-platform.sh
+++ b/test/run/lib-platform.sh
@@ -164,14 +164,14 @@
 	[ "$(applied_ms "$2")" -ge "$1" ]
 }
 
-# put_config_in_time TEXT COORDINATOR: writes the configuration and prints a line
-# for each daemon but the coordinator that has it in force within 2 s.
+# put_config_in_time TEXT [I]: writes the configuration and prints a line for each
+# daemon but daemon I that has it in force within 2 s.
 put_config_in_time() {
 	local i start took
 	start=$(wall_ms)
 	put_config "$1"
 	for i in 0 1 2; do
-		[ "$i" = "$2" ] && continue
+		[ "$i" = "${2:-}" ] && continue
 		wait_for 20 "the change on n$i" is_applied_since "$start" $i
 		took=$(($(applied_ms $i) - start))
 		echo "n$i: $took ms" >&2
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -1,5 +1,6 @@
 #include "membership/coord_place_priv.h"
 #include "common/clk.h"
+#include "membership/doc_push.h"
 
 #include <glib.h>
 #include <stdlib.h>
@@ -592,6 +593,52 @@
 	teardown(&f);
 }
 
+static void note_offered(struct doc *doc, struct doc_sections *sections,
+			 void *priv)
+{
+	*(uint64_t *)priv = doc->revision;
+	doc_finish(doc);
+	doc_sections_finish(sections);
+}
+
+/*
+ * Guards against a document from a member that replaces a newer one, that is
+ * only a part, or that is invalid.
+ */
+static void test_document_of_member(void)
+{
+	static const char text[] = "{\"version\":1,\"services\":{\"desk\":"
+				   "{\"keyed\":false}}}";
+	struct doc_sections sections = { 0 };
+	uint64_t offered = 0;
+	struct fixture f;
+	Wire__DocPush p;
+
+	setup(&f);
+	f.c.doc_rev = 5;
+	f.c.config.offer_document = note_offered;
+	f.c.config.document_priv = &offered;
+	g_assert_cmpint(doc_split(text, strlen(text), &sections, NULL), ==,
+			ERR_OK);
+	g_assert_cmpint(doc_push_init(&p, sections.count), ==, ERR_OK);
+	g_assert_cmpint(doc_push_add_all(&p, &sections), ==, ERR_OK);
+	p.rev = 5;
+	co_on_doc_push(&f.c, &p);
+	p.rev = 6;
+	p.base_rev = 5;
+	co_on_doc_push(&f.c, &p);
+	p.base_rev = 0;
+	p.sections[0]->text.len--;
+	co_on_doc_push(&f.c, &p);
+	g_assert_cmpuint(offered, ==, 0);
+	p.sections[0]->text.len++;
+	co_on_doc_push(&f.c, &p);
+	g_assert_cmpuint(offered, ==, 6);
+	doc_push_finish(&p);
+	doc_sections_finish(&sections);
+	teardown(&f);
+}
+
 /*
  * Guards against slots that a node refuses for good because the cancel of their
  * release was lost with its connection, and against a cancel for slots that are
@@ -665,6 +712,7 @@
 	g_test_add_func("/coord/first_assignment", test_first_assignment);
 	g_test_add_func("/coord/handover", test_handover);
 	g_test_add_func("/coord/sync", test_sync);
+	g_test_add_func("/coord/document_of_member", test_document_of_member);
 	g_test_add_func("/coord/repeated_cancels", test_repeated_cancels);
 	g_test_add_func("/coord/standbys", test_standbys);
 	return g_test_run();
