--- a/daemon/node.h
+++ b/daemon/node.h
@@ -48,8 +48,9 @@
  * Any other node reads the document itself once neither its own watch nor the
  * coordinator has confirmed for this long that the one in force is the newest.
  * The coordinator may have lost its path to the store while the watch is
- * silent. Two of the coordinator's reads, with the time until the next reply,
- * fit in; what is left of the 2 s is for the read.
+ * silent. Its period of reads and the period of renewals, OWN_RENEW_MS, fit in,
+ * so that no node reads while the coordinator does; what is left of the 2 s is
+ * for the read.
  */
 #define NODE_DOCUMENT_STALE_MS 1400
 /*
--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -188,10 +188,12 @@
 	int64_t heard_ms = 0;
 
 	HASH_ITER(hh, c->members, m, tmp) {
-		const struct own_peer *p = own_coord_find(&c->own, m->id);
+		const struct own_peer *p;
 
-		if (!m->conn || m->doc_rev <= c->doc_rev || !p ||
-		    p->heard_ms <= heard_ms)
+		if (!m->conn || m->doc_rev <= c->doc_rev)
+			continue;
+		p = own_coord_find(&c->own, m->id);
+		if (!p || p->heard_ms <= heard_ms)
 			continue;
 		heard_ms = p->heard_ms;
 		found = m;
--- a/membership/coord_withdraw.c
+++ b/membership/coord_withdraw.c
@@ -34,8 +34,8 @@
 }
 
 /* Returns how many slots go back to the node. */
-static size_t cancel_releases(struct coord *c, struct co_member *m,
-			      int including_queued)
+static size_t withdraw_releases(struct coord *c, struct co_member *m,
+				int including_queued)
 {
 	uint32_t *slots = calloc(c->slot_count + 1, sizeof(*slots));
 	size_t count = 0;
@@ -78,7 +78,7 @@
 		keep_queued_slots(c);
 	HASH_ITER(hh, c->members, m, tmp) {
 		if (co_can_keep_slots(m))
-			count += cancel_releases(c, m, requeued);
+			count += withdraw_releases(c, m, requeued);
 	}
 	if (count || !requeued)
 		log_info("moves_withdrawn",
--- a/membership/coord_write.c
+++ b/membership/coord_write.c
@@ -469,9 +469,9 @@
 	struct co_queue *q = &c->queue;
 	struct co_member *m, *tmp;
 
-	if (!w->active)
+	if (!w->active || w->kind == CO_WRITE_SNAPSHOT)
 		return 1;
-	if (w->kind != CO_WRITE_CHANGE || !w->retry_at_ms || w->may_have_run)
+	if (!w->retry_at_ms || w->may_have_run)
 		return 0;
 	if (w->delta) {
 		q->services_due |= w->delta->n_services > 0;
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -315,8 +315,15 @@
 	g_assert_cmpuint(f.c.map.slots[1].fence, >, fence);
 	g_assert_cmpuint(f.c.map.slots[2].owner, ==, 3);
 
+	/* A snapshot has no queued change. */
 	co_queue_slot(&f.c, 2, 1, "unowned");
 	apply_queued_changes(&f);
+	fail_write(&f, 1);
+	f.c.write.kind = CO_WRITE_SNAPSHOT;
+	co_withdraw_moves(&f.c);
+	g_assert_false(f.c.slots[1].released);
+
+	f.c.queue.slot_count = 0;
 	fail_write(&f, 0);
 	m->leaving = 1;
 	co_withdraw_moves(&f.c);
