--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -164,6 +164,24 @@
 	teardown(&f);
 }
 
+/*
+ * Gives the slot to node 1, whose target is target, and fills in the node's
+ * report that it has released the slot. Returns the node.
+ */
+static struct co_member *give_slot(struct fixture *f, uint32_t *slot,
+				   Wire__Target *target, Wire__Released *r)
+{
+	struct co_member *m = co_member_find(&f->c, 1);
+
+	co_queue_slot(&f->c, *slot, 1, "unowned");
+	apply_queued_changes(f);
+	m->info->target = target;
+	r->term = f->c.record.term;
+	r->slots = slot;
+	r->n_slots = 1;
+	return m;
+}
+
 /*
  * Guards against a slot that gets a new owner although its release was
  * cancelled. The node reports the release before it learns that it was
@@ -179,13 +197,7 @@
 	struct fixture f;
 
 	setup(&f);
-	co_queue_slot(&f.c, slot, 1, "unowned");
-	apply_queued_changes(&f);
-	m = co_member_find(&f.c, 1);
-	m->info->target = &target;
-	r.term = f.c.record.term;
-	r.slots = &slot;
-	r.n_slots = 1;
+	m = give_slot(&f, &slot, &target, &r);
 	co_on_released(&f.c, m, &r);
 	g_assert_false(f.c.slots[slot].released);
 	f.c.slots[slot].releasing = 1;
@@ -219,13 +231,7 @@
 	struct fixture f;
 
 	setup(&f);
-	co_queue_slot(&f.c, slot, 1, "unowned");
-	apply_queued_changes(&f);
-	m = co_member_find(&f.c, 1);
-	m->info->target = &target;
-	r.term = f.c.record.term;
-	r.slots = &slot;
-	r.n_slots = 1;
+	m = give_slot(&f, &slot, &target, &r);
 	place_request_release(&f.c, slot, 2, "imbalance");
 	co_send_releases(&f.c, m);
 	r.seen_seq = f.c.release_seq;
