daemon: an announcement of the run that has left does not bring it back

Cause: a leave call is remembered until another run of the target announces itself. A daemon that was just started knows no run yet, and took the first announcement for another one, even if it came from the target that had left: an announcement can be under way for seconds.

Change: the id of the leave call is kept, and the first announcement with that id is of the run that has left. The coordinator is told at once that the node has no target, since the announcements keep the time-out from telling it.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -47,7 +47,7 @@
 
 int node_handle_target_call(struct node *n, struct httpd_request *r)
 {
-	char id[64];
+	char id[NODE_TARGET_ID_BYTES];
 
 	switch (n->interface->match_target_call(r->method, r->path, id,
 						sizeof(id))) {
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -77,6 +77,8 @@
  */
 #define NODE_TRAFFIC_LOG_MS 10000
 
+#define NODE_TARGET_ID_BYTES 64
+
 struct node;
 struct doc_feed;
 
@@ -129,10 +131,12 @@
 	 */
 	int target_leaving;
 	/*
-	 * The target made its leave call. Unlike target_leaving, this is not
-	 * cleared before another run of the target announces itself.
+	 * The target with the id left_id made its leave call. Unlike
+	 * target_leaving, this is not cleared before another run of the target
+	 * announces itself.
 	 */
 	int target_left;
+	char left_id[NODE_TARGET_ID_BYTES]; /* "" if targets have none */
 	/*
 	 * The target's answers say that it is leaving, and it has not announced
 	 * so itself yet.
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "protocol/wire.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -65,6 +66,17 @@
 	membership_set_target(n->membership, n->target);
 }
 
+/*
+ * Returns 1 if the announcement, which is the first of its run, comes from the
+ * run that has left. A daemon that was just started may get the leave call
+ * first, and then an announcement that was under way for longer.
+ */
+static int is_run_that_left(const struct node *n, const struct announcement *a)
+{
+	return n->target_left && !n->target_born_ms &&
+	       strcmp(n->left_id, a->id) == 0;
+}
+
 /*
  * Notes the announcement's run and sequence. A new run means that the one
  * before it has ended and holds no keys.
@@ -78,7 +90,7 @@
 			hold_clear(&n->hold);
 			node_remove_target(n, "restarted");
 		}
-		n->target_left = 0;
+		n->target_left = is_run_that_left(n, a);
 		n->leaving_by_answer = 0;
 	}
 	n->target_born_ms = a->born_ms;
@@ -136,7 +148,13 @@
 		return;
 	}
 	n->target_left = 1;
+	snprintf(n->left_id, sizeof(n->left_id), "%s", id);
 	node_start_target_leave(n);
+	/* Its announcements say that it is there, so no time-out tells this. */
+	if (!n->target && !n->target_missing_reported) {
+		n->target_missing_reported = 1;
+		membership_set_target(n->membership, NULL);
+	}
 }
 
 void node_remove_target(struct node *n, const char *why)
