daemon: a target without an id can come back after its leave call

What callers see: no requests reach a target that was stopped in a planned way and started again, until its daemon is started anew. Only the project's own interface is affected; targets of the platform have ids.

Cause: the leave call is remembered until another run announces itself, and runs without an id cannot be told apart. Found by reading, after.

Change: an announcement without an id counts as another run from a second after the leave call on; one that was under way comes earlier.

--- a/daemon/node.h
+++ b/daemon/node.h
@@ -78,6 +78,8 @@
 #define NODE_TRAFFIC_LOG_MS 10000
 
 #define NODE_TARGET_ID_BYTES 64
+/* An announcement sent before the leave call can arrive after it. */
+#define NODE_LEAVE_SETTLE_MS 1000
 
 struct node;
 struct doc_feed;
@@ -133,9 +135,12 @@
 	/*
 	 * The target with the id left_id made its leave call. Unlike
 	 * target_leaving, this is not cleared before another run of the target
-	 * announces itself.
+	 * announces itself. Runs without an id cannot be told apart: any
+	 * announcement counts as another run NODE_LEAVE_SETTLE_MS after the
+	 * call, since a target that has left makes none.
 	 */
 	int target_left;
+	int64_t left_ms;		    /* when the leave call came */
 	char left_id[NODE_TARGET_ID_BYTES]; /* "" if targets have none */
 	/*
 	 * The target's answers say that it is leaving, and it has not announced
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -111,6 +111,8 @@
 	}
 	apply_target_run(n, a);
 	n->announced_ms = clk_ms();
+	if (!a->id[0] && n->announced_ms - n->left_ms >= NODE_LEAVE_SETTLE_MS)
+		n->target_left = 0;
 	if (a->leaving)
 		n->leaving_by_answer = 0;
 	if (a->leaving || n->target_left || n->leaving_by_answer)
@@ -148,6 +150,7 @@
 		return;
 	}
 	n->target_left = 1;
+	n->left_ms = clk_ms();
 	snprintf(n->left_id, sizeof(n->left_id), "%s", id);
 	node_start_target_leave(n);
 	/* Its announcements say that it is there, so no time-out tells this. */
