store: answers tell their era, watches end with it

A store that is restored from a copy gives its revisions out again, so a revision says nothing without the era that it is of. The drivers pass the era on with each range and end watches of an earlier era, which would otherwise wait for revisions that the store has not reached yet, or miss those that it has passed.

--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -511,7 +511,7 @@
 	c->doc_poll_at_ms = now_ms + CO_DOC_POLL_MS;
 	if (!c->doc_watch) {
 		co_store_key(c, key, sizeof(key), "doc/head");
-		c->doc_watch = s->ops->watch(s, key, 0, &watch_ops, c);
+		c->doc_watch = s->ops->watch(s, key, 0, s->era, &watch_ops, c);
 	}
 	read_doc(c);
 }
--- a/standins/load.c
+++ b/standins/load.c
@@ -84,31 +84,6 @@
 	int64_t avoid_until_ms[LOAD_MAX_DESTINATIONS];
 };
 
-/* Copies the value of a header of the answer to out; "" if it is absent. */
-static void find_header(const struct httpc_request *q, const char *name,
-			char *out, size_t size)
-{
-	const char *p = (const char *)q->answer_headers.data;
-	const char *end = p ? p + q->answer_headers.len : NULL;
-	size_t n = strlen(name);
-
-	out[0] = '\0';
-	while (p && p < end) {
-		const char *eol = memchr(p, '\n', (size_t)(end - p));
-		size_t len = eol ? (size_t)(eol - p) : (size_t)(end - p);
-
-		if (len > n && p[n] == ':' && strncasecmp(p, name, n) == 0) {
-			const char *v = p + n + 1;
-
-			while (v < p + len && *v == ' ')
-				v++;
-			snprintf(out, size, "%.*s", (int)(p + len - v), v);
-			return;
-		}
-		p += len + 1;
-	}
-}
-
 /*
  * Returns the outcome as in enum report_outcome. Targets that are called
  * directly state none: there it follows from Monsoonpin-Refused.
@@ -119,12 +94,12 @@
 
 	if (q->error != ERR_OK)
 		return "none";
-	find_header(q, "Monsoonpin-Outcome", buf, size);
+	httpc_copy_header(q, "Monsoonpin-Outcome", buf, size);
 	if (buf[0])
 		return buf;
 	if (!c->load->opt.direct)
 		return "missing";
-	find_header(q, "Monsoonpin-Refused", buf, size);
+	httpc_copy_header(q, "Monsoonpin-Refused", buf, size);
 	return buf[0] ? "not-run" : "answered";
 }
 
@@ -153,7 +128,7 @@
 {
 	char value[LOAD_NAME_BYTES * 2];
 
-	find_header(&c->http, name, value, sizeof(value));
+	httpc_copy_header(&c->http, name, value, sizeof(value));
 	json_object_set_new(line, member, json_string(value));
 }
 
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -1,5 +1,6 @@
 #include "store/etcd.h"
 #include "common/clk.h"
+#include "common/log.h"
 #include "store/etcd_json.h"
 
 #include <glib.h>
@@ -47,6 +48,18 @@
 	struct etcd_call *next;
 };
 
+void etcd_note_era(struct etcd *e, uint64_t era)
+{
+	if (!era || era == e->store.era)
+		return;
+	if (e->store.era)
+		log_warn("store_restored", "era=%llu before=%llu",
+			 (unsigned long long)era,
+			 (unsigned long long)e->store.era);
+	e->store.era = era;
+	etcd_end_old_watches(e);
+}
+
 static void call_free(struct etcd_call *c)
 {
 	httpc_request_finish(&c->http);
@@ -65,6 +78,7 @@
 		e = ERR_TIMEOUT;
 	if (e != ERR_OK)
 		c->e->store.counts.failures++;
+	etcd_note_era(c->e, result.era);
 	c->fn.range(e, &result, c->priv);
 	etcd_json_free_kvs(result.kvs, result.count);
 }
@@ -74,15 +88,17 @@
 	enum err e = c->error;
 	int64_t revision = 0;
 	int succeeded = 0;
+	uint64_t era = 0;
 
 	if (e == ERR_OK &&
 	    etcd_json_read_txn(c->http.answer.data, c->http.answer.len,
-			       &succeeded, &revision) != ERR_OK)
+			       &succeeded, &revision, &era) != ERR_OK)
 		e = ERR_TIMEOUT;
 	if (e != ERR_OK)
 		c->e->store.counts.failures++;
 	else if (!succeeded)
 		e = ERR_CONFLICT;
+	etcd_note_era(c->e, era);
 	c->fn.txn(e, revision, c->priv);
 }
 
@@ -91,10 +107,11 @@
 	enum err e = c->error;
 	int64_t lease = 0;
 	int64_t ttl = 0;
+	uint64_t era = 0;
 
 	if (e == ERR_OK &&
 	    etcd_json_read_lease(c->http.answer.data, c->http.answer.len,
-				 &lease, &ttl) != ERR_OK)
+				 &lease, &ttl, &era) != ERR_OK)
 		e = ERR_TIMEOUT;
 	if (e == ERR_OK && c->kind == CALL_LEASE_GRANT && (!lease || ttl < 1))
 		e = ERR_TIMEOUT;
@@ -102,6 +119,7 @@
 		c->e->store.counts.failures++;
 	else if (ttl < 1)
 		e = ERR_NOT_FOUND;
+	etcd_note_era(c->e, era);
 	c->fn.lease(e, lease, c->priv);
 }
 
@@ -271,6 +289,16 @@
 	call_start(c, etcd_json_lease_keepalive(lease));
 }
 
+/*
+ * The id of a cluster says nothing about the order of eras, but a restore takes
+ * longer than the clocks of operators' machines are apart.
+ */
+static uint64_t etcd_number_floor(const struct store *s)
+{
+	(void)s;
+	return (uint64_t)clk_wall_ms();
+}
+
 static void etcd_finish(struct store *s)
 {
 	struct etcd *e = (struct etcd *)s;
@@ -297,6 +325,7 @@
 	.lease_keepalive = etcd_lease_keepalive,
 	.watch = etcd_watch,
 	.unwatch = etcd_unwatch,
+	.number_floor = etcd_number_floor,
 	.finish = etcd_finish,
 };
 
--- a/store/etcd.h
+++ b/store/etcd.h
@@ -23,8 +23,15 @@
 
 /* Implement watch and unwatch of struct store_ops. */
 struct store_watch *etcd_watch(struct store *s, const char *prefix,
-			       int64_t from_revision,
+			       int64_t from_revision, uint64_t era,
 			       const struct store_watch_ops *ops, void *priv);
+/*
+ * Takes over the era of an answer, if it names one, and has the watches of
+ * other eras end.
+ */
+void etcd_note_era(struct etcd *e, uint64_t era);
+/* Ends the watches of other eras than the store's. */
+void etcd_end_old_watches(struct etcd *e);
 void etcd_unwatch(struct store *s, struct store_watch *w);
 
 #endif
--- a/store/etcd_json.c
+++ b/store/etcd_json.c
@@ -197,11 +197,26 @@
 	return serialize_and_free(root);
 }
 
+/* A cluster that is restored from a copy gets a new id. */
+static uint64_t read_era(const json_t *header)
+{
+	const json_t *id = json_object_get(header, "cluster_id");
+
+	if (json_is_integer(id))
+		return (uint64_t)json_integer_value(id);
+	return json_is_string(id)
+		       ? g_ascii_strtoull(json_string_value(id), NULL, 10)
+		       : 0;
+}
+
 /* Every valid answer has a header with a revision of at least 1. */
-static enum err read_revision(const json_t *answer, int64_t *revision)
+static enum err read_header(const json_t *answer, int64_t *revision,
+			    uint64_t *era)
 {
 	const json_t *header = json_object_get(answer, "header");
 
+	*era = read_era(header);
+
 	if (!json_is_object(header) ||
 	    etcd_json_int64(header, "revision", revision) != ERR_OK ||
 	    *revision < 1)
@@ -276,7 +291,7 @@
 	memset(result, 0, sizeof(*result));
 	if (list && !json_is_array(list))
 		goto out;
-	if (read_revision(root, &result->revision) != ERR_OK)
+	if (read_header(root, &result->revision, &result->era) != ERR_OK)
 		goto out;
 	e = read_kvs(list, result);
 out:
@@ -285,11 +300,11 @@
 }
 
 enum err etcd_json_read_txn(const void *data, size_t len, int *succeeded,
-			    int64_t *revision)
+			    int64_t *revision, uint64_t *era)
 {
 	json_t *root = json_loadb(data, len, 0, NULL);
 	const json_t *v = json_object_get(root, "succeeded");
-	enum err e = read_revision(root, revision);
+	enum err e = read_header(root, revision, era);
 
 	if (v && !json_is_boolean(v))
 		e = ERR_MALFORMED;
@@ -299,7 +314,7 @@
 }
 
 enum err etcd_json_read_lease(const void *data, size_t len, int64_t *lease,
-			      int64_t *ttl)
+			      int64_t *ttl, uint64_t *era)
 {
 	json_t *root = json_loadb(data, len, 0, NULL);
 	const json_t *answer = json_object_get(root, "result");
@@ -308,7 +323,7 @@
 
 	if (!answer)
 		answer = root;
-	e = read_revision(answer, &revision);
+	e = read_header(answer, &revision, era);
 	if (e == ERR_OK)
 		e = etcd_json_int64(answer, "ID", lease);
 	if (e == ERR_OK)
@@ -359,7 +374,7 @@
 		return ERR_MALFORMED;
 	m->created = json_is_true(json_object_get(result, "created"));
 	m->canceled = json_is_true(json_object_get(result, "canceled"));
-	if (read_revision(result, &m->revision) != ERR_OK ||
+	if (read_header(result, &m->revision, &m->era) != ERR_OK ||
 	    etcd_json_int64(result, "compact_revision", &m->compact_revision) !=
 		    ERR_OK)
 		return ERR_MALFORMED;
--- a/store/etcd_json.h
+++ b/store/etcd_json.h
@@ -11,7 +11,7 @@
  *
  * The functions that write a request return its text, which the caller frees
  * with free(), or NULL if out of memory. The functions that read an answer
- * return ERR_OK or ERR_MALFORMED.
+ * return ERR_OK or ERR_MALFORMED. They set era to that of the answer.
  */
 
 /* Request for one key (prefix 0) or all keys that start with key (prefix 1). */
@@ -31,10 +31,10 @@
 			      struct store_range *result);
 void etcd_json_free_kvs(const struct store_kv *kvs, size_t count);
 enum err etcd_json_read_txn(const void *data, size_t len, int *succeeded,
-			    int64_t *revision);
+			    int64_t *revision, uint64_t *era);
 /* Reads the answer to a grant or keep-alive. A ttl of 0: no such lease. */
 enum err etcd_json_read_lease(const void *data, size_t len, int64_t *lease,
-			      int64_t *ttl);
+			      int64_t *ttl, uint64_t *era);
 
 /* One message of a watch stream. */
 struct etcd_watch_message {
@@ -42,6 +42,7 @@
 	int canceled; /* the store has ended the watch */
 	int error;    /* the stream failed; the other members are not set */
 	int64_t revision;
+	uint64_t era;		  /* of the revisions; 0: not told */
 	int64_t compact_revision; /* 0: not canceled by a compaction */
 	struct store_event *events;
 	size_t event_count;
--- a/store/etcd_watch.c
+++ b/store/etcd_watch.c
@@ -26,6 +26,7 @@
 	struct etcd *e;
 	char *prefix;
 	int64_t next_revision;
+	uint64_t era; /* of next_revision */
 	const struct store_watch_ops *ops;
 	void *priv;
 	struct httpc_request http;
@@ -191,9 +192,30 @@
 	w->next_revision = next;
 }
 
+/* Returns 1 if the revisions of the watch are no longer those of the store. */
+static int is_of_old_era(const struct store_watch *w)
+{
+	uint64_t era = w->e->store.era;
+
+	return w->era && era && w->era != era;
+}
+
+void etcd_end_old_watches(struct etcd *e)
+{
+	struct store_watch *w;
+
+	DL_FOREACH(e->watches, w) {
+		if (is_of_old_era(w))
+			schedule_delivery(w);
+	}
+}
+
 static void handle_message(struct store_watch *w,
 			   const struct etcd_watch_message *m)
 {
+	etcd_note_era(w->e, m->era);
+	if (is_of_old_era(w))
+		return; /* on_deliver ends the watch */
 	if (m->canceled && m->compact_revision) {
 		end_watch(w, ERR_STALE);
 		return;
@@ -241,8 +263,10 @@
 	(void)events;
 	ev_timer_stop(loop, t);
 	w->delivering = 1;
-	while (!w->closed && handle_line(w))
+	while (!w->closed && !is_of_old_era(w) && handle_line(w))
 		;
+	if (!w->closed && is_of_old_era(w))
+		end_watch(w, ERR_STALE);
 	if (!w->closed && w->too_large)
 		end_watch(w, ERR_TOO_LARGE);
 	if (!w->closed && w->stream_ended)
@@ -253,7 +277,7 @@
 }
 
 struct store_watch *etcd_watch(struct store *s, const char *prefix,
-			       int64_t from_revision,
+			       int64_t from_revision, uint64_t era,
 			       const struct store_watch_ops *ops, void *priv)
 {
 	struct etcd *e = (struct etcd *)s;
@@ -262,6 +286,7 @@
 	w->e = e;
 	w->prefix = g_strdup(prefix);
 	w->next_revision = from_revision + 1;
+	w->era = era;
 	w->ops = ops;
 	w->priv = priv;
 	w->retry_ms = WATCH_RETRY_FIRST_MS;
--- a/store/store.h
+++ b/store/store.h
@@ -24,6 +24,12 @@
  *
  * A revision is the store's count of changes. Each key has the revision of its
  * last change (mod_revision).
+ *
+ * A store that is restored from a copy loses the changes made since the copy
+ * and gives their revisions out again, so revisions are comparable only within
+ * one era: the time from one restore to the next. Each answer belongs to an
+ * era, which is a number that differs from those before; 0 means that the
+ * store does not tell it.
  */
 
 #define STORE_MAX_VALUE_BYTES (1024 * 1024)
@@ -41,6 +47,7 @@
 	const struct store_kv *kvs; /* sorted by key */
 	size_t count;
 	int64_t revision; /* the store's revision at the time of the read */
+	uint64_t era;	  /* of that revision */
 };
 
 /* Condition: the key has this mod_revision; 0: the key is absent. */
@@ -83,7 +90,8 @@
 	 * driver frees it. The callee reads the range again and starts a new
 	 * watch. The driver itself resumes a watch whose connection is lost,
 	 * so why is only ERR_STALE (the store has compacted, i.e. discarded,
-	 * the revisions that are needed), ERR_MALFORMED or ERR_TOO_LARGE.
+	 * the revisions that are needed, or was restored from a copy),
+	 * ERR_MALFORMED or ERR_TOO_LARGE.
 	 */
 	void (*ended)(enum err why, void *priv);
 };
@@ -124,14 +132,22 @@
 				store_lease_fn fn, void *priv);
 	/*
 	 * Starts to report the changes after from_revision of all keys that
-	 * start with prefix. Returns the watch, never NULL.
+	 * start with prefix. The revision is of the given era; the watch ends
+	 * when the store is in another one. Returns the watch, never NULL.
 	 */
 	struct store_watch *(*watch)(struct store *s, const char *prefix,
-				     int64_t from_revision,
+				     int64_t from_revision, uint64_t era,
 				     const struct store_watch_ops *ops,
 				     void *priv);
 	/* Ends the watch without calling ended(); allowed in its callbacks. */
 	void (*unwatch)(struct store *s, struct store_watch *w);
+	/*
+	 * Returns a number that is above every number that counted up by less
+	 * than one a millisecond from a floor of an earlier era. Users of the
+	 * store continue their own numbers from it after a restore, since those
+	 * that were given out since the copy are not known.
+	 */
+	uint64_t (*number_floor)(const struct store *s);
 	/*
 	 * Ends all calls and watches without callbacks and frees the store.
 	 * Allowed in any callback.
@@ -142,6 +158,7 @@
 struct store {
 	const struct store_ops *ops;
 	struct store_counts counts;
+	uint64_t era; /* of the last answer; 0: none yet, or not told */
 };
 
 /*
--- a/test/unit/test_etcd.c
+++ b/test/unit/test_etcd.c
@@ -331,7 +331,7 @@
 
 	(void)data;
 	put_in_database(f, "doc/old", "0");
-	w = f->store->ops->watch(f->store, "doc/", f->srv.db.revision,
+	w = f->store->ops->watch(f->store, "doc/", f->srv.db.revision, 0,
 				 &watch_record_ops, &s);
 	for (int i = 0; i < 60; i++) {
 		char value[16];
@@ -367,7 +367,7 @@
 	struct watch_record s = { g_string_new(NULL), 0, ERR_OK };
 	enum ssrv_mode mode = (enum ssrv_mode)GPOINTER_TO_INT(data);
 
-	f->store->ops->watch(f->store, "", 1, &watch_record_ops, &s);
+	f->store->ops->watch(f->store, "", 1, 0, &watch_record_ops, &s);
 	put_in_database(f, "a", "1");
 	wait_for_log(f->loop, &s, "a=1@2 ");
 	ssrv_down(&f->srv, mode);
@@ -390,7 +390,7 @@
 	struct watch_record s = { g_string_new(NULL), 0, ERR_OK };
 
 	(void)data;
-	f->store->ops->watch(f->store, "a", 1, &watch_record_ops, &s);
+	f->store->ops->watch(f->store, "a", 1, 0, &watch_record_ops, &s);
 	put_in_database(f, "other", "1");
 	run_for(f->loop, 50);
 	ssrv_on_progress(f->loop, &f->srv.progress, 0);
@@ -411,7 +411,7 @@
 	put_in_database(f, "a", "1");
 	put_in_database(f, "a", "2");
 	sdb_compact(&f->srv.db, f->srv.db.revision);
-	f->store->ops->watch(f->store, "a", 1, &watch_record_ops, &s);
+	f->store->ops->watch(f->store, "a", 1, 0, &watch_record_ops, &s);
 	wait_for(f->loop, &s.ended);
 	g_assert_cmpint(s.why, ==, ERR_STALE);
 	g_assert_cmpstr(s.log->str, ==, "");
@@ -437,7 +437,7 @@
 	g_assert_cmpint(alive.e, ==, ERR_OK);
 	g_assert_cmpint(alive.number, ==, grant.number);
 	g_assert_false(sdb_expire(&f->srv.db, clk_ms() + 9000));
-	f->store->ops->watch(f->store, "live", f->srv.db.revision,
+	f->store->ops->watch(f->store, "live", f->srv.db.revision, 0,
 			     &watch_record_ops, &s);
 	g_assert_true(sdb_expire(&f->srv.db, clk_ms() + 10001));
 	wait_for_log(f->loop, &s, "live-@3 ");
@@ -532,7 +532,7 @@
 	(void)data;
 	put_in_database(f, "a", "1");
 	f->srv.slow_ms = 20;
-	f->store->ops->watch(f->store, "a", 0, &watch_record_ops, &s);
+	f->store->ops->watch(f->store, "a", 0, 0, &watch_record_ops, &s);
 	f->store->ops->range(f->store, "a", 0, on_range_finish, f);
 	run_for(f->loop, 10);
 	f->store->ops->range(f->store, "a", 0, on_range_never, f);
@@ -567,7 +567,7 @@
 	(void)data;
 	put_in_database(f, "a", "1");
 	put_in_database(f, "a", "2");
-	o.w = f->store->ops->watch(f->store, "a", 1, &ops, &o);
+	o.w = f->store->ops->watch(f->store, "a", 1, 0, &ops, &o);
 	run_for(f->loop, 100);
 	g_assert_cmpint(o.count, ==, 1);
 }
@@ -706,7 +706,8 @@
 
 		c.body = malformed_messages[i];
 		g_test_message("%s", c.body);
-		f->store->ops->watch(f->store, "a", 1, &watch_record_ops, &s);
+		f->store->ops->watch(f->store, "a", 1, 0, &watch_record_ops,
+				     &s);
 		wait_for(f->loop, &s.ended);
 		g_assert_cmpint(s.why, ==, ERR_MALFORMED);
 		g_assert_cmpstr(s.log->str, ==, "");
@@ -725,7 +726,7 @@
 	canned_setup(f, &c);
 	c.streamed = 1;
 	c.body = "{\"result\":{" HEADER ",\"created\":true}}\n";
-	f->store->ops->watch(f->store, "a", 1, &watch_record_ops, &s);
+	f->store->ops->watch(f->store, "a", 1, 0, &watch_record_ops, &s);
 	run_for(f->loop, 200);
 	g_assert_cmpint(c.requests, ==, 1);
 	c.body = "{\"result\":{" HEADER ",\"events\":[{\"kv\":{"
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -560,6 +560,30 @@
 		release_handle(r);
 }
 
+void httpc_copy_header(const struct httpc_request *r, const char *name,
+		       char *out, size_t size)
+{
+	const char *p = (const char *)r->answer_headers.data;
+	const char *end = p ? p + r->answer_headers.len : NULL;
+	size_t n = strlen(name);
+
+	out[0] = '\0';
+	while (p && p < end) {
+		const char *eol = memchr(p, '\n', (size_t)(end - p));
+		size_t len = eol ? (size_t)(eol - p) : (size_t)(end - p);
+
+		if (len > n && p[n] == ':' && strncasecmp(p, name, n) == 0) {
+			const char *v = p + n + 1;
+
+			while (v < p + len && *v == ' ')
+				v++;
+			snprintf(out, size, "%.*s", (int)(p + len - v), v);
+			return;
+		}
+		p += len + 1;
+	}
+}
+
 void httpc_request_finish(struct httpc_request *r)
 {
 	buf_finish(&r->answer);
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -146,6 +146,12 @@
  * nothing if the request has ended.
  */
 void httpc_cancel(struct httpc_request *r);
+/*
+ * Copies the value of a header of the answer to out, cut to its size; "" if the
+ * answer has no such header.
+ */
+void httpc_copy_header(const struct httpc_request *r, const char *name,
+		       char *out, size_t size);
 /* Frees answer and answer_headers. Call it in or after done() or cancelling. */
 void httpc_request_finish(struct httpc_request *r);
 
