doc_feed: versions of a document are ordered by the operator's number

A node took a value only if its revision in the store was above that of the last one. After a restore the revisions start again from the copy's, so the newest configuration had a lower one and was dropped by every node.

The number that the operator gives each version rises whatever the store does, so it orders them; an older version that the copy brings back is dropped. Revisions of the store now only tell whether a value was read already, within one era.

test_platform feed: an older version that is written after a newer one is not taken (it was before).

--- a/config/doc.h
+++ b/config/doc.h
@@ -167,7 +167,8 @@
 	const char *key; /* of the document in the store */
 	/*
 	 * Translates and validates the value at key. Problems as doc_parse. On
-	 * ERR_OK the caller finishes both d and out, and sets d->revision.
+	 * ERR_OK the caller finishes both d and out. d->revision is the number
+	 * that the operator gave this version, which rises with each one.
 	 */
 	enum err (*read)(const uint8_t *value, size_t len, struct doc *d,
 			 struct doc_sections *out, struct buf *problems);
--- a/membership/doc_feed.c
+++ b/membership/doc_feed.c
@@ -18,9 +18,11 @@
 	ev_timer timer; /* the next read */
 	int reading;	/* a read is in flight */
 	int retry_ms;
-	uint64_t revision;   /* of the newest value seen */
-	int64_t read_ms;     /* when the last read was sent */
-	int64_t answered_ms; /* of doc_feed_age_ms; 0: never */
+	uint64_t revision;    /* of the newest valid version */
+	int64_t mod_revision; /* of the value read last */
+	uint64_t era;	      /* of mod_revision */
+	int64_t read_ms;      /* when the last read was sent */
+	int64_t answered_ms;  /* of doc_feed_age_ms; 0: never */
 };
 
 static void schedule_read(struct doc_feed *f, int ms)
@@ -30,27 +32,46 @@
 	ev_timer_start(f->loop, &f->timer);
 }
 
+/*
+ * The versions are ordered by the operator's own numbers. A restored store has
+ * an earlier version until the operator has written the newest one again, and
+ * gives a newer one a lower revision than an older one had.
+ */
+static void offer_document(struct doc_feed *f, struct doc *doc,
+			   struct doc_sections *sections)
+{
+	if (doc->revision > f->revision) {
+		f->revision = doc->revision;
+		f->ops->updated(doc, sections, f->priv);
+		return;
+	}
+	log_info("document_older", "revision=%llu has_revision=%llu",
+		 (unsigned long long)doc->revision,
+		 (unsigned long long)f->revision);
+	doc_finish(doc);
+	doc_sections_finish(sections);
+}
+
 static void apply_value(struct doc_feed *f, const uint8_t *value, size_t len,
-			int64_t revision)
+			int64_t mod_revision, uint64_t era)
 {
 	struct doc_sections sections;
 	struct buf problems;
 	struct doc doc;
 	enum err e;
 
-	if ((uint64_t)revision <= f->revision)
+	if (era == f->era && mod_revision <= f->mod_revision)
 		return;
-	f->revision = (uint64_t)revision;
+	f->era = era;
+	f->mod_revision = mod_revision;
 	buf_init(&problems);
 	e = f->source->read(value, len, &doc, &sections, &problems);
-	if (e != ERR_OK) {
+	if (e == ERR_OK)
+		offer_document(f, &doc, &sections);
+	else
 		log_error("document_invalid",
-			  "error=%s revision=%lld problems=%s", err_name(e),
-			  (long long)revision, LOG_Q(buf_text(&problems)));
-	} else {
-		doc.revision = (uint64_t)revision;
-		f->ops->updated(&doc, &sections, f->priv);
-	}
+			  "error=%s mod_revision=%lld problems=%s", err_name(e),
+			  (long long)mod_revision, LOG_Q(buf_text(&problems)));
 	buf_finish(&problems);
 }
 
@@ -61,7 +82,7 @@
 	f->answered_ms = clk_ms();
 	if (event->value && strcmp(event->key, f->source->key) == 0)
 		apply_value(f, event->value, event->value_len,
-			    event->mod_revision);
+			    event->mod_revision, f->store->era);
 }
 
 static void on_watch_ended(enum err why, void *priv)
@@ -98,11 +119,12 @@
 
 		if (strcmp(kv->key, f->source->key) == 0)
 			apply_value(f, kv->value, kv->value_len,
-				    kv->mod_revision);
+				    kv->mod_revision, r->era);
 	}
 	if (!f->watch)
 		f->watch = f->store->ops->watch(f->store, f->source->key,
-						r->revision, &watch_ops, f);
+						r->revision, r->era, &watch_ops,
+						f);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
--- a/membership/doc_feed.h
+++ b/membership/doc_feed.h
@@ -8,9 +8,8 @@
 /*
  * Follows a document that an operator writes to the store as a single value, in
  * a format that struct doc_source reads: it reads the value, watches it, and
- * reports each version that is valid and newer than the last one. The revision
- * that the store gives the value is the document's revision, so that all nodes
- * number the versions alike.
+ * reports each version that is valid and newer than the last one, by the number
+ * that the operator gave it.
  */
 
 struct doc_feed;
--- a/test/run/lib-platform.sh
+++ b/test/run/lib-platform.sh
@@ -106,8 +106,13 @@
 	[ "$(map_changes)" = "$before" ]
 }
 
-put_config() { # put_config TEXT: writes the operators' configuration
-	printf '%s' "$1" | curl -s -o /dev/null --data-binary @- \
+# put_config TEXT: writes the operators' configuration, numbered one higher than
+# the one before it
+put_config() {
+	local version=12
+	[ -e "$WORK/config-version" ] && version=$(<"$WORK/config-version")
+	echo $((version + 1)) >"$WORK/config-version"
+	printf '%s' "${1/0000000c/$(printf %08x "$version")}" | curl -s -o /dev/null --data-binary @- \
 		"http://127.0.0.1:$KV/control/put?key=op/config"
 }
 
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -204,12 +204,16 @@
 
 /* ---- the operators' document ---- */
 
-#define CONFIG(routes, services)                                          \
-	"{\"version\":\"0000000c\",\"routes\":{\"columns\":[\"name\","    \
+#define CONFIG(routes, services) VERSION("0000000c", routes, services)
+#define VERSION(version, routes, services)                                \
+	"{\"version\":\"" version "\",\"routes\":{\"columns\":[\"name\"," \
 	"\"host\",\"pathPrefix\",\"kind\",\"timeout\",\"targetLatency\"," \
 	"\"priority\",\"service\",\"maxAttempts\",\"weightedClusters\"]," \
 	"\"rows\":[" routes "]},\"services\":{\"columns\":[\"name\","     \
 	"\"sharded\",\"warm\"],\"rows\":[" services "]}}"
+#define ROUTE                                                                 \
+	"[\"r1\",\"a.example\",\"/p/\",\"idempotent\",null,null,2,\"cal\",2," \
+	"null]"
 #define SERVICES "[\"cal\",true,\"2s\"],[\"desk\",null,null]"
 
 struct received {
@@ -291,13 +295,27 @@
 			      "null,null,2,\"cal\",2,null]",
 			      SERVICES));
 	kvsrv_compact(&f.srv);
-	put_config(&f, CONFIG("[\"r3\",\"a.example\",\"/z/\",\"idempotent\","
-			      "null,null,2,\"cal\",2,null]",
-			      SERVICES));
+	put_config(&f, VERSION("0000000f",
+			       "[\"r3\",\"a.example\",\"/z/\",\"idempotent\","
+			       "null,null,2,\"cal\",2,null]",
+			       SERVICES));
 	wait_for(f.loop, &got.count, 2);
 	g_assert_cmpuint(got.doc.revision, >, revision);
 	g_assert_null(doc_find_route(&got.doc, "a.example", "/p/x"));
 	g_assert_nonnull(doc_find_route(&got.doc, "a.example", "/z/x"));
+	/* An older version at a higher revision of the store, and a newer. */
+	put_config(&f, VERSION("0000000e",
+			       "[\"r4\",\"a.example\",\"/old/\",\"idempotent\","
+			       "null,null,2,\"cal\",2,null]",
+			       SERVICES));
+	put_config(&f, VERSION("00000010",
+			       "[\"r5\",\"a.example\",\"/new/\",\"idempotent\","
+			       "null,null,2,\"cal\",2,null]",
+			       SERVICES));
+	wait_for(f.loop, &got.count, 3);
+	g_assert_null(doc_find_route(&got.doc, "a.example", "/old/x"));
+	g_assert_nonnull(doc_find_route(&got.doc, "a.example", "/new/x"));
+	g_assert_cmpuint(got.doc.revision - revision, ==, 4);
 	doc_feed_free(feed);
 	doc_finish(&got.doc);
 	doc_sections_finish(&got.sections);
@@ -333,6 +351,10 @@
 		       "null,2,\"cal\",2,null]",
 		       SERVICES),
 		CONFIG("[7]", SERVICES),
+		VERSION("", ROUTE, SERVICES),
+		VERSION("latest", ROUTE, SERVICES),
+		VERSION("-1", ROUTE, SERVICES),
+		VERSION("100000000", ROUTE, SERVICES),
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
