standins: both stores can be restored from a copy

Tests could not show what a store does that comes back from a copy some seconds old: keys, leases and revisions go back, and revisions are given out again.

Both store stand-ins take POST /control/copy and /control/restore?keep=PREFIX. A restore ends leases granted since the copy, forgets later changes and closes the connections of watches; the keys with the prefix are written again, each at a new revision, as an operator would do. mpin-kvstore states its era in Store-Era of each answer and answers a watch after a revision that it does not have with 410; mpin-store has another random cluster_id after each restore and loses the answers that are due.

--- a/standins/common_kvsrv.c
+++ b/standins/common_kvsrv.c
@@ -28,9 +28,15 @@
 
 static void answer_json(struct httpd_request *r, unsigned status, json_t *root)
 {
+	const struct kvsrv *s = r->server->priv;
 	char *text = json_dumps(root, JSON_COMPACT);
+	char era[24];
+	const struct httpd_header h[] = {
+		{ "Content-Type", "application/json" }, { "Store-Era", era }
+	};
 
-	httpd_answer_text(r, status, "application/json", text);
+	g_snprintf(era, sizeof(era), "%" G_GINT64_FORMAT, s->era);
+	httpd_answer(r, status, h, G_N_ELEMENTS(h), text, strlen(text));
 	free(text);
 	json_decref(root);
 }
@@ -207,7 +213,8 @@
 		answer_status(r, 400);
 		return;
 	}
-	if (strtoll(after, NULL, 10) < s->db.compacted_revision) {
+	if (strtoll(after, NULL, 10) < s->db.compacted_revision ||
+	    strtoll(after, NULL, 10) > s->db.revision) {
 		answer_status(r, 410);
 		return;
 	}
@@ -280,14 +287,19 @@
 	sdb_commit(&s->db);
 }
 
+static void close_connection(struct httpd_request *r)
+{
+	shutdown(httpd_get_fd(r), SHUT_RDWR);
+	answer_status(r, 503);
+}
+
 /* Returns 1 if a command asked to lose the answer to this write. */
 static int lose_answer_if_requested(struct kvsrv *s, struct httpd_request *r)
 {
 	if (!s->lose_count)
 		return 0;
 	s->lose_count--;
-	shutdown(httpd_get_fd(r), SHUT_RDWR);
-	answer_status(r, 503);
+	close_connection(r);
 	return 1;
 }
 
@@ -404,6 +416,27 @@
 	flush_watches(s);
 }
 
+void kvsrv_take_copy(struct kvsrv *s)
+{
+	sdb_take_copy(&s->db);
+}
+
+void kvsrv_restore(struct kvsrv *s, const char *keep)
+{
+	struct kvsrv_waiting *w, *next;
+
+	s->era++;
+	DL_FOREACH_SAFE(s->waiting, w, next) {
+		struct httpd_request *r = w->r;
+
+		if (!w->prefix)
+			continue;
+		waiting_free(w);
+		close_connection(r);
+	}
+	sdb_restore(&s->db, keep, clk_ms());
+}
+
 static void control_down(struct kvsrv *s, struct httpd_request *r)
 {
 	const char *mode = httpd_get_argument(r, "mode");
@@ -439,6 +472,17 @@
 		kvsrv_put(s, key, r->body.data, r->body.len);
 }
 
+static void control_copy(struct kvsrv *s, struct httpd_request *r)
+{
+	(void)r;
+	kvsrv_take_copy(s);
+}
+
+static void control_restore(struct kvsrv *s, struct httpd_request *r)
+{
+	kvsrv_restore(s, httpd_get_argument(r, "keep"));
+}
+
 static const struct {
 	const char *path;
 	void (*run)(struct kvsrv *s, struct httpd_request *r);
@@ -448,6 +492,8 @@
 	{ "/control/lose", control_lose },
 	{ "/control/put", control_put },
 	{ "/control/compact", control_compact },
+	{ "/control/copy", control_copy },
+	{ "/control/restore", control_restore },
 };
 
 static const struct {
@@ -547,6 +593,7 @@
 
 	memset(s, 0, sizeof(*s));
 	s->loop = loop;
+	s->era = 1;
 	sdb_init(&s->db);
 	e = httpd_init(&s->httpd, loop, address, port, KVSRV_MAX_BODY_BYTES,
 		       KVSRV_IDLE_SECONDS, &server_ops, s, info);
--- a/standins/common_storectl.c
+++ b/standins/common_storectl.c
@@ -72,6 +72,17 @@
 	sdb_compact(&s->db, s->db.revision);
 }
 
+static void control_copy(struct ssrv *s, const struct httpd_request *r)
+{
+	(void)r;
+	ssrv_take_copy(s);
+}
+
+static void control_restore(struct ssrv *s, const struct httpd_request *r)
+{
+	ssrv_restore(s, httpd_get_argument(r, "keep"));
+}
+
 static const struct {
 	const char *name;
 	void (*run)(struct ssrv *s, const struct httpd_request *r);
@@ -83,6 +94,8 @@
 	{ "garble", control_garble },
 	{ "freeze", control_freeze },
 	{ "compact", control_compact },
+	{ "copy", control_copy },
+	{ "restore", control_restore },
 };
 
 static void answer_counts(struct ssrv *s, struct httpd_request *r)
--- a/standins/common_storedb.c
+++ b/standins/common_storedb.c
@@ -27,6 +27,7 @@
 	db->keys = g_tree_new_full(compare_keys, NULL, NULL, kv_free);
 	g_queue_init(&db->history);
 	db->revision = 1;
+	db->cluster_id = 1;
 }
 
 static void event_free(gpointer data)
@@ -37,19 +38,34 @@
 	g_free(event);
 }
 
-void sdb_finish(struct sdb *db)
+static void free_leases(struct sdb *db)
 {
 	struct sdb_lease *lease;
 	struct sdb_lease *tmp;
 
-	g_tree_destroy(db->keys);
-	g_queue_clear_full(&db->history, event_free);
 	HASH_ITER(hh, db->leases, lease, tmp) {
 		HASH_DEL(db->leases, lease);
 		g_free(lease);
 	}
 }
 
+static void free_copy(struct sdb *db)
+{
+	if (!db->copy)
+		return;
+	sdb_finish(db->copy);
+	g_free(db->copy);
+	db->copy = NULL;
+}
+
+void sdb_finish(struct sdb *db)
+{
+	g_tree_destroy(db->keys);
+	g_queue_clear_full(&db->history, event_free);
+	free_leases(db);
+	free_copy(db);
+}
+
 const struct sdb_kv *sdb_get(const struct sdb *db, const char *key)
 {
 	return g_tree_lookup(db->keys, key);
@@ -254,3 +270,111 @@
 	}
 	return changed;
 }
+
+static void clone_key(const struct sdb_kv *kv, void *priv)
+{
+	GTree *keys = priv;
+	struct sdb_kv *clone = g_memdup2(kv, sizeof(*kv));
+
+	clone->key = g_strdup(kv->key);
+	clone->value = g_memdup2(kv->value, kv->value_len);
+	g_tree_insert(keys, clone->key, clone);
+}
+
+/* to has no keys and leases. Leases end ttl_seconds after now_ms. */
+static void clone_state(struct sdb *to, const struct sdb *from, int64_t now_ms)
+{
+	struct sdb_lease *lease;
+	struct sdb_lease *tmp;
+
+	sdb_each_key(from, "", "", clone_key, to->keys);
+	HASH_ITER(hh, from->leases, lease, tmp) {
+		sdb_lease_grant(to, lease->id, lease->ttl_seconds, now_ms);
+	}
+	to->revision = from->revision;
+}
+
+void sdb_take_copy(struct sdb *db)
+{
+	free_copy(db);
+	db->copy = g_new0(struct sdb, 1);
+	sdb_init(db->copy);
+	clone_state(db->copy, db, 0);
+}
+
+/* Removes changes after revision from the history. */
+static void forget_changes_after(struct sdb *db, int64_t revision)
+{
+	struct sdb_event *event;
+
+	while ((event = g_queue_peek_tail(&db->history)) &&
+	       event->kv.mod_revision > revision) {
+		g_queue_pop_tail(&db->history);
+		db->history_bytes -= event_bytes(event);
+		event_free(event);
+	}
+	db->compacted_revision = MIN(db->compacted_revision, revision);
+}
+
+struct kept_keys {
+	const char *prefix;
+	GTree *kvs;
+};
+
+static void collect_kept_key(const struct sdb_kv *kv, void *priv)
+{
+	struct kept_keys *k = priv;
+
+	if (g_str_has_prefix(kv->key, k->prefix))
+		clone_key(kv, k->kvs);
+}
+
+struct deleted_keys {
+	const struct kept_keys *kept;
+	GPtrArray *names;
+};
+
+static void collect_deleted_key(const struct sdb_kv *kv, void *priv)
+{
+	struct deleted_keys *d = priv;
+
+	if (g_str_has_prefix(kv->key, d->kept->prefix) &&
+	    !g_tree_lookup(d->kept->kvs, kv->key))
+		g_ptr_array_add(d->names, g_strdup(kv->key));
+}
+
+static void write_kept_keys(struct sdb *db, const struct kept_keys *kept)
+{
+	struct deleted_keys d = { kept,
+				  g_ptr_array_new_with_free_func(g_free) };
+	GTreeNode *node = g_tree_node_first(kept->kvs);
+
+	sdb_each_key(db, "", "", collect_deleted_key, &d);
+	delete_keys(db, d.names);
+	sdb_commit(db);
+	for (; node; node = g_tree_node_next(node)) {
+		const struct sdb_kv *kv = g_tree_node_value(node);
+
+		sdb_put(db, kv->key, kv->value, kv->value_len, 0);
+		sdb_commit(db);
+	}
+}
+
+void sdb_restore(struct sdb *db, const char *keep, int64_t now_ms)
+{
+	struct kept_keys kept = { keep, g_tree_new_full(compare_keys, NULL,
+							NULL, kv_free) };
+	struct sdb empty;
+
+	if (keep)
+		sdb_each_key(db, "", "", collect_kept_key, &kept);
+	sdb_init(&empty);
+	g_tree_remove_all(db->keys);
+	free_leases(db);
+	clone_state(db, db->copy ? db->copy : &empty, now_ms);
+	forget_changes_after(db, db->revision);
+	if (keep)
+		write_kept_keys(db, &kept);
+	sdb_finish(&empty);
+	g_tree_destroy(kept.kvs);
+}
--- a/standins/common_storedb.h
+++ b/standins/common_storedb.h
@@ -51,6 +51,8 @@
 	int64_t compacted_revision;  /* changes up to this revision are gone */
 	int has_uncommitted_changes; /* since the last sdb_commit */
 	struct sdb_lease *leases;
+	uint64_t cluster_id; /* of etcd's answers; starts at 1 */
+	struct sdb *copy;    /* for sdb_restore; has no history; NULL: none */
 };
 
 /* Makes an empty database. */
@@ -103,4 +105,17 @@
  */
 int sdb_expire(struct sdb *db, int64_t now_ms);
 
+/* Copies the keys, leases and revision, in place of an earlier copy. */
+void sdb_take_copy(struct sdb *db);
+/*
+ * Sets the keys, leases and revision back to those of the last copy, or to an
+ * empty database if there is none. Forgets later changes, whose revisions are
+ * then given out again. Leases of the copy get their whole time from now_ms.
+ *
+ * Keys that begin with keep (NULL: none) are afterwards written again with the
+ * values that they had before, without leases, each at a new revision, as their
+ * writer would do; those that were deleted since the copy are deleted again.
+ */
+void sdb_restore(struct sdb *db, const char *keep, int64_t now_ms);
+
 #endif
--- a/standins/common_storejson.c
+++ b/standins/common_storejson.c
@@ -35,8 +35,11 @@
 static json_t *new_header(const struct sdb *db)
 {
 	json_t *h = json_object();
+	char cluster_id[24];
 
-	json_object_set_new(h, "cluster_id", json_string("1"));
+	g_snprintf(cluster_id, sizeof(cluster_id), "%" G_GUINT64_FORMAT,
+		   db->cluster_id);
+	json_object_set_new(h, "cluster_id", json_string(cluster_id));
 	json_object_set_new(h, "member_id", json_string("1"));
 	json_object_set_new(h, "revision", etcd_json_new_int64(db->revision));
 	json_object_set_new(h, "raft_term", json_string("2"));
--- a/standins/common_storesrv.c
+++ b/standins/common_storesrv.c
@@ -251,6 +251,36 @@
 	ssrv_flush_watches(s);
 }
 
+void ssrv_take_copy(struct ssrv *s)
+{
+	sdb_take_copy(&s->db);
+}
+
+static uint64_t next_cluster_id(struct ssrv *s)
+{
+	uint64_t high = g_rand_int(s->rand);
+
+	return high << 32 | g_rand_int(s->rand);
+}
+
+void ssrv_restore(struct ssrv *s, const char *keep)
+{
+	struct ssrv_call *c;
+	struct ssrv_call *tmp;
+
+	/* Their answers would state changes that the restore undoes. */
+	DL_FOREACH_SAFE(s->calls, c, tmp) {
+		if (c->stage != STAGE_AFTER)
+			continue;
+		if (c->r)
+			ssrv_close_connection(c->r);
+		call_free(c);
+	}
+	ssrv_drop_watches(s, SSRV_ALL);
+	sdb_restore(&s->db, keep, clk_ms());
+	s->db.cluster_id = next_cluster_id(s);
+}
+
 static void handle_call(struct ssrv *s, struct httpd_request *r,
 			enum sjson_call type)
 {
--- a/standins/common_storesrv.h
+++ b/standins/common_storesrv.h
@@ -23,6 +23,13 @@
  *	garble?count=N		the next N answers are cut to half their length
  *	freeze?ms=N		the process does nothing for N ms
  *	compact			drops the history of changes
+ *	copy			takes a copy of the database
+ *	restore?keep=PREFIX	sets the database back to the last copy (to an
+ *				empty one if there is none) with another random
+ *				cluster_id, and closes the connections of
+ *				watches and of calls whose answers are due; keys
+ *				that begin with PREFIX are written again with
+ *				their present values
  *
  * GET /control/counts returns JSON with counts for each type of call.
  */
@@ -78,9 +85,13 @@
 /* Closes all connections and frees all. */
 void ssrv_finish(struct ssrv *s);
 
-/* These two do what POST /control/down and POST /control/up do. */
+/*
+ * These do what POST /control/down, up, copy and restore do. keep may be NULL.
+ */
 void ssrv_down(struct ssrv *s, enum ssrv_mode mode);
 void ssrv_up(struct ssrv *s);
+void ssrv_take_copy(struct ssrv *s);
+void ssrv_restore(struct ssrv *s, const char *keep);
 
 /* Closes the request's connection without an answer. */
 void ssrv_close_connection(struct httpd_request *r);
