--- a/standins/server.c
+++ b/standins/server.c
@@ -19,8 +19,10 @@
  * each change of the ranges, and for each range that it does not accept:
  *
  *	run ATTEMPT KEY CALLER
- *	holds FIRST-LAST/FENCE ...
+ *	holds at=MS FIRST-LAST/FENCE ...
  *	refused FIRST-LAST/FENCE
+ *
+ * MS is the time of the change by clk_ms(), which all processes share.
  */
 
 #define SERVER_MAX_BODY_BYTES (16 * 1024 * 1024)
@@ -87,9 +89,9 @@
 	return 0;
 }
 
-static void print_held_ranges(const struct server *s)
+static void print_held_ranges(const struct server *s, int64_t now_ms)
 {
-	printf("holds");
+	printf("holds at=%lld", (long long)now_ms);
 	for (size_t i = 0; i < s->held_count; i++)
 		printf(" %u-%u/%lld", s->held[i].first, s->held[i].last,
 		       (long long)s->held[i].fence);
@@ -107,7 +109,7 @@
 	if (!s->held_count)
 		return;
 	s->held_count = 0;
-	print_held_ranges(s);
+	print_held_ranges(s, s->hold_expires_ms);
 }
 
 static void set_hold_end(struct server *s, int64_t end_ms)
@@ -289,7 +291,7 @@
 	    memcmp(ranges, s->held, count * sizeof(ranges[0])) != 0) {
 		memcpy(s->held, ranges, count * sizeof(ranges[0]));
 		s->held_count = count;
-		print_held_ranges(s);
+		print_held_ranges(s, clk_ms());
 	}
 	return s->released_count != 0;
 }
--- a/test/run/lib-platform.sh
+++ b/test/run/lib-platform.sh
@@ -148,7 +148,7 @@
 coordinator_index() { # prints I of the coordinator
 	"$BIN/mpinctl" --interface platform --store "http://127.0.0.1:$KV" \
 		--json status 2>/dev/null |
-		sed -n 's/.*"coordinator": *"n\([0-2]\)".*/\1/p' | grep .
+		sed -n 's/.*"coordinator": *"n\([0-9]*\)".*/\1/p' | grep .
 }
 
 # applied_ms I: the wall-clock time at which daemon I had its last document in
