soak: a store restored from a copy is one of the faults

The soak test did not know stores that lose what they acknowledged.

Seeds from 400 on also draw this fault: a copy when it begins, the restore 1.7 to 4.5 s later, beside all other faults, those of the store included. Lower seeds draw what they drew before.

--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -89,6 +89,10 @@
 end_store_freeze() { :; }
 begin_store_compact() { control_store "compact"; }
 end_store_compact() { :; }
+# The store comes back from a copy that was taken when the fault began. Its NODE
+# is "copy", so that it overlaps with the other faults, those of the store too.
+begin_store_restore() { control_store "copy"; }
+end_store_restore() { control_store "restore"; }
 begin_all() { # all daemons at once
 	local node
 	for node in "${node_names[@]}"; do
@@ -108,15 +112,21 @@
 [ "$SOAK_SEED" -ge 300 ] && NODE_FAULTS+=(silent silent)
 FLEET_FAULTS=(store_down store_down store_silent store_slow store_lossy
 	store_freeze store_compact all)
+# Seeds below 400 draw what they drew before there was this fault.
+[ "$SOAK_SEED" -ge 400 ] && FLEET_FAULTS+=(store_restore store_restore)
 
-# may_inject NODE: true if NODE (or "store") has no active fault. The fault "all"
-# and faults of single nodes exclude each other.
+concerns_store() { # concerns_store NODE
+	[ "$1" = store ] || [ "$1" = copy ]
+}
+
+# may_inject NODE: true if NODE (or "store", "copy") has no active fault. The
+# fault "all" and faults of single nodes exclude each other.
 may_inject() {
 	local key
 	for key in "${!fault_end_ms[@]}"; do
 		[ "${key#*:}" = "$1" ] && return 1
-		[ "${key%:*}" = all ] && [ "$1" != store ] && return 1
-		[ "$1" = all ] && [ "${key#*:}" != store ] && return 1
+		[ "${key%:*}" = all ] && ! concerns_store "$1" && return 1
+		[ "$1" = all ] && ! concerns_store "${key#*:}" && return 1
 	done
 	return 0
 }
@@ -129,6 +139,7 @@
 		fault=${FLEET_FAULTS[picked]}
 		node=store
 		[ "$fault" = all ] && node=all
+		[ "$fault" = store_restore ] && node=copy
 	else
 		pick_number ${#NODE_FAULTS[@]}
 		fault=${NODE_FAULTS[picked]}
@@ -136,6 +147,8 @@
 		node=${node_names[picked]}
 	fi
 	pick_ms 200 3000
+	# A copy of less than a second ago seldom lacks a move.
+	[ "$node" = copy ] && picked=$((picked + 1500))
 	may_inject "$node" || return 0
 	fault_end_ms[$fault:$node]=$(($(wall_ms) + picked))
 	fault_counts[$fault]=$((${fault_counts[$fault]:-0} + 1))
