coord: the state survives a restore of the store

The map, the roster, the fences, the term and the ids of nodes rested on what the store had acknowledged. After a restore the coordinator went on writing changes on top of a map that the store did not have any more, and a successor loaded the map of the copy and gave out the same terms, fences and ids again.

Authority is extended only by answers of the era that the state is known to be complete in. A coordinator that is elected after the restore, which the era in the record shows, has only the copy: it gives no grants and no map until the grants and holds of its predecessors have ended, then gives all slots new fences. Terms go on from the same floor. A node that finds its own name in a record from the copy does not replace it at once, and nodes that wait to join a recovering coordinator are told so and do not elect another.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -73,12 +73,13 @@
 	gate_load_report_free(report);
 }
 
-static void on_start_election(const struct record *known, void *priv)
+static void on_start_election(const struct record *known, uint64_t seen_term,
+			      void *priv)
 {
 	struct node *n = priv;
 
 	if (n->phase == NODE_RUNNING)
-		coord_start_election(n->coord, known);
+		coord_start_election(n->coord, known, seen_term);
 }
 
 static void release_all_slots(struct node *n)
--- a/membership/coord.c
+++ b/membership/coord.c
@@ -2,6 +2,7 @@
 #include "common/clk.h"
 #include "common/log.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -73,6 +74,8 @@
 	c->release_seq = 0;
 	c->live_at_ms = 0;
 	c->live_lease = 0;
+	c->era = 0;
+	memset(&c->restore, 0, sizeof(c->restore));
 	times = own_times_for(settings_grant_ms(c->config.settings));
 	times.hold_max_ms = c->config.settings->hold_ms;
 	own_coord_init_times(&c->own, &times, c->record.term, asked_ms, now_ms);
@@ -146,13 +149,12 @@
 	begin_term(c, asked_ms);
 }
 
-static void fill_record(struct coord *c, uint64_t term)
+static void fill_record(struct coord *c)
 {
 	const struct settings *s = c->config.settings;
 	struct record *r = &c->record;
 
 	memset(r, 0, sizeof(*r));
-	r->term = term;
 	r->incarnation = c->config.incarnation;
 	snprintf(r->node, sizeof(r->node), "%s", s->name);
 	snprintf(r->address, sizeof(r->address), "%s", s->address);
@@ -160,7 +162,41 @@
 	r->admin_port = (unsigned)s->admin_port;
 }
 
-void coord_start_election(struct coord *c, const struct record *known)
+/*
+ * Chooses the term and the era of the state for the record that replaces known.
+ * A term that a copy of the store has forgotten must not be given out again.
+ */
+static void fill_term(struct coord *c, const struct record *known)
+{
+	struct record *r = &c->record;
+	uint64_t term = known->term;
+	int restored = record_is_restored(known);
+
+	r->state_era = known->state_era;
+	r->read_era = known->read_era;
+	if (!known->mod_revision || known->state_era == RECORD_ANY_ERA)
+		r->state_era = known->read_era;
+	if (c->seen_term > term) {
+		term = c->seen_term;
+		restored = 1;
+	}
+	if (restored) {
+		r->state_era = 0;
+		term = MAX(term,
+			   c->config.store->ops->number_floor(c->config.store));
+		log_warn("record_restored",
+			 "record_term=%llu seen_term=%llu record_era=%llu "
+			 "era=%llu",
+			 (unsigned long long)known->term,
+			 (unsigned long long)c->seen_term,
+			 (unsigned long long)known->state_era,
+			 (unsigned long long)known->read_era);
+	}
+	r->term = term + 1;
+}
+
+void coord_start_election(struct coord *c, const struct record *known,
+			  uint64_t seen_term)
 {
 	struct store_compare compare;
 	struct store_put put;
@@ -174,7 +210,9 @@
 	if (!call)
 		return;
 	buf_init(&text);
-	fill_record(c, known->term + 1);
+	c->seen_term = MAX(c->seen_term, seen_term);
+	fill_record(c);
+	fill_term(c, known);
 	record_write(&c->record, &text);
 	co_store_key(c, key, sizeof(key), "coord");
 	compare.key = key;
@@ -196,7 +234,7 @@
 	int64_t asked_ms;
 	struct coord *c = co_call_end(priv, &asked_ms, NULL);
 
-	if (!c || e != ERR_OK)
+	if (!c || e != ERR_OK || co_note_era(c, r->era))
 		return;
 	if (r->count && r->kvs[0].mod_revision == c->record.mod_revision) {
 		own_coord_extend_authority(&c->own, asked_ms);
@@ -308,6 +346,10 @@
 	renew_live(c, now_ms);
 	co_member_tick(c, now_ms);
 	co_doc_tick(c, now_ms);
+	if (c->restore.active) {
+		co_restore_tick(c, now_ms);
+		return;
+	}
 	co_place_tick(c, now_ms);
 	co_withdraw_moves(c);
 	co_write_tick(c, now_ms);
--- a/membership/coord.h
+++ b/membership/coord.h
@@ -22,6 +22,11 @@
  * It steps down when it finds that its record was replaced, or when a node
  * reports a higher term.
  *
+ * If the store is restored from a copy, a coordinator in office writes its
+ * state to the store again. One that is elected afterwards has only the copy:
+ * it gives no grants until those of its predecessors have ended, and goes on
+ * with numbers above all that were given out since the copy.
+ *
  * All functions run on the event loop's thread.
  */
 
@@ -65,11 +70,13 @@
 void coord_free(struct coord *c);
 
 /*
- * Starts an election: tries to replace the coordinator record known, with the
- * next term. The result comes later through the store; see coord_is_active.
- * Does nothing unless the coordinator is idle.
+ * Starts an election: tries to replace the coordinator record known, with a
+ * term above its own and seen_term, the highest that this node has seen. The
+ * result comes later through the store; see coord_is_active. Does nothing
+ * unless the coordinator is idle.
  */
-void coord_start_election(struct coord *c, const struct record *known);
+void coord_start_election(struct coord *c, const struct record *known,
+			  uint64_t seen_term);
 /* Returns 1 once the coordinator is elected and has loaded its state. */
 int coord_is_active(const struct coord *c);
 
--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -5,6 +5,7 @@
 #include "protocol/wire.h"
 #include "transport/addr.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -57,11 +58,24 @@
 	tcp_send(k->tcp, FRAME_JOIN_REPLY, &r.base);
 }
 
+void co_defer_joins(struct coord *c)
+{
+	struct co_conn *k;
+
+	DL_FOREACH(c->conns, k) {
+		if (!k->dead && k->member && k->member->join != CO_JOIN_DONE)
+			send_join_reply(k, ERR_NO_GRANT, 0);
+	}
+}
+
 void co_send_releases(struct coord *c, struct co_member *m)
 {
 	Wire__Release r = WIRE__RELEASE__INIT;
-	uint32_t *slots = calloc(c->slot_count + 1, sizeof(*slots));
+	uint32_t *slots;
 
+	if (co_is_recovering(c))
+		return;
+	slots = calloc(c->slot_count + 1, sizeof(*slots));
 	if (!slots)
 		return;
 	for (uint32_t s = 0; s < c->map.slot_count; s++) {
@@ -82,7 +96,7 @@
 {
 	Wire__ReleaseCancel r = WIRE__RELEASE_CANCEL__INIT;
 
-	if (!count)
+	if (!count || co_is_recovering(c))
 		return;
 	r.term = c->record.term;
 	r.seq = ++c->release_seq;
@@ -269,7 +283,8 @@
 	struct co_member *m;
 	Wire__Node node = *j->node;
 
-	if (!own_coord_may_add(&c->own))
+	/* During a recovery, nothing is written before all holds have ended. */
+	if (!own_coord_may_add(&c->own) && !co_is_recovering(c))
 		return ERR_STALE;
 	if (c->next_id < 1)
 		c->next_id = 1;
@@ -307,6 +322,7 @@
 		e = ERR_STALE;
 	} else if (j->term > c->record.term) {
 		e = ERR_STALE;
+		c->seen_term = MAX(c->seen_term, j->term);
 		co_step_down(c, "member_has_higher_term");
 	} else {
 		m = co_member_find_name(c, j->node->name);
@@ -345,7 +361,7 @@
 	size_t cancelled = 0;
 
 	/* The slots of a restarting node wait for it. */
-	if (r->term != c->record.term || m->leaving == 2)
+	if (r->term != c->record.term || m->leaving == 2 || co_is_recovering(c))
 		return;
 	for (size_t i = 0; i < r->n_slots; i++) {
 		uint32_t s = r->slots[i];
@@ -435,7 +451,8 @@
 {
 	k->member->doc_sent_rev = 0;
 	co_doc_send_full(k->c, k->member);
-	co_send_full_map(k->c, k->member);
+	if (!co_is_recovering(k->c))
+		co_send_full_map(k->c, k->member);
 	/* A node also fetches if it got a Release before the map it needs. */
 	co_send_releases(k->c, k->member);
 }
@@ -506,6 +523,7 @@
 		free(conn);
 		return;
 	}
+	c->seen_term = MAX(c->seen_term, hello->term);
 	if (hello->term > c->record.term && c->phase == CO_ACTIVE)
 		co_step_down(c, "member_has_higher_term");
 	k->c = c;
--- a/membership/coord_load.c
+++ b/membership/coord_load.c
@@ -176,12 +176,15 @@
 		return;
 	}
 	own_coord_extend_authority(&c->own, asked_ms);
+	c->era = r->era;
 	c->phase = CO_ACTIVE;
 	log_info("coordinator_active",
 		 "term=%llu nodes=%u map_revision=%llu doc_revision=%llu",
 		 (unsigned long long)c->record.term, HASH_COUNT(c->members),
 		 (unsigned long long)c->map.rev,
 		 (unsigned long long)c->doc_rev);
+	if (c->record.state_era != c->era)
+		co_recover(c);
 	co_doc_start(c);
 	co_services_update(c);
 	co_member_tick(c, clk_ms());
--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -4,6 +4,7 @@
 #include "protocol/wire.h"
 #include "transport/addr.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -106,6 +107,7 @@
 	case OWN_ASK_REPLY:
 		break;
 	case OWN_ASK_DEPOSED:
+		c->seen_term = MAX(c->seen_term, ask->own.term);
 		co_step_down(c, "member_has_higher_term");
 		return;
 	case OWN_ASK_UNKNOWN:
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -51,6 +51,15 @@
 #define CO_RECENT_DELTAS 32
 #define CO_CAUSE_BYTES 96
 #define CO_HANDOVER_BYTES 64
+#define CO_KEY_BYTES 160
+#define CO_ATTEMPT_BYTES 96
+/*
+ * Ids that are left out after a restore of the store, which may have forgotten
+ * to whom they were given: more than nodes join in the age of a copy.
+ */
+#define CO_RECOVERY_IDS 10000
+/* Well below MEMBERSHIP_ELECTION_DELAY_MS. */
+#define CO_DEFER_JOINS_MS 400
 
 enum co_phase {
 	CO_IDLE,
@@ -170,8 +179,28 @@
 	int has_marks;	     /* the roster has maybe_held marks */
 	int64_t retry_at_ms; /* 0: waiting for the store */
 	unsigned deletes;    /* change records that a snapshot deletes */
-	char attempt[96];    /* unique; the value of "map/head" */
-	int may_have_run;    /* an attempt ended without a usable answer */
+	char attempt[CO_ATTEMPT_BYTES]; /* unique; the value of "map/head" */
+	int may_have_run; /* an attempt ended without a usable answer */
+};
+
+/*
+ * Bringing the state to a store that was restored from a copy, see
+ * coord_restore.c.
+ */
+struct co_restore {
+	int active;
+	/*
+	 * The state was read from the copy, by a coordinator that was elected
+	 * after the restore; otherwise it is that of a coordinator in office,
+	 * which is complete.
+	 */
+	int from_copy;
+	int64_t defer_at_ms; /* when waiting nodes are told to wait again */
+	int in_flight;	     /* a call to the store is not answered yet */
+	int64_t retry_at_ms; /* no call before this */
+	uint64_t era;	     /* of the store when it was read */
+	uint64_t rev;	     /* of the map that is being written */
+	unsigned parts;	     /* of the snapshot that is being written */
 };
 
 /* A past change of a slot's owner. */
@@ -207,6 +236,9 @@
 	unsigned generation;
 	struct co_call *calls; /* calls to the store whose callback is due */
 	struct record record;
+	uint64_t seen_term; /* highest that this node or a member has seen */
+	uint64_t era;	    /* of the store's revisions below; 0: unknown */
+	struct co_restore restore;
 	struct own_coord own;
 	struct map map;
 	uint32_t next_id;
@@ -320,6 +352,8 @@
 int64_t co_restart_grace_ms(const struct coord *c, const struct co_member *m);
 /* Completes a join whose roster entry has been written to the store. */
 void co_join_written(struct coord *c, struct co_member *m);
+/* Tells the nodes whose joins are not written yet to wait for that. */
+void co_defer_joins(struct coord *c);
 /* Asks the owner to release all its slots that are marked as releasing. */
 void co_send_releases(struct coord *c, struct co_member *m);
 /* Tells the owner that the slots stay with it. Does nothing without slots. */
@@ -387,6 +421,8 @@
 /* Both encode the queued changes into the write in flight. */
 void co_build_delta(struct coord *c);
 void co_build_roster(struct coord *c);
+/* Encodes the roster to allocated bytes; NULL without memory. */
+uint8_t *co_encode_roster(const struct coord *c, size_t *len);
 
 /* ---- coord_sync.c ---- */
 
@@ -399,6 +435,24 @@
 /* Sends what the node lacks, by the revisions that it reported last. */
 void co_sync_member(struct coord *c, struct co_member *m);
 
+/* ---- coord_restore.c ---- */
+
+/*
+ * To be called with the era of an answer. Returns 1 if the store was restored
+ * since its revisions became known to the coordinator, which then writes its
+ * state again; the answer is to be ignored.
+ */
+int co_note_era(struct coord *c, uint64_t era);
+/* Starts the recovery of a state that was read from a copy. */
+void co_recover(struct coord *c);
+/*
+ * Returns 1 while the map is not to be used, because it was read from a copy
+ * and other nodes than its owners may serve.
+ */
+int co_is_recovering(const struct coord *c);
+/* Continues what is active; nothing else may be written meanwhile. */
+void co_restore_tick(struct coord *c, int64_t now_ms);
+
 /* ---- coord_write.c ---- */
 
 /* Starts or repeats a write if one is due. */
@@ -411,6 +465,14 @@
  * written then.
  */
 int co_write_requeue(struct coord *c);
+/*
+ * Returns the change that is being written to the queue although it may have
+ * taken effect, since the whole state is about to be written. Returns 0 if an
+ * attempt is under way; it ends within the time-out of a call.
+ */
+int co_write_abandon(struct coord *c);
+/* Fills in the value of "map/head" for a new write, which is unique. */
+void co_new_attempt(struct coord *c, char *attempt, size_t size);
 /* Records the changes of owners, for coord_write_explanation. */
 void co_history_add(struct coord *c, const Wire__MapDelta *d);
 /* Returns the service's statistics, created if needed; NULL without memory. */
--- a/membership/coord_queue.c
+++ b/membership/coord_queue.c
@@ -289,14 +289,14 @@
 		wire__map_delta__pack(d, w->delta_bytes);
 }
 
-void co_build_roster(struct coord *c)
+uint8_t *co_encode_roster(const struct coord *c, size_t *len)
 {
 	unsigned count = HASH_COUNT(c->members);
 	Wire__RosterEntry *entries = calloc(count + 1, sizeof(*entries));
 	Wire__RosterEntry **list = calloc(count + 1, sizeof(*list));
 	Wire__Roster r = WIRE__ROSTER__INIT;
-	struct co_write *w = &c->write;
 	struct co_member *m, *tmp;
+	uint8_t *bytes;
 
 	r.term = c->record.term;
 	r.next_id = c->next_id;
@@ -307,8 +307,6 @@
 
 		if (!entries || !list)
 			break;
-		if (m->join == CO_JOIN_QUEUED)
-			m->join = CO_JOIN_WRITING;
 		if (m->removing)
 			continue;
 		e = &entries[r.n_entries];
@@ -317,10 +315,22 @@
 		e->maybe_held = p ? own_coord_hold_mark(&c->own, p) : 0;
 		list[r.n_entries++] = e;
 	}
-	w->roster_len = wire__roster__get_packed_size(&r);
-	w->roster_bytes = malloc(w->roster_len ? w->roster_len : 1);
-	if (w->roster_bytes)
-		wire__roster__pack(&r, w->roster_bytes);
+	*len = wire__roster__get_packed_size(&r);
+	bytes = malloc(*len ? *len : 1);
+	if (bytes)
+		wire__roster__pack(&r, bytes);
 	free(entries);
 	free(list);
+	return bytes;
+}
+
+void co_build_roster(struct coord *c)
+{
+	struct co_member *m, *tmp;
+
+	HASH_ITER(hh, c->members, m, tmp) {
+		if (m->join == CO_JOIN_QUEUED)
+			m->join = CO_JOIN_WRITING;
+	}
+	c->write.roster_bytes = co_encode_roster(c, &c->write.roster_len);
 }
--- a/membership/coord_sync.c
+++ b/membership/coord_sync.c
@@ -117,6 +117,8 @@
 		m->doc_sent_rev = c->doc_rev;
 	else
 		co_doc_send_full(c, m);
+	if (co_is_recovering(c))
+		return;
 	if (!has_changes_since(c, m->map_rev)) {
 		co_send_full_map(c, m);
 		return;
--- a/membership/coord_write.c
+++ b/membership/coord_write.c
@@ -16,8 +16,6 @@
  * write takes effect only once.
  */
 
-#define LOG_KEY_BYTES 160
-
 static void clear_write(struct co_write *w)
 {
 	if (w->delta)
@@ -238,7 +236,7 @@
 
 	snprintf(name, sizeof(name), "map/log/%016llx",
 		 (unsigned long long)rev);
-	co_store_key(c, key, LOG_KEY_BYTES, name);
+	co_store_key(c, key, CO_KEY_BYTES, name);
 }
 
 /* "map/head" shows whether the write in flight took effect. */
@@ -250,7 +248,7 @@
 
 	if (!c)
 		return;
-	if (e != ERR_OK) {
+	if (e != ERR_OK || co_note_era(c, r->era)) {
 		retry_later(c);
 		return;
 	}
@@ -276,7 +274,7 @@
 static void read_back(struct coord *c)
 {
 	struct co_call *call = co_call_new(c, 0);
-	char key[LOG_KEY_BYTES];
+	char key[CO_KEY_BYTES];
 
 	if (!call) {
 		retry_later(c);
@@ -294,6 +292,11 @@
 
 	if (!c || !c->write.active)
 		return;
+	/* The write may have been lost again, or not. */
+	if (co_note_era(c, c->config.store->era)) {
+		retry_later(c);
+		return;
+	}
 	if (e == ERR_OK) {
 		/* The transaction compared the record, so it confirms it. */
 		own_coord_extend_authority(&c->own, asked_ms);
@@ -315,8 +318,8 @@
 
 /* The comparisons of a write's transaction, with their keys. */
 struct write_conditions {
-	char coord_key[LOG_KEY_BYTES];
-	char head_key[LOG_KEY_BYTES];
+	char coord_key[CO_KEY_BYTES];
+	char head_key[CO_KEY_BYTES];
 	struct store_compare compares[2];
 	size_t count;
 };
@@ -340,7 +343,7 @@
 static void send_change(struct coord *c, struct co_call *call)
 {
 	struct co_write *w = &c->write;
-	char key[LOG_KEY_BYTES], roster_key[LOG_KEY_BYTES];
+	char key[CO_KEY_BYTES], roster_key[CO_KEY_BYTES];
 	struct store_put puts[3];
 	struct write_conditions g;
 	size_t n = 1;
@@ -368,7 +371,7 @@
 		       CO_SNAPSHOT_PART_BYTES;
 	size_t max = parts + c->snapshot_parts + CO_LOG_BEFORE_SNAPSHOT + 1;
 	struct store_put *puts = calloc(max, sizeof(*puts));
-	char(*keys)[LOG_KEY_BYTES] = calloc(max, sizeof(*keys));
+	char(*keys)[CO_KEY_BYTES] = calloc(max, sizeof(*keys));
 	struct write_conditions g;
 	size_t n = 1;
 
@@ -425,16 +428,20 @@
 		send_change(c, call);
 }
 
+void co_new_attempt(struct coord *c, char *attempt, size_t size)
+{
+	snprintf(attempt, size, "%.40s/%016llx/%llu", c->config.settings->name,
+		 (unsigned long long)c->config.incarnation,
+		 (unsigned long long)++c->last_attempt);
+}
+
 static void begin_write(struct coord *c, enum co_write_kind kind)
 {
 	struct co_write *w = &c->write;
 
 	w->active = 1;
 	w->kind = kind;
-	snprintf(w->attempt, sizeof(w->attempt), "%.40s/%016llx/%llu",
-		 c->config.settings->name,
-		 (unsigned long long)c->config.incarnation,
-		 (unsigned long long)++c->last_attempt);
+	co_new_attempt(c, w->attempt, sizeof(w->attempt));
 }
 
 /*
@@ -463,6 +470,22 @@
 	c->placement_due = 1;
 }
 
+int co_write_abandon(struct coord *c)
+{
+	struct co_write *w = &c->write;
+
+	if (!w->active)
+		return 1;
+	if (!w->retry_at_ms)
+		return 0;
+	w->may_have_run = 0;
+	if (w->kind == CO_WRITE_SNAPSHOT)
+		clear_write(w);
+	else
+		co_write_requeue(c);
+	return 1;
+}
+
 int co_write_requeue(struct coord *c)
 {
 	struct co_write *w = &c->write;
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -47,9 +47,11 @@
 	/*
 	 * No coordinator answers, or the present one has lost the store: the
 	 * callee should try to replace known, the record last read from the
-	 * store.
+	 * store. seen_term is the highest term that this node has seen; it is
+	 * above that of known if the store was restored from an older copy.
 	 */
-	void (*start_election)(const struct record *known, void *priv);
+	void (*start_election)(const struct record *known, uint64_t seen_term,
+			       void *priv);
 	/* The coordinator has confirmed that the node may exit. */
 	void (*left)(void *priv);
 	/*
--- a/membership/membership_discovery.c
+++ b/membership/membership_discovery.c
@@ -230,15 +230,19 @@
 		}
 		r.mod_revision = kv->mod_revision;
 	}
+	r.read_era = result->era;
 	/*
 	 * An earlier process of this node wrote the record. It has ended, so
-	 * there is no coordinator, and this node is the first to know.
+	 * there is no coordinator, and this node is the first to know. A record
+	 * that came back with a copy of the store shows nothing: another node
+	 * may have been elected since.
 	 */
-	if (result->count && r.incarnation != m->config.incarnation &&
+	if (result->count && !record_is_restored(&r) &&
+	    r.incarnation != m->config.incarnation &&
 	    strcmp(r.node, m->config.settings->name) == 0 &&
 	    r.peer_port == settings_peer_port(m->config.settings) &&
 	    strcmp(r.address, m->config.settings->address) == 0) {
-		m->config.ops->start_election(&r, m->config.priv);
+		m->config.ops->start_election(&r, m->own.term, m->config.priv);
 		return;
 	}
 	if (r.term > m->coordinator.term) {
@@ -260,7 +264,7 @@
 			log_info("coordinator_without_store", "term=%llu",
 				 (unsigned long long)r.term);
 		schedule_election(m, now_ms, 0);
-		m->config.ops->start_election(&r, m->config.priv);
+		m->config.ops->start_election(&r, m->own.term, m->config.priv);
 	}
 }
 
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -30,6 +30,15 @@
 {
 	int64_t now_ms = clk_ms();
 
+	/*
+	 * The coordinator recovers its state from a copy of the store. Another
+	 * election would make its successor begin anew.
+	 */
+	if (r->error == ERR_NO_GRANT &&
+	    own_member_observe_term(&m->own, r->term, now_ms)) {
+		membership_note_coordinator_alive(m, now_ms);
+		return;
+	}
 	if (r->error != ERR_OK) {
 		log_warn("join_refused", "error=%s term=%llu",
 			 err_name((enum err)r->error),
--- a/membership/record.c
+++ b/membership/record.c
@@ -8,17 +8,17 @@
 enum err record_parse(struct record *r, const uint8_t *text, size_t len)
 {
 	json_t *root = json_loadb((const char *)text, len, 0, NULL);
-	const char *node, *address, *incarnation;
+	const char *node, *address, *incarnation, *era = NULL;
 	json_int_t term, peer_port, admin_port;
 	enum err e = ERR_MALFORMED;
 
 	memset(r, 0, sizeof(*r));
 	if (!root)
 		return ERR_MALFORMED;
-	if (json_unpack(root, "{s:I,s:s,s:s,s:s,s:I,s:I}", "term", &term,
+	if (json_unpack(root, "{s:I,s:s,s:s,s:s,s:I,s:I,s?s}", "term", &term,
 			"node", &node, "incarnation", &incarnation, "address",
 			&address, "peer_port", &peer_port, "admin_port",
-			&admin_port) < 0)
+			&admin_port, "state_era", &era) < 0)
 		goto out;
 	if (strlen(node) >= sizeof(r->node) ||
 	    strlen(address) >= sizeof(r->address) || term < 1)
@@ -29,6 +29,7 @@
 	r->incarnation = strtoull(incarnation, NULL, 16);
 	r->peer_port = (unsigned)peer_port;
 	r->admin_port = (unsigned)admin_port;
+	r->state_era = era ? strtoull(era, NULL, 16) : RECORD_ANY_ERA;
 	e = ERR_OK;
 out:
 	json_decref(root);
@@ -37,18 +38,19 @@
 
 enum err record_write(const struct record *r, struct buf *out)
 {
-	char incarnation[20];
+	char incarnation[20], era[20];
 	json_t *root;
 	char *text;
 	enum err e;
 
 	snprintf(incarnation, sizeof(incarnation), "%016llx",
 		 (unsigned long long)r->incarnation);
-	root = json_pack("{s:I,s:s,s:s,s:s,s:I,s:I}", "term",
+	snprintf(era, sizeof(era), "%016llx", (unsigned long long)r->state_era);
+	root = json_pack("{s:I,s:s,s:s,s:s,s:I,s:I,s:s}", "term",
 			 (json_int_t)r->term, "node", r->node, "incarnation",
 			 incarnation, "address", r->address, "peer_port",
 			 (json_int_t)r->peer_port, "admin_port",
-			 (json_int_t)r->admin_port);
+			 (json_int_t)r->admin_port, "state_era", era);
 	if (!root)
 		return ERR_NOMEM;
 	text = json_dumps(root, JSON_COMPACT);
@@ -60,6 +62,12 @@
 	return e;
 }
 
+int record_is_restored(const struct record *r)
+{
+	return r->mod_revision && r->read_era &&
+	       r->state_era != RECORD_ANY_ERA && r->state_era != r->read_era;
+}
+
 int record_same_writer(const struct record *a, const struct record *b)
 {
 	return a->term == b->term && a->incarnation == b->incarnation &&
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -285,6 +285,62 @@
 						    c->times.hold_max_ms);
 }
 
+static int has_ended_on_all(const struct own_coord *c, int64_t now_ms)
+{
+	struct own_peer *p, *tmp;
+
+	HASH_ITER(hh, c->peers, p, tmp) {
+		if (p->adding)
+			continue;
+		if (!is_out_of_hold(c, p, now_ms) || now_ms <= p->grant_end_ms)
+			return 0;
+	}
+	return 1;
+}
+
+/*
+ * Returns 1 if no node that is silent can be in a hold of an earlier term. The
+ * majority without a record, which shows it otherwise, may be one of a roster
+ * that lacks nodes.
+ */
+static int silent_holds_ended(const struct own_coord *c, int64_t now_ms)
+{
+	struct own_peer *p, *tmp;
+
+	if (c->times.hold_max_ms && c->promised_ms &&
+	    now_ms > c->promised_ms + with_drift(c->times.hold_quorum_ms +
+						 c->times.hold_max_ms))
+		return 1;
+	HASH_ITER(hh, c->peers, p, tmp) {
+		if (p->inherited && !p->promised)
+			return 0;
+	}
+	return 1;
+}
+
+void own_coord_begin_recovery(struct own_coord *c)
+{
+	c->recovering = 1;
+}
+
+int own_coord_is_recovered(const struct own_coord *c, int64_t now_ms)
+{
+	if (c->phase != OWN_NORMAL ||
+	    now_ms <= c->takeover_ms + with_drift(c->times.authority_ms))
+		return 0;
+	return has_ended_on_all(c, now_ms);
+}
+
+void own_coord_end_recovery(struct own_coord *c, uint64_t floor_rev)
+{
+	struct own_peer *p, *tmp;
+
+	c->recovering = 0;
+	HASH_ITER(hh, c->peers, p, tmp) {
+		p->floor_rev = floor_rev;
+	}
+}
+
 static enum own_hold choose_hold(const struct own_coord *c, int64_t now_ms)
 {
 	switch (c->phase) {
@@ -307,6 +363,8 @@
 	int64_t left = c->authority_end_ms - now_ms;
 	int64_t end_ms;
 
+	if (c->recovering)
+		return 0;
 	if (!guard_on(GUARD_AUTHORITY))
 		left = c->times.grant_ms;
 	if (left <= 0)
@@ -432,13 +490,17 @@
 
 	switch (c->phase) {
 	case OWN_RESOLVING:
-		if (!unrecorded_by_majority(c))
+		if (!unrecorded_by_majority(c) &&
+		    !(c->recovering && silent_holds_ended(c, now_ms)))
 			return 0;
 		c->phase = OWN_NORMAL;
 		return 1;
 	case OWN_NORMAL:
 		if (age_ms < c->times.hold_after_ms || !guard_on(GUARD_HOLD))
 			return 0;
+		/* Members would serve by maps that may differ. */
+		if (c->recovering)
+			return 0;
 		start_preparing(c);
 		return 1;
 	case OWN_PREPARING:
@@ -497,6 +559,8 @@
 {
 	if (c->phase == OWN_RELEASING)
 		return 1;
+	if (c->recovering)
+		return 0;
 	if (c->phase != OWN_RESOLVING || unrecorded_by_majority(c))
 		return 0;
 	/*
@@ -537,7 +601,8 @@
 int own_coord_is_lost(const struct own_coord *c, const struct own_peer *p,
 		      int64_t now_ms, int64_t extra_ms)
 {
-	if (p->adding || !is_out_of_hold(c, p, now_ms - extra_ms))
+	if (c->recovering || p->adding ||
+	    !is_out_of_hold(c, p, now_ms - extra_ms))
 		return 0;
 	if (c->phase != OWN_NORMAL || !own_coord_has_authority(c, now_ms))
 		return 0;
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -304,6 +304,8 @@
 	uint32_t inherited_count; /* size of the roster as read at take-over */
 	enum own_phase phase;
 	uint32_t hold_seq; /* number of the last hold prepared in this term */
+	/* See own_coord_begin_recovery. */
+	int recovering;
 	struct own_peer *peers;
 };
 
@@ -401,6 +403,19 @@
  * even then.
  */
 int own_coord_may_add(const struct own_coord *c);
+/*
+ * Gives no grants from now on: the map and the roster that were read at
+ * take-over may lack changes that the store acknowledged, so that other nodes
+ * than those in the map may have grants and holds of earlier terms.
+ */
+void own_coord_begin_recovery(struct own_coord *c);
+/*
+ * Returns 1 if all grants and holds of earlier terms are certain to have ended,
+ * so that slots may be given to nodes by any map.
+ */
+int own_coord_is_recovered(const struct own_coord *c, int64_t now_ms);
+/* Gives grants again, by maps of revision floor_rev and higher. */
+void own_coord_end_recovery(struct own_coord *c, uint64_t floor_rev);
 /*
  * Returns 1 if the node's grant and hold are certain to have ended at least
  * extra_ms ago, so that its slots may be moved. Returns 0 as long as the
--- a/test/unit/test_coord_free.c
+++ b/test/unit/test_coord_free.c
@@ -32,7 +32,7 @@
 	struct coord *c;
 
 	g_assert_cmpint(coord_new(&c, &config), ==, ERR_OK);
-	coord_start_election(c, &none);
+	coord_start_election(c, &none, 0);
 	g_assert_cmpuint(txns, ==, 1);
 	coord_free(c);
 	ev_loop_destroy(config.loop);
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -15,7 +15,8 @@
 			    .incarnation = 0xfedcba9876543210,
 			    .address = "127.0.0.1",
 			    .peer_port = 8081,
-			    .admin_port = 8082 };
+			    .admin_port = 8082,
+			    .state_era = 0x8000000000000001 };
 	struct record back;
 	struct buf text;
 
@@ -24,11 +25,42 @@
 	g_assert_cmpint(record_parse(&back, text.data, text.len), ==, ERR_OK);
 	g_assert_true(record_same_writer(&r, &back));
 	g_assert_cmpuint(back.admin_port, ==, 8082);
+	g_assert_true(back.state_era == 0x8000000000000001);
 	back.incarnation++;
 	g_assert_false(record_same_writer(&r, &back));
 	buf_finish(&text);
 }
 
+/*
+ * Guards against a record that came back with a copy of the store and is taken
+ * for the newest one, and against records of stores without eras and of earlier
+ * daemons that are not.
+ */
+static void test_record_restored(void)
+{
+	static const char text[] =
+		"{\"term\":3,\"node\":\"n\",\"incarnation\":\"1\",\"address\":"
+		"\"127.0.0.1\",\"peer_port\":1,\"admin_port\":2}";
+	struct record r = { .mod_revision = 9, .state_era = 4, .read_era = 4 };
+
+	g_assert_false(record_is_restored(&r));
+	r.read_era = 5;
+	g_assert_true(record_is_restored(&r));
+	/* A coordinator has not recovered the state yet. */
+	r.state_era = 0;
+	g_assert_true(record_is_restored(&r));
+	r.mod_revision = 0;
+	g_assert_false(record_is_restored(&r));
+	r.mod_revision = 9;
+	r.read_era = 0;
+	g_assert_false(record_is_restored(&r));
+	g_assert_cmpint(record_parse(&r, (const uint8_t *)text, strlen(text)),
+			==, ERR_OK);
+	r.mod_revision = 9;
+	r.read_era = 5;
+	g_assert_false(record_is_restored(&r));
+}
+
 /* Guards against malformed records in the store that are accepted. */
 static void test_record_malformed(void)
 {
@@ -169,6 +201,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/record/round_trip", test_record_round_trip);
+	g_test_add_func("/record/restored", test_record_restored);
 	g_test_add_func("/record/malformed", test_record_malformed);
 	g_test_add_func("/dgram/datagrams", test_datagrams);
 	g_test_add_func("/membership/document_age", test_document_age);
--- a/test/unit/test_own.c
+++ b/test/unit/test_own.c
@@ -526,6 +526,117 @@
 		&f->m[1], now_ms + 9 * OWN_TAKEOVER_AFTER_MS));
 }
 
+/* Lets a successor take over at now_ms from the fixture's coordinator. */
+static void take_over(struct fixture *f, int64_t now_ms, int64_t hold_max_ms)
+{
+	struct own_times times = own_times_for(0);
+
+	times.hold_max_ms = hold_max_ms;
+	own_coord_finish(&f->c);
+	own_coord_init_times(&f->c, &times, f->c.term + 1, now_ms, now_ms);
+	for (uint32_t id = 1; id <= 3; id++)
+		own_coord_add_inherited(&f->c, id, id + 99, 5, 0);
+	own_coord_begin_recovery(&f->c);
+}
+
+/* Keeps the authority, and lets the first count members ask, up to end_ms. */
+static void run_members(struct fixture *f, int count, int64_t now_ms,
+			int64_t end_ms)
+{
+	for (; now_ms <= end_ms; now_ms += 100) {
+		own_coord_extend_authority(&f->c, now_ms);
+		for (int i = 0; i < count; i++) {
+			own_member_observe_term(&f->m[i], f->c.term, now_ms);
+			exchange(f, i, now_ms);
+		}
+		own_coord_tick(&f->c, now_ms);
+	}
+}
+
+/*
+ * Guards against grants by a map that came back with a copy of the store, while
+ * grants by the predecessor's map may be in force: two nodes would serve a slot
+ * that was moved after the copy.
+ */
+static void test_recovery_waits(struct fixture *f, gconstpointer data)
+{
+	int64_t t = T0 + 200;
+	int64_t waited_ms = OWN_AUTHORITY_MS + 100;
+	int64_t end_ms;
+
+	(void)data;
+	take_over(f, t, 0);
+	run_members(f, 3, t, t + OWN_AUTHORITY_MS);
+	g_assert_cmpint(f->c.phase, ==, OWN_NORMAL);
+	g_assert_false(own_coord_is_recovered(&f->c, t + OWN_AUTHORITY_MS));
+	run_members(f, 3, t + waited_ms, t + waited_ms);
+	for (int i = 0; i < 3; i++) {
+		g_assert_false(may_serve(f, i, t + waited_ms));
+		g_assert_false(is_lost(f, i, t + waited_ms + 60000));
+	}
+	g_assert_true(own_coord_is_recovered(&f->c, t + waited_ms));
+	own_coord_end_recovery(&f->c, 1000);
+	run_members(f, 3, t + waited_ms + 100, t + waited_ms + 100);
+	/* By the new map only. */
+	g_assert_false(may_serve(f, 0, t + waited_ms + 100));
+	g_assert_cmpint(own_member_may_serve(&f->m[0], t + waited_ms + 100,
+					     1000, &end_ms),
+			==, ERR_OK);
+}
+
+/*
+ * Guards against a recovery that ends while a silent node may be in a hold of
+ * the predecessor, and against one that goes on although all nodes were heard
+ * or started again.
+ */
+static void test_recovery_silent_node(struct fixture *f, gconstpointer data)
+{
+	int64_t waited_ms = OWN_AUTHORITY_MS + 100;
+	int64_t bound_ms = OWN_HOLD_QUORUM_MS + 8000;
+	int64_t t = T0 + 200;
+
+	(void)data;
+	take_over(f, t, 8000);
+	own_coord_begin_add(&f->c, 2, 555, 5);
+	run_members(f, 1, t, t + bound_ms);
+	g_assert_cmpint(f->c.phase, ==, OWN_RESOLVING);
+	g_assert_false(own_coord_is_recovered(&f->c, t + bound_ms));
+	run_members(f, 1, t + bound_ms + 100, t + bound_ms + 400);
+	g_assert_true(own_coord_is_recovered(&f->c, t + bound_ms + 400));
+
+	t += 2 * bound_ms;
+	take_over(f, t, 8000);
+	own_coord_begin_add(&f->c, 2, 556, 5);
+	own_coord_begin_add(&f->c, 3, 557, 5);
+	run_members(f, 1, t, t + waited_ms);
+	g_assert_true(own_coord_is_recovered(&f->c, t + waited_ms));
+}
+
+/*
+ * Guards against a recovery that ends while a member is in a hold of the
+ * predecessor: it has to leave it first, and what its target holds has to end.
+ */
+static void test_recovery_member_in_hold(struct fixture *f, gconstpointer data)
+{
+	int64_t t;
+
+	(void)data;
+	t = enter_hold(f);
+	for (int i = 0; i < 3; i++)
+		exchange(f, i, t);
+	g_assert_true(own_member_in_hold(&f->m[0], t));
+	take_over(f, t, 0);
+	run_members(f, 2, t, t + 5000);
+	/* The third one is silent, and its hold has no end. */
+	g_assert_true(own_member_in_hold(&f->m[2], t + 5000));
+	g_assert_false(own_coord_is_recovered(&f->c, t + 5000));
+	run_members(f, 3, t + 5100, t + 5400);
+	g_assert_false(own_member_in_hold(&f->m[2], t + 5400));
+	g_assert_false(own_coord_is_recovered(&f->c, t + 5400));
+	run_members(f, 3, t + 5500, t + 5500 + OWN_GRANT_MS);
+	g_assert_true(own_coord_is_recovered(&f->c, t + 5500 + OWN_GRANT_MS));
+}
+
 #define ADD(name, fn) \
 	g_test_add("/own/" name, struct fixture, NULL, setup, fn, teardown)
 
@@ -552,5 +663,8 @@
 	ADD("marks_when_all_heard", test_marks_when_all_heard);
 	ADD("joined_nodes_are_no_majority", test_joined_nodes_are_no_majority);
 	ADD("no_new_nodes_while_resolving", test_no_new_nodes_while_resolving);
+	ADD("recovery_waits", test_recovery_waits);
+	ADD("recovery_silent_node", test_recovery_silent_node);
+	ADD("recovery_member_in_hold", test_recovery_member_in_hold);
 	return g_test_run();
 }
