coord: a recovering coordinator takes over a member's map

Every member has the map that was pushed to it last, with the nodes that the roster had. The coordinator fetches the newest one in the wait that it needs anyway, and makes the roster that of the map. Nodes that it does not know wait for a second, so that they get their ids from such a map.

test_coord adopt_map.

--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -284,7 +284,8 @@
 	Wire__Node node = *j->node;
 
 	/* During a recovery, nothing is written before all holds have ended. */
-	if (!own_coord_may_add(&c->own) && !co_is_recovering(c))
+	if (co_is_recovering(c) ? !co_may_add_recovering(c)
+				: !own_coord_may_add(&c->own))
 		return ERR_STALE;
 	if (c->next_id < 1)
 		c->next_id = 1;
@@ -488,6 +489,9 @@
 	case FRAME_FETCH:
 		on_fetch(k);
 		break;
+	case FRAME_MAP_PUSH:
+		co_adopt_map(k->c, k->member, (const Wire__MapDelta *)f->msg);
+		break;
 	case FRAME_DOC_PUSH:
 		co_on_doc_push(k->c, (const Wire__DocPush *)f->msg);
 		break;
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -58,6 +58,11 @@
  * to whom they were given: more than nodes join in the age of a copy.
  */
 #define CO_RECOVERY_IDS 10000
+/*
+ * New nodes wait for this long in a recovery, in which the members that were
+ * not restarted join and give their maps.
+ */
+#define CO_ADOPT_MAP_MS 1000
 /* Well below MEMBERSHIP_ELECTION_DELAY_MS. */
 #define CO_DEFER_JOINS_MS 400
 
@@ -195,6 +200,8 @@
 	 * which is complete.
 	 */
 	int from_copy;
+	uint64_t asked_rev;  /* revision of the map asked of a member */
+	int has_new_nodes;   /* nodes joined that were not in the roster */
 	int64_t defer_at_ms; /* when waiting nodes are told to wait again */
 	int in_flight;	     /* a call to the store is not answered yet */
 	int64_t retry_at_ms; /* no call before this */
@@ -450,6 +457,17 @@
  * and other nodes than its owners may serve.
  */
 int co_is_recovering(const struct coord *c);
+/*
+ * Returns 1 if nodes that are not in the roster may join during a recovery. The
+ * map of a member may still show that they were in it.
+ */
+int co_may_add_recovering(struct coord *c);
+/*
+ * Takes over a member's map during a recovery, if it is newer: the member has
+ * changes that the store has lost.
+ */
+void co_adopt_map(struct coord *c, const struct co_member *m,
+		  const Wire__MapDelta *d);
 /* Continues what is active; nothing else may be written meanwhile. */
 void co_restore_tick(struct coord *c, int64_t now_ms);
 
--- a/membership/coord_restore.c
+++ b/membership/coord_restore.c
@@ -12,6 +12,7 @@
  * has the whole state in memory and writes it to the store again. One that is
  * elected later reads the copy: by the lost changes, other nodes than the
  * owners in the copy may serve, so it waits until their grants have ended.
+ * Meanwhile it takes over the map of a member that has a newer one.
  * Either writes one transaction with its record, the roster and a snapshot of
  * the map, which goes on from a revision above all that were given out.
  */
@@ -70,6 +71,126 @@
 	own_coord_begin_recovery(&c->own);
 }
 
+int co_may_add_recovering(struct coord *c)
+{
+	if (clk_ms() < c->elected_ms + CO_ADOPT_MAP_MS)
+		return 0;
+	c->restore.has_new_nodes = 1;
+	return 1;
+}
+
+/* Fetches the map of a member that has a newer one than the copy. */
+static void fetch_map(struct coord *c)
+{
+	Wire__Fetch f = WIRE__FETCH__INIT;
+	struct co_member *m, *tmp, *newest = NULL;
+
+	HASH_ITER(hh, c->members, m, tmp) {
+		if (m->conn && m->join == CO_JOIN_DONE &&
+		    (!newest || m->map_rev > newest->map_rev))
+			newest = m;
+	}
+	if (!newest || newest->map_rev <= c->map.rev ||
+	    newest->map_rev <= c->restore.asked_rev)
+		return;
+	c->restore.asked_rev = newest->map_rev;
+	log_info("map_fetch", "from=%s revision=%llu has_revision=%llu",
+		 LOG_Q(newest->info->name), (unsigned long long)newest->map_rev,
+		 (unsigned long long)c->map.rev);
+	f.doc_rev = c->doc_rev;
+	f.map_rev = c->map.rev;
+	co_send(newest, FRAME_FETCH, &f.base);
+}
+
+/*
+ * Returns 1 if the map gives a node that has joined another id than it has by
+ * the roster of the copy.
+ */
+static int conflicts_with_members(const struct coord *c, const struct map *map)
+{
+	struct map_node *n, *tmp;
+
+	HASH_ITER(hh, map->nodes, n, tmp) {
+		const struct co_member *m =
+			co_member_find_name(c, n->info->name);
+
+		if (m && m->id != n->id && m->conn)
+			return 1;
+	}
+	return 0;
+}
+
+/* Makes the roster that of the map: both are written together. */
+static void adopt_members(struct coord *c)
+{
+	struct co_member *m, *tmp;
+	struct map_node *n, *next;
+
+	HASH_ITER(hh, c->members, m, tmp) {
+		if (map_find_node(&c->map, m->id))
+			continue;
+		m->dirty = 1;
+		if (m->conn)
+			continue;
+		own_coord_drop_inherited(&c->own, m->id);
+		co_member_remove(c, m);
+	}
+	HASH_ITER(hh, c->map.nodes, n, next) {
+		m = co_member_find(c, n->id);
+		if (!m)
+			m = co_member_add(c, n->info);
+		else if (!m->conn)
+			co_member_set_info(m, n->info);
+		c->next_id = MAX(c->next_id, n->id + 1);
+		own_coord_correct_inherited(&c->own, n->id,
+					    n->info->incarnation);
+	}
+}
+
+/* What was decided by the map of the copy is void. */
+static void reset_slots(struct coord *c)
+{
+	for (size_t i = 0; i < c->slot_count; i++) {
+		c->slots[i].releasing = 0;
+		c->slots[i].released = 0;
+		c->slots[i].changing = 0;
+		c->slots[i].new_owner = 0;
+	}
+	c->queue.slot_count = 0;
+}
+
+void co_adopt_map(struct coord *c, const struct co_member *m,
+		  const Wire__MapDelta *d)
+{
+	uint64_t before = c->map.rev;
+	struct map map;
+	enum err e;
+
+	if (!co_is_recovering(c) || d->base_rev || d->rev <= c->map.rev)
+		return;
+	map_init(&map);
+	e = map_apply(&map, d);
+	if (e == ERR_OK && !co_slots_reserve(c, map.slot_count))
+		e = ERR_NOMEM;
+	if (e == ERR_OK && (c->restore.in_flight || c->restore.has_new_nodes ||
+			    conflicts_with_members(c, &map)))
+		e = ERR_CONFLICT;
+	if (e != ERR_OK) {
+		log_warn("map_not_adopted", "error=%s from=%s revision=%llu",
+			 err_name(e), LOG_Q(m->info->name),
+			 (unsigned long long)d->rev);
+		map_finish(&map);
+		return;
+	}
+	map_finish(&c->map);
+	c->map = map;
+	reset_slots(c);
+	adopt_members(c);
+	log_info("map_adopted", "from=%s revision=%llu before=%llu nodes=%u",
+		 LOG_Q(m->info->name), (unsigned long long)c->map.rev,
+		 (unsigned long long)before, HASH_COUNT(c->members));
+}
+
 static void retry_later(struct coord *c)
 {
 	c->restore.in_flight = 0;
@@ -79,14 +200,9 @@
 /* Gives all slots new fences, since those in the copy may have been passed. */
 static void renew_fences(struct coord *c)
 {
-	for (uint32_t s = 0; s < c->map.slot_count; s++) {
+	for (uint32_t s = 0; s < c->map.slot_count; s++)
 		c->map.slots[s].fence = c->restore.rev;
-		if (s >= c->slot_count)
-			continue;
-		c->slots[s].releasing = 0;
-		c->slots[s].released = 0;
-		c->slots[s].new_owner = 0;
-	}
+	reset_slots(c);
 }
 
 static void send_maps(struct coord *c)
@@ -369,6 +485,8 @@
 		r->defer_at_ms = now_ms + CO_DEFER_JOINS_MS;
 		co_defer_joins(c);
 	}
+	if (r->from_copy)
+		fetch_map(c);
 	if (r->in_flight || now_ms < r->retry_at_ms || !co_write_abandon(c))
 		return;
 	if (r->from_copy && !own_coord_is_recovered(&c->own, now_ms))
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -232,11 +232,27 @@
 	}
 }
 
-/* The coordinator asks for the document, which it cannot read itself. */
+static void send_map(struct membership *m)
+{
+	Wire__MapDelta *d = map_snapshot(&m->map);
+
+	if (!d)
+		return;
+	d->term = m->map.term;
+	membership_send(m, FRAME_MAP_PUSH, &d->base);
+	map_delta_free(d);
+}
+
+/*
+ * The coordinator asks for the document, which it cannot read itself. It can
+ * lack changes of the map only if the store has lost them.
+ */
 static void on_fetch(struct membership *m, const Wire__Fetch *f)
 {
 	Wire__DocPush p;
 
+	if (m->map.rev > f->map_rev)
+		send_map(m);
 	if (!m->has_doc || m->doc_rev <= f->doc_rev)
 		return;
 	if (doc_push_init(&p, m->sections.count) == ERR_OK &&
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -323,6 +323,27 @@
 	c->recovering = 1;
 }
 
+void own_coord_correct_inherited(struct own_coord *c, uint32_t node_id,
+				 uint64_t incarnation)
+{
+	struct own_peer *p = own_coord_find(c, node_id);
+
+	if (!p)
+		own_coord_add_inherited(c, node_id, incarnation, 0, 0);
+	else if (!p->heard && !p->adding)
+		p->incarnation = incarnation;
+}
+
+void own_coord_drop_inherited(struct own_coord *c, uint32_t node_id)
+{
+	struct own_peer *p = own_coord_find(c, node_id);
+
+	if (!p || p->heard || p->adding)
+		return;
+	c->inherited_count -= p->inherited != 0;
+	own_coord_remove(c, node_id);
+}
+
 int own_coord_is_recovered(const struct own_coord *c, int64_t now_ms)
 {
 	if (c->phase != OWN_NORMAL ||
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -409,6 +409,14 @@
  * than those in the map may have grants and holds of earlier terms.
  */
 void own_coord_begin_recovery(struct own_coord *c);
+/*
+ * During a recovery: the node was in the roster of the predecessor, with this
+ * incarnation, or was not (drop). Nodes that were heard or replaced in this
+ * term stay as they are.
+ */
+void own_coord_correct_inherited(struct own_coord *c, uint32_t node_id,
+				 uint64_t incarnation);
+void own_coord_drop_inherited(struct own_coord *c, uint32_t node_id);
 /*
  * Returns 1 if all grants and holds of earlier terms are certain to have ended,
  * so that slots may be given to nodes by any map.
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -709,6 +709,54 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a recovery by the map of a copy although a member has a newer
+ * one: moves would be undone, and nodes that joined since the copy would not
+ * count among those that may be in a hold.
+ */
+static void test_adopt_map(void)
+{
+	Wire__MapDelta *d;
+	struct fixture f;
+	struct map newer;
+
+	setup(&f);
+	/* Since the copy, node 4 has joined and got slot 0, node 2 has left. */
+	map_init(&newer);
+	d = map_snapshot(&f.c.map);
+	g_assert_cmpint(map_apply(&newer, d), ==, ERR_OK);
+	map_delta_free(d);
+	add_member(&f, 4);
+	co_queue_slot(&f.c, 0, 4, "join");
+	co_member_find(&f.c, 4)->dirty = 1;
+	co_member_find(&f.c, 2)->removing = 1;
+	co_build_delta(&f.c);
+	g_assert_cmpint(map_apply(&newer, f.c.write.delta), ==, ERR_OK);
+	teardown(&f);
+
+	setup(&f);
+	co_recover(&f.c);
+	g_assert_true(co_is_recovering(&f.c));
+	co_queue_slot(&f.c, 1, 2, "target");
+	d = map_snapshot(&newer);
+	co_adopt_map(&f.c, co_member_find(&f.c, 1), d);
+	g_assert_cmpuint(f.c.map.rev, ==, newer.rev);
+	g_assert_cmpuint(f.c.map.slots[0].owner, ==, 4);
+	g_assert_nonnull(co_member_find(&f.c, 4));
+	g_assert_nonnull(own_coord_find(&f.c.own, 4));
+	g_assert_null(co_member_find(&f.c, 2));
+	g_assert_null(own_coord_find(&f.c.own, 2));
+	g_assert_cmpuint(f.c.own.inherited_count, ==, 3);
+	g_assert_cmpuint(f.c.next_id, >, 4);
+	g_assert_cmpuint(f.c.queue.slot_count, ==, 0);
+	/* A map that is not newer changes nothing. */
+	co_adopt_map(&f.c, co_member_find(&f.c, 1), d);
+	g_assert_cmpuint(HASH_COUNT(f.c.members), ==, 3);
+	map_delta_free(d);
+	map_finish(&newer);
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -728,5 +776,6 @@
 	g_test_add_func("/coord/document_of_member", test_document_of_member);
 	g_test_add_func("/coord/repeated_cancels", test_repeated_cancels);
 	g_test_add_func("/coord/standbys", test_standbys);
+	g_test_add_func("/coord/adopt_map", test_adopt_map);
 	return g_test_run();
 }
