--- a/membership/coord_restore.c
+++ b/membership/coord_restore.c
@@ -138,7 +138,7 @@
 	HASH_ITER(hh, c->map.nodes, n, next) {
 		m = co_member_find(c, n->id);
 		if (!m)
-			m = co_member_add(c, n->info);
+			co_member_add(c, n->info);
 		else if (!m->conn)
 			co_member_set_info(m, n->info);
 		c->next_id = MAX(c->next_id, n->id + 1);
