--- a/test/run/lib-restore.sh
+++ b/test/run/lib-restore.sh
@@ -27,6 +27,13 @@
 	[ ! -s "$WORK/missing.txt" ]
 }
 
+# Prints the number of ids that coordinators gave to nodes of different names.
+count_shared_ids() {
+	cat "$WORK"/*.log | sed -n \
+		's/.*event=node_joined name=\([^ ]*\) id=\([0-9]*\) .*/\2 \1/p' |
+		sort -u | cut -d' ' -f1 | uniq -d | wc -l
+}
+
 # within SECONDS COMMAND...: waits until the command succeeds and prints "yes";
 # prints "no" after the seconds.
 within() {
--- a/test/run/restored-owners-etcd.sh
+++ b/test/run/restored-owners-etcd.sh
@@ -1,6 +1,7 @@
-# Guards against two owners of a key, and against fences that go back, after the
-# store of the project's own interface was restored from a copy that is older
-# than moves of slots, and the coordinator and most daemons were lost.
+# Guards against two owners of a key, fences that go back, and ids that are given
+# to two nodes, after the store of the project's own interface was restored from
+# a copy that is older than moves of slots, and the coordinator and most daemons
+# were lost.
 . test/run/lib-proof.sh
 . test/run/lib-restore.sh
 add_proof_nodes
@@ -29,6 +30,11 @@
 for node in $victims; do
 	send_signal "daemon-$node" KILL
 done
+# A node that the coordinators have not seen yet.
+add_node n7 r0 dc7 rack7 kiln
+start_daemon n7
+start_target n7 --concurrency 20 --connections 60 --service-ms 5 \
+	--checks fence,deadline,sender
 for node in $victims; do
 	kill_processes "daemon-$node"
 	start_daemon "$node"
@@ -44,5 +50,6 @@
 }
 echo "served again within 15 s: $(within 15 requests_are_served)"
 wait_proof_load_end
+echo "ids given to two nodes: $(count_shared_ids)"
 print_proof_verdict --wait-ms 600000
 grep -E '^VIOLATION' "$WORK/verdict.txt" | cut -d' ' -f2 | sort | uniq -c >&2
