membership: a roster entry without a node ends no coordinator

Here an entry of the roster in the store whose node is missing decodes without an error, and co_member_add reads through the NULL pointer. The new coordinator ends, the next node is elected, reads the same value and ends as well, until no daemon is left.

test_odd_entries roster_entries shows it: before, the sanitizer stops the process in co_member_add. Entries without an id or a name, and an id that is there twice, were taken over; the second one hid the first, and counted twice in the majorities of holds.

Each entry is now checked before it is used. The roster is refused as a whole, with one line that names the key, the entry and the reason: a coordinator without one of its nodes would give away what that node still serves, and no key may have two owners.

--- a/membership/coord_load.c
+++ b/membership/coord_load.c
@@ -16,6 +16,20 @@
 	return strncmp(key, prefix, strlen(prefix)) == 0;
 }
 
+/* Returns why the entry cannot be a node of the roster; NULL if it can. */
+static const char *check_roster_entry(const struct coord *c,
+				      const Wire__RosterEntry *entry)
+{
+	if (!entry->node)
+		return "no_node";
+	if (!entry->node->id || !entry->node->name[0])
+		return "no_id_or_name";
+	/* It would count twice in the majorities of holds. */
+	if (co_member_find(c, entry->node->id))
+		return "id_twice";
+	return NULL;
+}
+
 static enum err load_roster(struct coord *c, const struct store_kv *kv)
 {
 	Wire__Roster *r = wire__roster__unpack(NULL, kv->value_len, kv->value);
@@ -26,12 +40,21 @@
 	c->next_id = r->next_id;
 	for (size_t i = 0; i < r->n_entries; i++) {
 		const Wire__RosterEntry *entry = r->entries[i];
-		struct co_member *m = co_member_add(c, entry->node);
+		const char *problem = check_roster_entry(c, entry);
+		struct co_member *m;
 
 		/*
 		 * A coordinator without part of the roster would give away what
 		 * the missing nodes still serve.
 		 */
+		if (problem) {
+			log_warn("roster_malformed",
+				 "key=%s entry=%zu reason=%s", LOG_Q(kv->key),
+				 i, problem);
+			e = ERR_MALFORMED;
+			break;
+		}
+		m = co_member_add(c, entry->node);
 		if (!m) {
 			e = ERR_NOMEM;
 			break;
--- /dev/null
+++ b/test/unit/test_odd_entries.c
@@ -0,0 +1,204 @@
+#include "common/clk.h"
+#include "membership/coord.h"
+#include "membership/membership_priv.h"
+#include "protocol/wire.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Odd values in the store and in calls from outside: malformed, out of range or
+ * of another type. None may end a process or stop it from following the rest.
+ */
+
+#define MAX_KEYS 8
+
+/* A store in memory whose calls answer at once. */
+struct fake_store {
+	struct store store; /* first member */
+	struct store_kv kvs[MAX_KEYS];
+	size_t count;
+	int64_t revision;
+	unsigned txns;
+};
+
+static void set_key(struct fake_store *s, const char *key, const void *value,
+		    size_t len)
+{
+	size_t i = 0;
+
+	while (i < s->count && strcmp(s->kvs[i].key, key) != 0)
+		i++;
+	g_assert_cmpuint(i, <, MAX_KEYS);
+	if (i == s->count)
+		s->count++;
+	g_free((void *)(uintptr_t)s->kvs[i].key);
+	g_free((void *)(uintptr_t)s->kvs[i].value);
+	s->kvs[i].key = g_strdup(key);
+	s->kvs[i].value = g_memdup2(len ? value : "", len ? len : 1);
+	s->kvs[i].value_len = len;
+	s->kvs[i].mod_revision = ++s->revision;
+}
+
+static void fake_range(struct store *store, const char *key, int prefix,
+		       store_range_fn fn, void *priv)
+{
+	struct fake_store *s = (struct fake_store *)store;
+	struct store_kv found[MAX_KEYS];
+	struct store_range r = { .kvs = found, .revision = s->revision };
+
+	for (size_t i = 0; i < s->count; i++) {
+		if (prefix ? g_str_has_prefix(s->kvs[i].key, key)
+			   : !strcmp(s->kvs[i].key, key))
+			found[r.count++] = s->kvs[i];
+	}
+	fn(ERR_OK, &r, priv);
+}
+
+static void fake_txn(struct store *store, const struct store_compare *compares,
+		     size_t compare_count, const struct store_put *puts,
+		     size_t put_count, store_txn_fn fn, void *priv)
+{
+	struct fake_store *s = (struct fake_store *)store;
+
+	s->txns++;
+	for (size_t i = 0; i < put_count; i++)
+		set_key(s, puts[i].key, puts[i].value, puts[i].value_len);
+	fn(ERR_OK, s->revision, priv);
+}
+
+static struct store_watch *fake_watch(struct store *s, const char *prefix,
+				      int64_t from_revision,
+				      const struct store_watch_ops *ops,
+				      void *priv)
+{
+	return (struct store_watch *)s;
+}
+
+static void fake_unwatch(struct store *s, struct store_watch *w)
+{
+}
+
+static const struct store_ops fake_ops = {
+	.range = fake_range,
+	.txn = fake_txn,
+	.watch = fake_watch,
+	.unwatch = fake_unwatch,
+};
+
+static void fake_store_init(struct fake_store *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->store.ops = &fake_ops;
+}
+
+static void fake_store_finish(struct fake_store *s)
+{
+	for (size_t i = 0; i < s->count; i++) {
+		g_free((void *)(uintptr_t)s->kvs[i].key);
+		g_free((void *)(uintptr_t)s->kvs[i].value);
+	}
+}
+
+/* ---- the state that a coordinator loads ---- */
+
+/* Elects a coordinator over the store; returns 1 if it becomes active. */
+static int load_coordinator(struct fake_store *s)
+{
+	static struct settings settings = { .name = "n1",
+					    .store_prefix = "/m/",
+					    .address = "127.0.0.1" };
+	struct ev_loop *loop = ev_loop_new(0);
+	struct coord_config config = { .loop = loop,
+				       .settings = &settings,
+				       .store = &s->store,
+				       .incarnation = 1 };
+	struct record known = { 0 };
+	static const struct dgram_ops no_ops;
+	struct dgram dgram;
+	struct coord *c;
+	struct cnt cnt;
+	int active;
+
+	cnt_init(&cnt);
+	config.cnt = &cnt;
+	config.dgram = &dgram;
+	g_assert_cmpint(
+		dgram_init(&dgram, loop, "127.0.0.1", 0, &no_ops, NULL, NULL),
+		==, ERR_OK);
+	g_assert_cmpint(coord_new(&c, &config), ==, ERR_OK);
+	coord_start_election(c, &known);
+	active = coord_is_active(c);
+	coord_free(c);
+	dgram_finish(&dgram);
+	cnt_finish(&cnt);
+	ev_loop_destroy(loop);
+	return active;
+}
+
+static void set_roster(struct fake_store *s, Wire__RosterEntry **entries,
+		       size_t count)
+{
+	Wire__Roster r = WIRE__ROSTER__INIT;
+	uint8_t packed[512];
+
+	r.next_id = 9;
+	r.entries = entries;
+	r.n_entries = count;
+	g_assert_cmpuint(wire__roster__get_packed_size(&r), <, sizeof(packed));
+	set_key(s, "/m/roster", packed, wire__roster__pack(&r, packed));
+}
+
+/*
+ * Guards against a roster that ends each coordinator that reads it (an entry
+ * without a node), or that counts a node twice in the majorities of holds. Such
+ * a roster is refused as a whole: without one of its nodes, a coordinator would
+ * give away what that node still serves.
+ */
+static void test_roster_entries(void)
+{
+	Wire__Node node = WIRE__NODE__INIT, nameless = WIRE__NODE__INIT;
+	Wire__Node without_id = WIRE__NODE__INIT, other = WIRE__NODE__INIT;
+	struct {
+		Wire__Node *second;
+		int loaded;
+	} cases[] = {
+		{ &other, 1 },	  { NULL, 0 },	      { &node, 0 },
+		{ &nameless, 0 }, { &without_id, 0 },
+	};
+
+	node.id = 3;
+	node.name = "n3";
+	node.address = "127.0.0.1";
+	node.peer_port = 8003;
+	node.incarnation = 3;
+	other = node;
+	other.id = 4;
+	other.name = "n4";
+	nameless = other;
+	nameless.name = "";
+	without_id = other;
+	without_id.id = 0;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Wire__RosterEntry a = WIRE__ROSTER_ENTRY__INIT;
+		Wire__RosterEntry b = WIRE__ROSTER_ENTRY__INIT;
+		Wire__RosterEntry *entries[] = { &a, &b };
+		struct fake_store s;
+
+		g_test_message("case %zu", i);
+		fake_store_init(&s);
+		a.node = &node;
+		b.node = cases[i].second;
+		set_roster(&s, entries, 2);
+		g_assert_cmpint(load_coordinator(&s), ==, cases[i].loaded);
+		fake_store_finish(&s);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/odd_entries/roster_entries", test_roster_entries);
+	return g_test_run();
+}
