membership: a malformed coordinator record is replaced

While the record under "coord" cannot be read, every node read it again every 50 ms, logged an error each time, and returned before the election: the coordinator finds that its record was replaced and steps down, no node takes office, and after the end of their grants no node serves its keys, until an operator deletes the record.

A node whose election is due now replaces such a record like one of a coordinator that does not answer, by comparing its revision. Its term is not known. Each term was written in a change of its own, so none is above the store's revision of the record: the election takes the term after that, or after the highest one seen. Elections are due as before, so a coordinator that is heard is not replaced. The line is written once for each value.

--- a/membership/membership_discovery.c
+++ b/membership/membership_discovery.c
@@ -198,6 +198,36 @@
 			0);
 }
 
+static void replace_record(struct membership *m, const struct record *r,
+			   int handover, int64_t now_ms)
+{
+	if (handover)
+		log_info("coordinator_without_store", "term=%llu",
+			 (unsigned long long)r->term);
+	schedule_election(m, now_ms, 0);
+	m->config.ops->start_election(r, m->config.priv);
+}
+
+/*
+ * Fills in a record for an election that replaces a malformed one, whose term
+ * is not known. Each term was written to the store in a change of its own, so
+ * none is above the revision.
+ */
+static void fill_unknown_record(struct membership *m, const struct store_kv *kv,
+				struct record *r)
+{
+	uint64_t revision = (uint64_t)kv->mod_revision;
+
+	r->mod_revision = kv->mod_revision;
+	r->term = revision > m->own.term ? revision : m->own.term;
+	/* Once for each value, since it is read until it is replaced. */
+	if (m->malformed_record_revision == kv->mod_revision)
+		return;
+	m->malformed_record_revision = kv->mod_revision;
+	log_warn("record_malformed", "key=%s revision=%lld bytes=%zu",
+		 LOG_Q(kv->key), (long long)kv->mod_revision, kv->value_len);
+}
+
 static void on_record(enum err e, const struct store_range *result, void *priv)
 {
 	struct membership *m = priv;
@@ -225,7 +255,9 @@
 		const struct store_kv *kv = &result->kvs[0];
 
 		if (record_parse(&r, kv->value, kv->value_len) != ERR_OK) {
-			log_error("record_malformed", "key=%s", kv->key);
+			fill_unknown_record(m, kv, &r);
+			if (replace)
+				replace_record(m, &r, handover, now_ms);
 			return;
 		}
 		r.mod_revision = kv->mod_revision;
@@ -255,13 +287,8 @@
 		return;
 	}
 	/* The record still names the coordinator that is to be replaced. */
-	if (replace) {
-		if (handover)
-			log_info("coordinator_without_store", "term=%llu",
-				 (unsigned long long)r.term);
-		schedule_election(m, now_ms, 0);
-		m->config.ops->start_election(&r, m->config.priv);
-	}
+	if (replace)
+		replace_record(m, &r, handover, now_ms);
 }
 
 static void read_record(struct membership *m, int64_t now_ms)
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -80,6 +80,7 @@
 	unsigned probe_replies;
 	int64_t record_read_at_ms; /* no read of the record before this */
 	int read_backoff_ms;
+	int64_t malformed_record_revision; /* of the last one logged */
 	unsigned connect_failures; /* connections lost or refused in a row */
 	uint64_t closed_bytes_in;
 	uint64_t closed_bytes_out;
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -104,17 +104,18 @@
 /* ---- the state that a coordinator loads ---- */
 
 /* Elects a coordinator over the store; returns 1 if it becomes active. */
-static int load_coordinator(struct fake_store *s)
+static int load_coordinator(struct fake_store *s, const struct record *known)
 {
 	static struct settings settings = { .name = "n1",
 					    .store_prefix = "/m/",
-					    .address = "127.0.0.1" };
+					    .address = "127.0.0.1",
+					    .peer_port = 8001,
+					    .admin_port = 8002 };
 	struct ev_loop *loop = ev_loop_new(0);
 	struct coord_config config = { .loop = loop,
 				       .settings = &settings,
 				       .store = &s->store,
 				       .incarnation = 1 };
-	struct record known = { 0 };
 	static const struct dgram_ops no_ops;
 	struct dgram dgram;
 	struct coord *c;
@@ -128,7 +129,7 @@
 		dgram_init(&dgram, loop, "127.0.0.1", 0, &no_ops, NULL, NULL),
 		==, ERR_OK);
 	g_assert_cmpint(coord_new(&c, &config), ==, ERR_OK);
-	coord_start_election(c, &known);
+	coord_start_election(c, known);
 	active = coord_is_active(c);
 	coord_free(c);
 	dgram_finish(&dgram);
@@ -184,6 +185,7 @@
 		Wire__RosterEntry a = WIRE__ROSTER_ENTRY__INIT;
 		Wire__RosterEntry b = WIRE__ROSTER_ENTRY__INIT;
 		Wire__RosterEntry *entries[] = { &a, &b };
+		struct record none = { 0 };
 		struct fake_store s;
 
 		g_test_message("case %zu", i);
@@ -191,14 +193,133 @@
 		a.node = &node;
 		b.node = cases[i].second;
 		set_roster(&s, entries, 2);
-		g_assert_cmpint(load_coordinator(&s), ==, cases[i].loaded);
+		g_assert_cmpint(load_coordinator(&s, &none), ==,
+				cases[i].loaded);
 		fake_store_finish(&s);
 	}
 }
 
+/* ---- the record of the coordinator ---- */
+
+/* What start_election got. */
+struct elections {
+	unsigned count;
+	struct record known;
+};
+
+static void on_start_election(const struct record *known, void *priv)
+{
+	struct elections *e = priv;
+
+	e->count++;
+	e->known = *known;
+}
+
+/* Reads the record as a node whose election is due; returns the elections. */
+static struct elections read_record(struct fake_store *s)
+{
+	static const struct membership_ops ops = {
+		.start_election = on_start_election,
+	};
+	struct settings settings = { .name = "n1",
+				     .store_prefix = "/m/",
+				     .address = "127.0.0.1" };
+	struct elections e = { 0 };
+	struct ev_loop *loop = ev_loop_new(0);
+	struct membership m = { .config = { .loop = loop,
+					    .settings = &settings,
+					    .store = &s->store,
+					    .incarnation = 1,
+					    .ops = &ops,
+					    .priv = &e } };
+
+	own_member_init(&m.own, 1);
+	m.last_tick_ms = clk_ms();
+	membership_discovery_tick(&m, clk_ms());
+	free(m.conn);
+	ev_loop_destroy(loop);
+	return e;
+}
+
+#define RECORD(term, address, peer_port)                            \
+	"{\"term\":" term ",\"node\":\"n2\",\"incarnation\":\"2\"," \
+	"\"address\":\"" address "\",\"peer_port\":" peer_port      \
+	",\"admin_port\":8002}"
+
+static const char *const odd_records[] = {
+	"",
+	"\xff\xfe",
+	"{\"term\":",
+	"[]",
+	"{}",
+	"{\"term\":7}",
+	RECORD("\"7\"", "10.0.0.2", "8000"),
+	RECORD("1e999", "10.0.0.2", "8000"),
+	RECORD("7.5", "10.0.0.2", "8000"),
+	RECORD("-7", "10.0.0.2", "8000"),
+	RECORD("0", "10.0.0.2", "8000"),
+	RECORD("99999999999999999999", "10.0.0.2", "8000"),
+	RECORD("7", "10.0.0.2\\u0000", "8000"),
+	RECORD("7", "10.0.0.2", "null"),
+};
+
+/* Arrays nested more deeply than the JSON parser goes. */
+static char *nest_deeply(void)
+{
+	GString *s = g_string_new(NULL);
+
+	for (int i = 0; i < 100000; i++)
+		g_string_append_c(s, '[');
+	return g_string_free(s, FALSE);
+}
+
+static void assert_replaced(const char *text)
+{
+	struct elections e;
+	struct fake_store s;
+	struct record r;
+
+	g_test_message("%.200s", text);
+	fake_store_init(&s);
+	s.revision = 40;
+	set_key(&s, "/m/coord", text, strlen(text));
+	e = read_record(&s);
+	g_assert_cmpuint(e.count, ==, 1);
+	g_assert_cmpint(e.known.mod_revision, ==, 41);
+	/* Each term was a write of its own, so none was above the revision. */
+	g_assert_cmpuint(e.known.term, >=, 41);
+	g_assert_true(load_coordinator(&s, &e.known));
+	g_assert_cmpint(record_parse(&r, s.kvs[0].value, s.kvs[0].value_len),
+			==, ERR_OK);
+	g_assert_cmpuint(r.term, >, 41);
+	fake_store_finish(&s);
+}
+
+/*
+ * Guards against a fleet that stays without a coordinator for as long as the
+ * record is malformed: each node read it again and again, and none replaced it.
+ */
+static void test_odd_records(void)
+{
+	char *deep = nest_deeply();
+	struct fake_store s;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_records); i++)
+		assert_replaced(odd_records[i]);
+	assert_replaced(deep);
+	g_free(deep);
+	/* A good record names the coordinator to follow. */
+	fake_store_init(&s);
+	set_key(&s, "/m/coord", RECORD("7", "10.0.0.2", "8000"),
+		strlen(RECORD("7", "10.0.0.2", "8000")));
+	g_assert_cmpuint(read_record(&s).count, ==, 0);
+	fake_store_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/odd_entries/roster_entries", test_roster_entries);
+	g_test_add_func("/odd_entries/odd_records", test_odd_records);
 	return g_test_run();
 }
