membership: a record with an unusable address, port or term is malformed

A record whose address is no IPv4 number, or whose port is -1, 65536 or 70000, was taken for a good one of a higher term: each node tried to follow it, could not, and returned before the election, so the fleet stayed without a coordinator. Port was cut to 8000. The term 2^63-1 was followed; its successor does not fit into the record's JSON, and members refuse every lower term.

test_odd_entries odd_records has ten such records; before, none of them was replaced.

record_parse now checks the address with addr_parse, the ports against 1 to 65535 (0 stays allowed for admin_port, which is no address to follow), and the term against 2^62, so that the terms after it can be written. What fails is malformed and is replaced like one.

--- a/membership/record.c
+++ b/membership/record.c
@@ -1,15 +1,22 @@
 #include "membership/record.h"
+#include "transport/addr.h"
 
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+static int is_port(json_int_t port)
+{
+	return port >= 1 && port <= 65535;
+}
+
 enum err record_parse(struct record *r, const uint8_t *text, size_t len)
 {
 	json_t *root = json_loadb((const char *)text, len, 0, NULL);
 	const char *node, *address, *incarnation;
 	json_int_t term, peer_port, admin_port;
+	struct sockaddr_in sa;
 	enum err e = ERR_MALFORMED;
 
 	memset(r, 0, sizeof(*r));
@@ -21,7 +28,11 @@
 			&admin_port) < 0)
 		goto out;
 	if (strlen(node) >= sizeof(r->node) ||
-	    strlen(address) >= sizeof(r->address) || term < 1)
+	    strlen(address) >= sizeof(r->address) || term < 1 ||
+	    term > RECORD_MAX_TERM)
+		goto out;
+	if (!is_port(peer_port) || (admin_port && !is_port(admin_port)) ||
+	    addr_parse(&sa, address, (unsigned)peer_port) != ERR_OK)
 		goto out;
 	r->term = (uint64_t)term;
 	snprintf(r->node, sizeof(r->node), "%s", node);
--- a/membership/record.h
+++ b/membership/record.h
@@ -12,6 +12,8 @@
  */
 
 #define RECORD_NAME_BYTES 64
+/* Terms above this are malformed: later ones must fit into 63 bits as well. */
+#define RECORD_MAX_TERM ((int64_t)1 << 62)
 
 struct record {
 	uint64_t term;
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -261,6 +261,16 @@
 	RECORD("99999999999999999999", "10.0.0.2", "8000"),
 	RECORD("7", "10.0.0.2\\u0000", "8000"),
 	RECORD("7", "10.0.0.2", "null"),
+	RECORD("9223372036854775807", "10.0.0.2", "8000"),
+	RECORD("7", "", "8000"),
+	RECORD("7", "nowhere", "8000"),
+	RECORD("7", "10.0.0", "8000"),
+	RECORD("7", "::1", "8000"),
+	RECORD("7", "10.0.0.2", "0"),
+	RECORD("7", "10.0.0.2", "-1"),
+	RECORD("7", "10.0.0.2", "65536"),
+	RECORD("7", "10.0.0.2", "70000"),
+	RECORD("7", "10.0.0.2", "4294975296"),
 };
 
 /* Arrays nested more deeply than the JSON parser goes. */
