platform: a watch passes over events that cannot be read

One event of the store without a readable key, revision or value made the whole answer to a watch malformed. The watch asked again after the same revision, got the same answer, and delivered nothing from then on, good events included: the node no longer followed the operator's value by itself.

test_odd_entries odd_events has 15 such events between two good ones; before, none was delivered and the second call continued at the same revision.

--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -1,7 +1,9 @@
 #include "common/clk.h"
 #include "membership/coord.h"
 #include "membership/membership_priv.h"
+#include "platform/kv.h"
 #include "protocol/wire.h"
+#include "transport/httpd.h"
 
 #include <glib.h>
 #include <stdlib.h>
@@ -326,10 +328,140 @@
 	fake_store_finish(&s);
 }
 
+/* ---- the platform's store ---- */
+
+/* The start of the fields of one item whose value is "v". */
+#define VALUE "\"value\":\"dg==\""
+#define GOOD(key, revision) \
+	"{\"key\":\"" key "\"," VALUE ",\"revision\":" revision "}"
+
+/* A server that gives one answer to the first call, and none to later ones. */
+struct server {
+	struct ev_loop *loop;
+	struct httpd httpd;
+	struct store *store;
+	const char *body;
+	unsigned calls;
+	char second_after[32]; /* where the second call continues */
+};
+
+static void on_request(struct httpd_request *r, void *priv)
+{
+	struct server *s = priv;
+	const char *after = httpd_get_argument(r, "after");
+
+	if (++s->calls == 1)
+		httpd_answer_text(r, 200, "application/json", s->body);
+	else if (s->calls == 2)
+		g_strlcpy(s->second_after, after ? after : "",
+			  sizeof(s->second_after));
+}
+
+static const struct httpd_ops server_ops = { .request = on_request };
+
+static void server_init(struct server *s, const char *body)
+{
+	char endpoint[64];
+
+	memset(s, 0, sizeof(*s));
+	s->loop = ev_loop_new(0);
+	s->body = body;
+	g_assert_cmpint(httpd_init(&s->httpd, s->loop, "127.0.0.1", 0, 100000,
+				   60, &server_ops, s, NULL),
+			==, ERR_OK);
+	g_snprintf(endpoint, sizeof(endpoint), "http://127.0.0.1:%u",
+		   httpd_port(&s->httpd));
+	g_assert_cmpint(kv_open(&s->store, s->loop, endpoint, 500, NULL), ==,
+			ERR_OK);
+}
+
+static void server_finish(struct server *s)
+{
+	s->store->ops->finish(s->store);
+	httpd_finish(&s->httpd);
+	ev_loop_destroy(s->loop);
+}
+
+static void run_until(struct ev_loop *loop, const unsigned *count,
+		      unsigned want)
+{
+	for (int i = 0; i < 5000 && *count < want; i++) {
+		ev_run(loop, EVRUN_NOWAIT);
+		g_usleep(1000);
+	}
+	g_assert_cmpuint(*count, >=, want);
+}
+
+static void on_event(const struct store_event *event, void *priv)
+{
+	g_string_append_printf(priv, "%s%s ", event->key,
+			       event->value ? "" : "-");
+}
+
+static void on_ended(enum err why, void *priv)
+{
+	g_string_append_printf(priv, "ended:%s", err_name(why));
+}
+
+static const struct store_watch_ops watch_ops = { .event = on_event,
+						  .ended = on_ended };
+
+/* Items and events that cannot be read, in a list with good ones. */
+static const char *const odd_items[] = {
+	"null",
+	"7",
+	"[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]",
+	"{}",
+	"{\"key\":7," VALUE ",\"revision\":5}",
+	"{\"key\":\"\"," VALUE ",\"revision\":5}",
+	"{\"key\":\"op/a\\u0000b\"," VALUE ",\"revision\":5}",
+};
+
+static const char *const odd_events[] = {
+	"{\"key\":\"op/x\"," VALUE "}",
+	"{\"key\":\"op/x\"," VALUE ",\"revision\":\"5\"}",
+	"{\"key\":\"op/x\"," VALUE ",\"revision\":5.5}",
+	"{\"key\":\"op/x\"," VALUE ",\"revision\":1e30}",
+	"{\"key\":\"op/x\",\"value\":7,\"revision\":5}",
+	"{\"key\":\"op/x\",\"value\":\"*\",\"revision\":5}",
+	"{\"key\":\"op/x\",\"value\":{\"a\":[]},\"revision\":5}",
+	"{\"key\":\"op/x\",\"removed\":true}",
+};
+
+static void add_items(GString *list, const char *const *items, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		g_string_append_printf(list, "%s,", items[i]);
+}
+
+/*
+ * Guards against a watch that stops to follow at an event that cannot be read:
+ * it asked for the same events again and again, and delivered none of them.
+ */
+static void test_odd_events(void)
+{
+	GString *seen = g_string_new(NULL);
+	GString *body = g_string_new("{\"events\":[" GOOD("op/1", "4") ",");
+	struct server s;
+
+	add_items(body, odd_items, G_N_ELEMENTS(odd_items));
+	add_items(body, odd_events, G_N_ELEMENTS(odd_events));
+	g_string_append(body, GOOD("op/2", "6") "],\"at\":9}");
+	server_init(&s, body->str);
+	s.store->ops->watch(s.store, "op/", 3, &watch_ops, seen);
+	run_until(s.loop, &s.calls, 2);
+	g_assert_cmpstr(seen->str, ==, "op/1 op/2 ");
+	g_assert_cmpstr(s.second_after, ==, "9");
+	server_finish(&s);
+	g_string_free(seen, TRUE);
+	g_string_free(body, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/odd_entries/roster_entries", test_roster_entries);
 	g_test_add_func("/odd_entries/odd_records", test_odd_records);
+	g_test_add_func("/odd_entries/odd_events", test_odd_events);
 	return g_test_run();
 }
