platform: a watch whose answers stay malformed ends

An answer to a watch that is no JSON, e.g. since one number in it exceeds 64 bits or a key is no UTF-8, was asked for again every second from the same revision, for as long as the store had that event. The node did not follow the operator's value by its watch meanwhile, and nothing in its log said so.

test_odd_entries odd_watch_answers has four such answers; before, the watch never ended.

--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -335,12 +335,13 @@
 #define GOOD(key, revision) \
 	"{\"key\":\"" key "\"," VALUE ",\"revision\":" revision "}"
 
-/* A server that gives one answer to the first call, and none to later ones. */
+/* A server that gives one answer, and leaves later calls without one. */
 struct server {
 	struct ev_loop *loop;
 	struct httpd httpd;
 	struct store *store;
 	const char *body;
+	unsigned answers; /* calls to answer, 1 unless a test changes it */
 	unsigned calls;
 	char second_after[32]; /* where the second call continues */
 };
@@ -350,7 +351,7 @@
 	struct server *s = priv;
 	const char *after = httpd_get_argument(r, "after");
 
-	if (++s->calls == 1)
+	if (++s->calls <= s->answers)
 		httpd_answer_text(r, 200, "application/json", s->body);
 	else if (s->calls == 2)
 		g_strlcpy(s->second_after, after ? after : "",
@@ -366,6 +367,7 @@
 	memset(s, 0, sizeof(*s));
 	s->loop = ev_loop_new(0);
 	s->body = body;
+	s->answers = 1;
 	g_assert_cmpint(httpd_init(&s->httpd, s->loop, "127.0.0.1", 0, 100000,
 				   60, &server_ops, s, NULL),
 			==, ERR_OK);
@@ -457,11 +459,51 @@
 	g_string_free(body, TRUE);
 }
 
+static void on_ended_count(enum err why, void *priv)
+{
+	g_assert_cmpint(why, ==, ERR_MALFORMED);
+	++*(unsigned *)priv;
+}
+
+static const struct store_watch_ops ended_ops = { .ended = on_ended_count };
+
+/*
+ * Guards against a watch that asks for the same answer forever if that is no
+ * JSON, e.g. because of one number: only a new watch, after a read, gets past
+ * the event. It must not end at once, since each one costs a read of the range.
+ */
+static void test_odd_watch_answers(void)
+{
+	static const char *const bodies[] = {
+		"{\"events\":[" GOOD("op/x", "1e999") "],\"at\":9}",
+		"{\"events\":[" GOOD("op/x",
+				     "99999999999999999999") "],"
+							     "\"at\":9}",
+		"{\"events\":[" GOOD("op/\xff\xfe", "5") "],\"at\":9}",
+		"{\"events\":[" GOOD("op/x", "5") "],\"at\":\"9\"}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		unsigned ended = 0;
+		struct server s;
+
+		g_test_message("%s", bodies[i]);
+		server_init(&s, bodies[i]);
+		s.answers = UINT_MAX;
+		s.store->ops->watch(s.store, "op/", 3, &ended_ops, &ended);
+		run_until(s.loop, &ended, 1);
+		g_assert_cmpuint(s.calls, >, 2);
+		server_finish(&s);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/odd_entries/roster_entries", test_roster_entries);
 	g_test_add_func("/odd_entries/odd_records", test_odd_records);
 	g_test_add_func("/odd_entries/odd_events", test_odd_events);
+	g_test_add_func("/odd_entries/odd_watch_answers",
+			test_odd_watch_answers);
 	return g_test_run();
 }
