platform: a range passes over items without a readable key

One item whose key is no text, empty, or has a NUL in it made the page of a range malformed. The call ended with a time-out each time: a new coordinator could not load its state, and the document's feed could not read the operator's value, for as long as another writer's item was under the prefix.

An item whose key can be read but not its value or revision still fails the range: a coordinator that missed the roster or a part of the map would give slots to a second owner. For the same reason, a page that promises more items but has no key to continue after fails the range; with none at all it counted as the end (incomplete_ranges).

--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -497,6 +497,92 @@
 	}
 }
 
+struct range_result {
+	unsigned done;
+	enum err e;
+	GString *keys;
+};
+
+static void on_range(enum err e, const struct store_range *r, void *priv)
+{
+	struct range_result *result = priv;
+
+	result->done++;
+	result->e = e;
+	for (size_t i = 0; i < r->count; i++)
+		g_string_append_printf(result->keys, "%s ", r->kvs[i].key);
+}
+
+/* Reads a range whose every page is body; returns the keys in result. */
+static void read_range(const char *body, struct range_result *result)
+{
+	struct server s;
+
+	g_test_message("%s", body);
+	result->done = 0;
+	result->keys = g_string_new(NULL);
+	server_init(&s, body);
+	s.answers = UINT_MAX;
+	s.store->ops->range(s.store, "op/", 1, on_range, result);
+	run_until(s.loop, &result->done, 1);
+	g_assert_cmpuint(s.calls, <=, 3);
+	server_finish(&s);
+}
+
+/*
+ * Guards against a range that is never read because of an item without a
+ * readable key, which can be none of the caller's.
+ */
+static void test_odd_items(void)
+{
+	GString *body = g_string_new("{\"items\":[" GOOD("op/1", "4") ",");
+	struct range_result r;
+
+	add_items(body, odd_items, G_N_ELEMENTS(odd_items));
+	g_string_append(body,
+			GOOD("op/2", "6") "],\"hasMore\":false,\"at\":9}");
+	read_range(body->str, &r);
+	g_assert_cmpint(r.e, ==, ERR_OK);
+	g_assert_cmpstr(r.keys->str, ==, "op/1 op/2 ");
+	g_string_free(r.keys, TRUE);
+	g_string_free(body, TRUE);
+}
+
+/*
+ * Guards against a range that lacks an item of the caller's and yet counts as
+ * read, since its value or revision is malformed or it is on a later page: a
+ * coordinator would take the roster or the map for absent. Also guards against
+ * a page without a readable key that is read again and again.
+ */
+static void test_incomplete_ranges(void)
+{
+	static const char *const odd[] = {
+		"{\"key\":\"op/x\"," VALUE "}",
+		"{\"key\":\"op/x\"," VALUE ",\"revision\":5.5}",
+		"{\"key\":\"op/x\",\"value\":7,\"revision\":5}",
+		"{\"key\":\"op/x\",\"value\":\"*\",\"revision\":5}",
+	};
+	struct range_result r;
+
+	read_range("{\"items\":[],\"hasMore\":true,\"at\":9}", &r);
+	g_assert_cmpint(r.e, !=, ERR_OK);
+	g_string_free(r.keys, TRUE);
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		char *body =
+			g_strdup_printf("{\"items\":[%s],\"at\":9}", odd[i]);
+
+		read_range(body, &r);
+		g_assert_cmpint(r.e, !=, ERR_OK);
+		g_string_free(r.keys, TRUE);
+		g_free(body);
+	}
+	read_range("{\"items\":[{\"key\":\"op/a\\u0000b\"," VALUE
+		   ",\"revision\":5}],\"hasMore\":true,\"at\":9}",
+		   &r);
+	g_assert_cmpint(r.e, !=, ERR_OK);
+	g_string_free(r.keys, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -505,5 +591,8 @@
 	g_test_add_func("/odd_entries/odd_events", test_odd_events);
 	g_test_add_func("/odd_entries/odd_watch_answers",
 			test_odd_watch_answers);
+	g_test_add_func("/odd_entries/odd_items", test_odd_items);
+	g_test_add_func("/odd_entries/incomplete_ranges",
+			test_incomplete_ranges);
 	return g_test_run();
 }
