daemon: an announcement of another service is no target of this node

An announcement that named a service that no document has, from another writer, was answered with 200 and took the place of the daemon's own target: the gate sent its requests for that service, and the target's own announcements counted as old, since the other one stated a later start. Callers got 503 until the daemon was started again.

The settings name the service of the target on this VM (node.service). If they do, an announcement of another one is refused with 400 and one line, like a malformed one, before it changes anything. Where they do not, as in the project's own demo, nothing changes.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -21,6 +21,19 @@
 	buf_finish(&b);
 }
 
+/* Returns ERR_OK if the announcement can be one of this node's target. */
+static enum err check_announcement(const struct node *n,
+				   const struct announcement *a,
+				   struct err_info *info)
+{
+	const char *service = n->settings->service;
+
+	if (service[0] && strcmp(a->service, service) != 0)
+		return err_set(info, ERR_RANGE,
+			       "service: not that of this node");
+	return ERR_OK;
+}
+
 static void handle_announce(struct node *n, struct httpd_request *r,
 			    const char *id)
 {
@@ -31,7 +44,8 @@
 	struct buf b;
 
 	if (n->interface->read_announcement(id, buf_text(&r->body), r->body.len,
-					    &a, &info) != ERR_OK) {
+					    &a, &info) != ERR_OK ||
+	    check_announcement(n, &a, &info) != ERR_OK) {
 		answer_malformed(r, &info);
 		return;
 	}
