daemon: a target's start in the far future is refused

The daemon gave up the running target, and refused each of its announcements as old from then on. Callers got 503 until the daemon was started again.

The run odd-announcements shows it ("start in the far future: 200, not served" before).

The target runs on the same VM, so its clock is the daemon's.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -7,6 +7,11 @@
 
 #define CONTROL_MAX_BODY_BYTES (64 * 1024)
 #define CONTROL_IDLE_S 30
+/*
+ * A target that states a start this long after this VM's clock has not started
+ * then. The margin only has to exceed any error of the clock.
+ */
+#define CONTROL_BORN_AHEAD_MS ((int64_t)24 * 3600 * 1000)
 
 static void answer_malformed(struct httpd_request *r,
 			     const struct err_info *info)
@@ -31,6 +36,9 @@
 	if (service[0] && strcmp(a->service, service) != 0)
 		return err_set(info, ERR_RANGE,
 			       "service: not that of this node");
+	/* No later announcement of the target would count as newer. */
+	if (a->born_ms > clk_wall_ms() + CONTROL_BORN_AHEAD_MS)
+		return err_set(info, ERR_RANGE, "start: in the future");
 	return ERR_OK;
 }
 
--- a/test/run/odd-announcements.sh
+++ b/test/run/odd-announcements.sh
@@ -45,3 +45,6 @@
 announce "no address" i-2 "$(fields localhost:80 desk "$now")"
 announce "no UTF-8" i-2 "$(fields $own $'d\xff' "$now")"
 announce "another service" i-9 "$(fields $own unknown "$now")"
+announce "start in the far future" i-2 \
+	"$(fields $own desk 9223372036854775807)"
+announce "start in two days" i-2 "$(fields $own desk $((now + 172800000)))"
