--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,9 @@
 WARN := -Wall -Wextra -Werror -Wno-unused-parameter
 CPPFLAGS += -I. -D_GNU_SOURCE $(PKG_CFLAGS)
 CFLAGS_rel := -O2 -g
-CFLAGS_san := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
-	-fno-sanitize-recover=undefined -DPROOF_SWITCHES
+CFLAGS_san := -O1 -g -fsanitize=address,undefined,float-cast-overflow \
+	-fno-omit-frame-pointer \
+	-fno-sanitize-recover=undefined,float-cast-overflow -DPROOF_SWITCHES
 CFLAGS += -std=gnu11 $(WARN) $(CFLAGS_$(VARIANT))
 CXXFLAGS += -std=c++17 -Wall -Wextra -Werror $(CFLAGS_$(VARIANT))
 LDLIBS := $(PKG_LIBS) -lev -lhttp_parser -lm -lpthread
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -1,6 +1,7 @@
 #include "common/clk.h"
 #include "membership/coord.h"
 #include "membership/membership_priv.h"
+#include "platform/document.h"
 #include "platform/kv.h"
 #include "platform/platform.h"
 #include "protocol/wire.h"
@@ -688,6 +689,102 @@
 	g_string_free(list, TRUE);
 }
 
+/* ---- the operator's configuration ---- */
+
+#define CONFIG(route, services)                                                   \
+	"{\"version\":\"0000000c\",\"routes\":{\"columns\":[\"name\","            \
+	"\"pathPrefix\",\"kind\",\"timeout\",\"priority\",\"service\","           \
+	"\"maxAttempts\",\"weightedClusters\"],\"rows\":[[\"ok\",\"/ok/\","       \
+	"\"idempotent\",null,1,\"cal\",2,null]" route                             \
+	"]},\"services\":{\"columns\":[\"name\",\"sharded\"],\"rows\":[" services \
+	"]}}"
+#define ROUTE(name, prefix, timeout, priority, attempts, split)             \
+	CONFIG(",[" name "," prefix ",\"idempotent\"," timeout "," priority \
+	       ",\"cal\"," attempts "," split "]",                          \
+	       "[\"cal\",true]")
+
+static const char *const odd_configs[] = {
+	"{",
+	"null",
+	"\xff\xfe",
+	"{\"routes\":[],\"services\":[]}",
+	"{\"routes\":{\"columns\":7,\"rows\":[]},\"services\":{}}",
+	CONFIG("", "null"),
+	CONFIG("", "[]"),
+	CONFIG("", "[7]"),
+	CONFIG("", "[\"\"]"),
+	CONFIG("", "[\"a b\"]"),
+	CONFIG("", "[\"a\\u0000\"]"),
+	CONFIG(",null", "[\"cal\"]"),
+	CONFIG(",[[[[[]]]]]", "[\"cal\"]"),
+	ROUTE("7", "\"/p/\"", "null", "1", "2", "null"),
+	ROUTE("\"r\"", "\"p\"", "null", "1", "2", "null"),
+	ROUTE("\"r\"", "[\"/p/\"]", "null", "1", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "7", "1", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "\"-1s\"", "1", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "\"1e999s\"", "1", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "\"9e300ms\"", "1", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "\"18446744073709552000ms\"", "1", "2",
+	      "null"),
+	ROUTE("\"r\"", "\"/p/\"", "\"601s\"", "1", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "\"1s\\u0000\"", "1", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "-1", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1.5", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "4294967296", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1e999", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "99999999999999999999", "2", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1", "4294967298", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1", "true", "null"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1", "2", "[7]"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1", "2", "[{}]"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1", "2",
+	      "[{\"service\":\"cal\",\"weight\":-1}]"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1", "2",
+	      "[{\"service\":\"cal\",\"weight\":4294967297}]"),
+	ROUTE("\"r\"", "\"/p/\"", "null", "1", "2",
+	      "[{\"service\":\"cal\",\"weight\":0.5}]"),
+};
+
+static enum err read_config(const char *text)
+{
+	struct doc_sections sections;
+	struct buf problems;
+	struct doc doc;
+	enum err e;
+
+	buf_init(&problems);
+	e = platform_document.read((const uint8_t *)text, strlen(text), &doc,
+				   &sections, &problems);
+	g_assert_cmpint(problems.len > 0, ==, e != ERR_OK);
+	if (e == ERR_OK) {
+		doc_finish(&doc);
+		doc_sections_finish(&sections);
+	}
+	buf_finish(&problems);
+	return e;
+}
+
+/*
+ * Guards against a configuration of which a part is cut or left out: it is
+ * refused as a whole, with a reason, and the one in force stays. Without one
+ * route, its requests would go where a shorter prefix points.
+ */
+static void test_odd_configs(void)
+{
+	char *deep = nest_deeply();
+
+	g_assert_cmpint(read_config(CONFIG("", "[\"cal\",true]")), ==, ERR_OK);
+	g_assert_cmpint(read_config(ROUTE("\"r\"", "\"/p/\"", "\"600s\"", "1",
+					  "2", "null")),
+			==, ERR_OK);
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_configs); i++) {
+		g_test_message("%s", odd_configs[i]);
+		g_assert_cmpint(read_config(odd_configs[i]), !=, ERR_OK);
+	}
+	g_assert_cmpint(read_config(deep), !=, ERR_OK);
+	g_free(deep);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -701,5 +798,6 @@
 			test_incomplete_ranges);
 	g_test_add_func("/odd_entries/odd_announcements",
 			test_odd_announcements);
+	g_test_add_func("/odd_entries/odd_configs", test_odd_configs);
 	return g_test_run();
 }
