store: a range passes over keys with a NUL in them

Keys of the project's own store are bytes. A key of another writer under the prefix with a NUL in it made each answer that lists it malformed: a new coordinator could not load its state, since the read of the prefix timed out each time, and a watch that met such a key ended.

test_odd_entries odd_etcd_keys shows both; before, the range and the message were malformed.

No key of the project has a NUL, so such a one is left out, with one line for each answer.

--- a/store/etcd_json.c
+++ b/store/etcd_json.c
@@ -1,4 +1,5 @@
 #include "store/etcd_json.h"
+#include "common/log.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -209,8 +210,13 @@
 	return ERR_OK;
 }
 
+/*
+ * Returns ERR_RANGE for a key with a NUL in it, which is another writer's: it
+ * is left out of lists.
+ */
 static enum err read_kv(const json_t *object, struct store_kv *kv)
 {
+	enum err e = ERR_MALFORMED;
 	size_t key_len;
 	char *key;
 
@@ -220,16 +226,17 @@
 	key = (char *)etcd_json_bytes(object, "key", &key_len);
 	kv->key = key;
 	kv->value = etcd_json_bytes(object, "value", &kv->value_len);
-	if (!key || !key_len || strlen(key) != key_len || !kv->value ||
-	    etcd_json_int64(object, "mod_revision", &kv->mod_revision) !=
-		    ERR_OK ||
-	    kv->mod_revision < 1) {
+	if (key && key_len && kv->value &&
+	    etcd_json_int64(object, "mod_revision", &kv->mod_revision) ==
+		    ERR_OK &&
+	    kv->mod_revision >= 1)
+		e = strlen(key) == key_len ? ERR_OK : ERR_RANGE;
+	if (e != ERR_OK) {
 		g_free(key);
 		g_free((void *)kv->value);
 		memset(kv, 0, sizeof(*kv));
-		return ERR_MALFORMED;
 	}
-	return ERR_OK;
+	return e;
 }
 
 void etcd_json_free_kvs(const struct store_kv *kvs, size_t count)
@@ -253,16 +260,23 @@
 {
 	size_t count = json_array_size(list);
 	struct store_kv *kvs = g_new0(struct store_kv, count + 1);
+	size_t used = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		if (read_kv(json_array_get(list, i), &kvs[i]) != ERR_OK) {
-			etcd_json_free_kvs(kvs, i);
+		enum err e = read_kv(json_array_get(list, i), &kvs[used]);
+
+		if (e == ERR_MALFORMED) {
+			etcd_json_free_kvs(kvs, used);
 			return ERR_MALFORMED;
 		}
+		used += e == ERR_OK;
 	}
-	qsort(kvs, count, sizeof(*kvs), compare_kv_keys);
+	if (used < count)
+		log_request(LOG_WARN, "keys_unreadable", "left_out=%zu of=%zu",
+			    count - used, count);
+	qsort(kvs, used, sizeof(*kvs), compare_kv_keys);
 	result->kvs = kvs;
-	result->count = count;
+	result->count = used;
 	return ERR_OK;
 }
 
@@ -321,9 +335,10 @@
 {
 	const char *type = json_string_value(json_object_get(object, "type"));
 	struct store_kv kv;
+	enum err e = read_kv(json_object_get(object, "kv"), &kv);
 
-	if (read_kv(json_object_get(object, "kv"), &kv) != ERR_OK)
-		return ERR_MALFORMED;
+	if (e != ERR_OK)
+		return e;
 	event->key = kv.key;
 	event->value = kv.value;
 	event->value_len = kv.value_len;
@@ -342,11 +357,17 @@
 
 	m->events = g_new0(struct store_event, count + 1);
 	for (size_t i = 0; i < count; i++) {
-		if (read_event(json_array_get(list, i), &m->events[i]) !=
-		    ERR_OK)
-			return ERR_MALFORMED;
-		m->event_count++;
+		enum err e = read_event(json_array_get(list, i),
+					&m->events[m->event_count]);
+
+		if (e == ERR_MALFORMED)
+			return e;
+		m->event_count += e == ERR_OK;
 	}
+	if (m->event_count < count)
+		log_request(LOG_WARN, "events_unreadable",
+			    "left_out=%zu of=%zu", count - m->event_count,
+			    count);
 	return ERR_OK;
 }
 
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -5,6 +5,7 @@
 #include "platform/kv.h"
 #include "platform/platform.h"
 #include "protocol/wire.h"
+#include "store/etcd_json.h"
 #include "transport/httpd.h"
 
 #include <glib.h>
@@ -585,6 +586,43 @@
 	g_string_free(r.keys, TRUE);
 }
 
+/* ---- the project's own store ---- */
+
+#define HEADER "\"header\":{\"revision\":\"5\"}"
+/* Keys "a", "b" and, with bytes that no key of the project has, "a\0b". */
+#define ETCD_KV(key) \
+	"{\"key\":\"" key "\",\"value\":\"dg==\",\"mod_revision\":\"2\"}"
+#define KEY_A ETCD_KV("YQ==")
+#define KEY_B ETCD_KV("Yg==")
+#define KEY_NUL ETCD_KV("YQBi")
+
+/*
+ * Guards against a range that is never read, and a watch that ends, because of
+ * another writer's key with a NUL in it.
+ */
+static void test_odd_etcd_keys(void)
+{
+	static const char range[] =
+		"{" HEADER ",\"kvs\":[" KEY_A "," KEY_NUL "," KEY_B "]}";
+	static const char message[] =
+		"{\"result\":{" HEADER ",\"events\":[{\"kv\":" KEY_A
+		"},{\"kv\":" KEY_NUL "},{\"kv\":" KEY_B "}]}}";
+	struct etcd_watch_message m;
+	struct store_range r;
+
+	g_assert_cmpint(etcd_json_read_range(range, strlen(range), &r), ==,
+			ERR_OK);
+	g_assert_cmpuint(r.count, ==, 2);
+	g_assert_cmpstr(r.kvs[0].key, ==, "a");
+	g_assert_cmpstr(r.kvs[1].key, ==, "b");
+	etcd_json_free_kvs(r.kvs, r.count);
+	g_assert_cmpint(etcd_json_read_watch(message, strlen(message), &m), ==,
+			ERR_OK);
+	g_assert_cmpuint(m.event_count, ==, 2);
+	g_assert_cmpstr(m.events[1].key, ==, "b");
+	etcd_json_free_watch(&m);
+}
+
 /* ---- announcements on the platform ---- */
 
 #define ANNOUNCE(address, slots, sequence, more)                            \
@@ -799,5 +837,6 @@
 	g_test_add_func("/odd_entries/odd_announcements",
 			test_odd_announcements);
 	g_test_add_func("/odd_entries/odd_configs", test_odd_configs);
+	g_test_add_func("/odd_entries/odd_etcd_keys", test_odd_etcd_keys);
 	return g_test_run();
 }
