membership: keys of other writers beside the map's are passed over

Any key under "map/log/" or "map/snap/" was taken for a part of the map. One that another writer left there, such as a copy with ".bak", made the map malformed for each newly elected coordinator: it stepped down with load_failed, and so did the next one.

A value under a key of that form, or the roster, that cannot be decoded still keeps the coordinator from taking office, as before: with a part of the state missing it would give slots to a second owner. The test has these cases as well.

--- a/membership/coord_load.c
+++ b/membership/coord_load.c
@@ -89,6 +89,24 @@
 	return e;
 }
 
+/*
+ * Returns 1 if the key is the prefix and a number of at least so many digits,
+ * as the coordinator writes it. Other keys under the prefix are not part of the
+ * map.
+ */
+static int is_numbered_key(const char *key, const char *prefix, size_t digits)
+{
+	const char *number = key + strlen(prefix);
+
+	if (!has_prefix(key, prefix))
+		return 0;
+	if (strlen(number) >= digits &&
+	    !number[strspn(number, "0123456789abcdef")])
+		return 1;
+	log_warn("map_key_unknown", "key=%s", LOG_Q(key));
+	return 0;
+}
+
 /*
  * Applies the snapshot, then the change records. The parts of a snapshot are
  * written in one transaction; concatenated, they are one encoded delta.
@@ -105,7 +123,7 @@
 	c->snapshot_parts = 0;
 	c->log_records = 0;
 	for (size_t i = 0; i < r->count && e == ERR_OK; i++) {
-		if (!has_prefix(r->kvs[i].key, snap))
+		if (!is_numbered_key(r->kvs[i].key, snap, 4))
 			continue;
 		c->snapshot_parts++;
 		e = buf_add(&bytes, r->kvs[i].value, r->kvs[i].value_len);
@@ -117,7 +135,7 @@
 	for (size_t i = 0; i < r->count && e == ERR_OK; i++) {
 		if (strcmp(r->kvs[i].key, head) == 0)
 			c->head_mod_revision = r->kvs[i].mod_revision;
-		if (!has_prefix(r->kvs[i].key, log))
+		if (!is_numbered_key(r->kvs[i].key, log, 16))
 			continue;
 		c->log_records++;
 		e = apply_packed_delta(c, r->kvs[i].value, r->kvs[i].value_len);
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -204,6 +204,44 @@
 	}
 }
 
+/*
+ * Guards against another writer's key beside those of the map that keeps every
+ * coordinator from loading it, and against a coordinator that leaves out a part
+ * of the map or the roster which it cannot read: slots would get a second
+ * owner.
+ */
+static void test_odd_state_keys(void)
+{
+	static const struct {
+		const char *key;
+		int loaded;
+	} cases[] = {
+		{ "/m/unknown", 1 },
+		{ "/m/map/log/", 1 },
+		{ "/m/map/log/0000000000000001.bak", 1 },
+		{ "/m/map/log/000000000000000X", 1 },
+		{ "/m/map/snap/0000~", 1 },
+		{ "/m/map/snap/readme", 1 },
+		{ "/m/roster.bak", 1 },
+		{ "/m/doc/head", 1 },
+		{ "/m/map/log/0000000000000001", 0 },
+		{ "/m/map/snap/0000", 0 },
+		{ "/m/roster", 0 },
+	};
+	struct record none = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_store s;
+
+		g_test_message("%s", cases[i].key);
+		fake_store_init(&s);
+		set_key(&s, cases[i].key, "\xff\xff\xff", 3);
+		g_assert_cmpint(load_coordinator(&s, &none), ==,
+				cases[i].loaded);
+		fake_store_finish(&s);
+	}
+}
+
 /* ---- the record of the coordinator ---- */
 
 /* What start_election got. */
@@ -838,5 +876,6 @@
 			test_odd_announcements);
 	g_test_add_func("/odd_entries/odd_configs", test_odd_configs);
 	g_test_add_func("/odd_entries/odd_etcd_keys", test_odd_etcd_keys);
+	g_test_add_func("/odd_entries/odd_state_keys", test_odd_state_keys);
 	return g_test_run();
 }
