--- a/daemon/control.c
+++ b/daemon/control.c
@@ -7,6 +7,11 @@
 
 #define CONTROL_MAX_BODY_BYTES (64 * 1024)
 #define CONTROL_IDLE_S 30
+/*
+ * A target that states a start this long after this VM's clock has not started
+ * then. The margin only has to exceed any error of the clock.
+ */
+#define CONTROL_BORN_AHEAD_MS ((int64_t)24 * 3600 * 1000)
 
 static void answer_malformed(struct httpd_request *r,
 			     const struct err_info *info)
@@ -21,6 +26,22 @@
 	buf_finish(&b);
 }
 
+/* Returns ERR_OK if the announcement can be one of this node's target. */
+static enum err check_announcement(const struct node *n,
+				   const struct announcement *a,
+				   struct err_info *info)
+{
+	const char *service = n->settings->service;
+
+	if (service[0] && strcmp(a->service, service) != 0)
+		return err_set(info, ERR_RANGE,
+			       "service: not that of this node");
+	/* No later announcement of the target would count as newer. */
+	if (a->born_ms > clk_wall_ms() + CONTROL_BORN_AHEAD_MS)
+		return err_set(info, ERR_RANGE, "start: in the future");
+	return ERR_OK;
+}
+
 static void handle_announce(struct node *n, struct httpd_request *r,
 			    const char *id)
 {
@@ -31,7 +52,8 @@
 	struct buf b;
 
 	if (n->interface->read_announcement(id, buf_text(&r->body), r->body.len,
-					    &a, &info) != ERR_OK) {
+					    &a, &info) != ERR_OK ||
+	    check_announcement(n, &a, &info) != ERR_OK) {
 		answer_malformed(r, &info);
 		return;
 	}
--- a/membership/coord_load.c
+++ b/membership/coord_load.c
@@ -16,6 +16,20 @@
 	return strncmp(key, prefix, strlen(prefix)) == 0;
 }
 
+/* Returns why the entry cannot be a node of the roster; NULL if it can. */
+static const char *check_roster_entry(const struct coord *c,
+				      const Wire__RosterEntry *entry)
+{
+	if (!entry->node)
+		return "no_node";
+	if (!entry->node->id || !entry->node->name[0])
+		return "no_id_or_name";
+	/* It would count twice in the majorities of holds. */
+	if (co_member_find(c, entry->node->id))
+		return "id_twice";
+	return NULL;
+}
+
 static enum err load_roster(struct coord *c, const struct store_kv *kv)
 {
 	Wire__Roster *r = wire__roster__unpack(NULL, kv->value_len, kv->value);
@@ -26,12 +40,21 @@
 	c->next_id = r->next_id;
 	for (size_t i = 0; i < r->n_entries; i++) {
 		const Wire__RosterEntry *entry = r->entries[i];
-		struct co_member *m = co_member_add(c, entry->node);
+		const char *problem = check_roster_entry(c, entry);
+		struct co_member *m;
 
 		/*
 		 * A coordinator without part of the roster would give away what
 		 * the missing nodes still serve.
 		 */
+		if (problem) {
+			log_warn("roster_malformed",
+				 "key=%s entry=%zu reason=%s", LOG_Q(kv->key),
+				 i, problem);
+			e = ERR_MALFORMED;
+			break;
+		}
+		m = co_member_add(c, entry->node);
 		if (!m) {
 			e = ERR_NOMEM;
 			break;
@@ -66,6 +89,25 @@
 	return e;
 }
 
+/*
+ * Returns 1 if the key is the prefix and a number of at least so many digits,
+ * as the coordinator writes it. Other keys under the prefix are not part of the
+ * map.
+ */
+static int is_numbered_key(const char *key, const char *prefix, size_t digits)
+{
+	const char *number;
+
+	if (!has_prefix(key, prefix))
+		return 0;
+	number = key + strlen(prefix);
+	if (strlen(number) >= digits &&
+	    !number[strspn(number, "0123456789abcdef")])
+		return 1;
+	log_warn("map_key_unknown", "key=%s", LOG_Q(key));
+	return 0;
+}
+
 /*
  * Applies the snapshot, then the change records. The parts of a snapshot are
  * written in one transaction; concatenated, they are one encoded delta.
@@ -82,7 +124,7 @@
 	c->snapshot_parts = 0;
 	c->log_records = 0;
 	for (size_t i = 0; i < r->count && e == ERR_OK; i++) {
-		if (!has_prefix(r->kvs[i].key, snap))
+		if (!is_numbered_key(r->kvs[i].key, snap, 4))
 			continue;
 		c->snapshot_parts++;
 		e = buf_add(&bytes, r->kvs[i].value, r->kvs[i].value_len);
@@ -94,7 +136,7 @@
 	for (size_t i = 0; i < r->count && e == ERR_OK; i++) {
 		if (strcmp(r->kvs[i].key, head) == 0)
 			c->head_mod_revision = r->kvs[i].mod_revision;
-		if (!has_prefix(r->kvs[i].key, log))
+		if (!is_numbered_key(r->kvs[i].key, log, 16))
 			continue;
 		c->log_records++;
 		e = apply_packed_delta(c, r->kvs[i].value, r->kvs[i].value_len);
