doc_head: the head tells the store's era in which it was written

A head that a restored store brings back cannot be told from one that an operator has written since: revisions of the store and of the document are given out again.

mpinctl writes the era of the store's answer into the head. A coordinator will write a document back after a restore; such a head is marked, since it does not claim to be the operators' newest. Heads of earlier versions have no era, and earlier versions ignore it. Nothing rests on the era yet.

test_doc: the new test head_era, and malformed eras in malformed_head.

--- a/config/doc.h
+++ b/config/doc.h
@@ -225,10 +225,15 @@
  * transaction as the sections that change. It is JSON: {"revision", "author",
  * "wall_ms", "attempt", "sections": {NAME: digest as 16 hexadecimal digits},
  * "recent": [{"revision", "author", "wall_ms", "attempt", "sections": [NAME],
- * "section_count"}]}. recent holds the last changes, the newest first,
- * including the one that wrote this head. An operator who got no answer from
- * the store finds the attempt there even after later changes, and one who lost
- * a race sees which changes came first.
+ * "section_count"}], "era", "written_back"}. recent holds the last changes, the
+ * newest first, including the one that wrote this head. An operator who got no
+ * answer from the store finds the attempt there even after later changes, and
+ * one who lost a race sees which changes came first.
+ *
+ * era is the store's era (store/store.h) in which the head was written, as
+ * decimal digits, since JSON numbers are signed. Heads of earlier versions have
+ * none. written_back is true if a coordinator wrote its own document back to a
+ * restored store; an operator's change removes it.
  */
 #define DOC_MAX_RECENT 16
 #define DOC_MAX_CHANGE_NAMES 8
@@ -255,6 +260,8 @@
 	struct doc_sections sections; /* names and digests; text is NULL */
 	struct doc_change recent[DOC_MAX_RECENT]; /* newest first */
 	uint32_t recent_count;
+	uint64_t era;	  /* 0: not known */
+	int written_back; /* by a coordinator */
 };
 
 /*
@@ -264,6 +271,15 @@
 enum err doc_head_parse(struct doc_head *h, const char *text, size_t len);
 /* Appends the head as JSON. */
 enum err doc_head_write(const struct doc_head *h, struct buf *out);
+/*
+ * Both compare the head with the present era of the store that has it, 0: not
+ * told. The first returns 1 if an operator wrote the head in this era, so that
+ * no other document is newer. The second returns 1 if the head is known to be
+ * from before a restore, or written back after one, so that its document may
+ * lack accepted changes, whose revisions are not known.
+ */
+int doc_head_is_newest(const struct doc_head *h, uint64_t era);
+int doc_head_may_lack_changes(const struct doc_head *h, uint64_t era);
 /* Frees the head's contents and empties it. */
 void doc_head_finish(struct doc_head *h);
 /*
--- a/config/doc_head.c
+++ b/config/doc_head.c
@@ -1,5 +1,6 @@
 #include "config/doc_internal.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -129,6 +130,26 @@
 	return ERR_OK;
 }
 
+/* Reads what heads of earlier versions do not have. */
+static enum err parse_era(struct doc_head *h, const json_t *root)
+{
+	const json_t *era = json_object_get(root, "era");
+	const json_t *written_back = json_object_get(root, "written_back");
+	const char *text = json_string_value(era);
+	char *end;
+
+	if (written_back && !json_is_boolean(written_back))
+		return ERR_MALFORMED;
+	h->written_back = json_is_true(written_back);
+	if (!era)
+		return ERR_OK;
+	if (!text || *text < '0' || *text > '9')
+		return ERR_MALFORMED;
+	errno = 0;
+	h->era = strtoull(text, &end, 10);
+	return *end || errno ? ERR_MALFORMED : ERR_OK;
+}
+
 enum err doc_head_parse(struct doc_head *h, const char *text, size_t len)
 {
 	struct doc_check c = { 0 };
@@ -147,6 +168,8 @@
 		e = parse_sections(h, json_object_get(root, "sections"));
 	if (e == ERR_OK)
 		e = parse_recent(h, json_object_get(root, "recent"));
+	if (e == ERR_OK)
+		e = parse_era(h, root);
 	json_decref(root);
 	if (e != ERR_OK)
 		doc_head_finish(h);
@@ -184,6 +207,20 @@
 			 (int)change->section_count, "sections", names);
 }
 
+static int add_era(json_t *root, const struct doc_head *h)
+{
+	char era[24];
+
+	if (!h->era)
+		return 0;
+	snprintf(era, sizeof(era), "%" PRIu64, h->era);
+	if (json_object_set_new(root, "era", json_string(era)))
+		return -1;
+	if (!h->written_back)
+		return 0;
+	return json_object_set_new(root, "written_back", json_true());
+}
+
 enum err doc_head_write(const struct doc_head *h, struct buf *out)
 {
 	json_t *recent = json_array();
@@ -198,7 +235,7 @@
 			 "wall_ms", (json_int_t)h->wall_ms, "attempt",
 			 h->attempt, "sections", sections_to_json(&h->sections),
 			 "recent", recent);
-	if (root)
+	if (root && !add_era(root, h))
 		text = json_dumps(root, DOC_JSON_COMPACT);
 	e = text ? buf_add(out, text, strlen(text)) : ERR_NOMEM;
 	free(text);
@@ -206,6 +243,16 @@
 	return e;
 }
 
+int doc_head_is_newest(const struct doc_head *h, uint64_t era)
+{
+	return era && h->era == era && !h->written_back;
+}
+
+int doc_head_may_lack_changes(const struct doc_head *h, uint64_t era)
+{
+	return era && h->era && (h->era != era || h->written_back);
+}
+
 void doc_head_finish(struct doc_head *h)
 {
 	doc_sections_finish(&h->sections);
--- a/ctl/commit.c
+++ b/ctl/commit.c
@@ -72,6 +72,8 @@
 	enum err e;
 
 	head.sections = *next;
+	head.era = base->era;
+	head.written_back = 0;
 	doc_head_add_change(&head, &txn->change);
 	e = doc_head_write(&head, &txn->head);
 	if (e != ERR_OK)
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -160,6 +160,7 @@
 /* The document in the store. Without one, all members are 0. */
 struct ctl_doc {
 	int64_t head_mod_revision; /* of doc/head in the store; 0: absent */
+	uint64_t era;		   /* of head_mod_revision */
 	struct doc_head head;
 	struct doc_sections sections;
 	enum err error; /* of the first record that cannot be parsed */
--- a/ctl/document.c
+++ b/ctl/document.c
@@ -27,6 +27,7 @@
 {
 	struct document_read *r = priv;
 
+	r->d->era = range->era;
 	for (size_t i = 0; i < range->count && r->d->error == ERR_OK; i++)
 		read_record(r, &range->kvs[i]);
 }
--- a/test/unit/test_doc.c
+++ b/test/unit/test_doc.c
@@ -452,6 +452,49 @@
 	buf_finish(&out);
 }
 
+/*
+ * Guards against an era that is lost or cut off, and against a head without one
+ * that counts as written in some era.
+ */
+static void test_head_era(void)
+{
+	struct doc_head h = { .revision = 1, .era = 0xfedcba9876543210 };
+	struct doc_head back;
+	struct buf out;
+
+	buf_init(&out);
+	g_assert_cmpint(doc_head_write(&h, &out), ==, ERR_OK);
+	g_assert_cmpint(doc_head_parse(&back, buf_text(&out), out.len), ==,
+			ERR_OK);
+	g_assert_cmpuint(back.era, ==, h.era);
+	g_assert_true(doc_head_is_newest(&back, h.era));
+	g_assert_false(doc_head_may_lack_changes(&back, h.era));
+	g_assert_false(doc_head_is_newest(&back, 7));
+	g_assert_true(doc_head_may_lack_changes(&back, 7));
+	g_assert_false(doc_head_is_newest(&back, 0));
+	g_assert_false(doc_head_may_lack_changes(&back, 0));
+	back.written_back = 1;
+	g_assert_false(doc_head_is_newest(&back, h.era));
+	g_assert_true(doc_head_may_lack_changes(&back, h.era));
+	buf_reset(&out);
+	g_assert_cmpint(doc_head_write(&back, &out), ==, ERR_OK);
+	doc_head_finish(&back);
+	g_assert_cmpint(doc_head_parse(&back, buf_text(&out), out.len), ==,
+			ERR_OK);
+	g_assert_true(back.written_back);
+	back.era = 0;
+	buf_reset(&out);
+	g_assert_cmpint(doc_head_write(&back, &out), ==, ERR_OK);
+	doc_head_finish(&back);
+	g_assert_cmpint(doc_head_parse(&back, buf_text(&out), out.len), ==,
+			ERR_OK);
+	g_assert_cmpuint(back.era, ==, 0);
+	g_assert_false(doc_head_is_newest(&back, 7));
+	g_assert_false(doc_head_may_lack_changes(&back, 7));
+	doc_head_finish(&back);
+	buf_finish(&out);
+}
+
 /* Guards against a malformed head that is accepted. */
 static void test_malformed_head(void)
 {
@@ -466,6 +509,20 @@
 		"\"t\",\"sections\":{},\"recent\":[{}]}",
 		"{\"revision\":1,\"author\":\"a\\u0007\",\"wall_ms\":1,"
 		"\"attempt\":\"t\",\"sections\":{}}",
+		"{\"revision\":1,\"author\":\"a\",\"wall_ms\":1,\"attempt\":"
+		"\"t\",\"sections\":{},\"era\":7}",
+		"{\"revision\":1,\"author\":\"a\",\"wall_ms\":1,\"attempt\":"
+		"\"t\",\"sections\":{},\"era\":\"\"}",
+		"{\"revision\":1,\"author\":\"a\",\"wall_ms\":1,\"attempt\":"
+		"\"t\",\"sections\":{},\"era\":\"-1\"}",
+		"{\"revision\":1,\"author\":\"a\",\"wall_ms\":1,\"attempt\":"
+		"\"t\",\"sections\":{},\"era\":\"7x\"}",
+		"{\"revision\":1,\"author\":\"a\",\"wall_ms\":1,\"attempt\":"
+		"\"t\",\"sections\":{},\"era\":"
+		"\"18446744073709551616\"}",
+		"{\"revision\":1,\"author\":\"a\",\"wall_ms\":1,\"attempt\":"
+		"\"t\",\"sections\":{},"
+		"\"written_back\":1}",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
@@ -524,6 +581,7 @@
 	g_test_add_func("/doc/malformed_sections", test_malformed_sections);
 	g_test_add_func("/doc/diff_ignores_order", test_diff_ignores_order);
 	g_test_add_func("/doc/head_changes", test_head_changes);
+	g_test_add_func("/doc/head_era", test_head_era);
 	g_test_add_func("/doc/malformed_head", test_malformed_head);
 	g_test_add_func("/doc/guide_is_current", test_guide_is_current);
 	return g_test_run();
