coord: the document is written back to a restored store

After the store was restored from a copy some seconds old, it kept an older document than the one that all nodes had in force: the coordinator refused its head, since the revision was not above its own, every two seconds and for ever. The next coordinator, or new processes, took the older document. A head whose revision in the store was equal to that of the last head was skipped, although the restored store had given the revision out again.

The coordinator now notes the era of the head that it has read. A head of an earlier era with a revision that is not above its own, or none, is replaced by its document in one transaction that compares the head. The head is marked as written back.

--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -1,4 +1,4 @@
-#include "membership/coord_priv.h"
+#include "membership/coord_doc_priv.h"
 #include "common/clk.h"
 #include "common/log.h"
 #include "membership/doc_push.h"
@@ -13,7 +13,7 @@
  * read, so that a lost or repeated event does no harm.
  */
 
-static void section_key(const struct coord *c, char *out, size_t size,
+void co_doc_section_key(const struct coord *c, char *out, size_t size,
 			const char *name)
 {
 	char key[DOC_NAME_BYTES + 32];
@@ -22,6 +22,8 @@
 	co_store_key(c, out, size, key);
 }
 
+static void read_doc(struct coord *c);
+
 static const struct store_kv *find_key(const struct store_range *r,
 				       const char *key)
 {
@@ -44,7 +46,7 @@
 		char key[DOC_NAME_BYTES + 128];
 		enum err e;
 
-		section_key(c, key, sizeof(key), want->name);
+		co_doc_section_key(c, key, sizeof(key), want->name);
 		kv = find_key(r, key);
 		if (!kv)
 			return ERR_NOT_FOUND;
@@ -121,9 +123,20 @@
 	m->doc_sent_rev = c->doc_rev;
 }
 
-/* Takes ownership of the sections, also if they are invalid. */
+void co_doc_note_stored(struct coord *c, const struct doc_head *head,
+			int64_t mod_revision, uint64_t era)
+{
+	c->doc_mod_revision = mod_revision;
+	c->doc_era = era;
+	c->doc_newest = doc_head_is_newest(head, era);
+}
+
+/*
+ * Takes ownership of the sections, also if they are invalid. The store is not
+ * known to have the document until co_doc_note_stored.
+ */
 static enum err replace_doc(struct coord *c, const struct doc_head *head,
-			    struct doc_sections *sections, int64_t mod_revision)
+			    struct doc_sections *sections)
 {
 	struct doc_sections old = c->sections;
 	uint64_t old_rev = c->doc_rev;
@@ -150,9 +163,14 @@
 	c->has_doc = 1;
 	c->sections = *sections;
 	c->doc_rev = head->revision;
-	c->doc_mod_revision = mod_revision;
-	log_info("document_read", "revision=%llu author=%s",
-		 (unsigned long long)head->revision, LOG_Q(head->author));
+	c->doc_mod_revision = 0;
+	c->doc_era = 0;
+	c->doc_newest = 0;
+	log_info("document_read",
+		 "revision=%llu author=%s written_era=%llu era=%llu",
+		 (unsigned long long)head->revision, LOG_Q(head->author),
+		 (unsigned long long)head->era,
+		 (unsigned long long)c->config.store->era);
 	push_changes(c, old_rev, &old);
 	doc_sections_finish(&old);
 	return ERR_OK;
@@ -177,7 +195,7 @@
 		doc_sections_finish(&copy);
 		return;
 	}
-	if (replace_doc(c, &head, &copy, 0) == ERR_OK)
+	if (replace_doc(c, &head, &copy) == ERR_OK)
 		c->placement_due = 1;
 }
 
@@ -270,7 +288,7 @@
 	}
 	co_store_key(c, key, sizeof(key), "doc/head");
 	kv = find_key(range, key);
-	if (!kv || kv->mod_revision == c->doc_mod_revision)
+	if (!kv)
 		return ERR_OK;
 	if (doc_head_parse(&head, (const char *)kv->value, kv->value_len) !=
 	    ERR_OK) {
@@ -281,8 +299,8 @@
 	if (e != ERR_OK) {
 		log_error("document_incomplete", "error=%s", err_name(e));
 		doc_sections_finish(&sections);
-	} else {
-		replace_doc(c, &head, &sections, kv->mod_revision);
+	} else if (replace_doc(c, &head, &sections) == ERR_OK) {
+		co_doc_note_stored(c, &head, kv->mod_revision, range->era);
 	}
 	doc_head_finish(&head);
 	return ERR_OK;
@@ -290,14 +308,6 @@
 
 /* ---- reading a change: the head, then the sections that differ ---- */
 
-struct doc_reading {
-	struct doc_head head;
-	int64_t mod_revision;
-	struct doc_sections sections; /* those read or reused so far */
-};
-
-static void read_doc(struct coord *c);
-
 static void finish_reading(struct coord *c)
 {
 	struct doc_reading *r = c->doc_reading;
@@ -313,11 +323,18 @@
 		read_doc(c);
 }
 
-static void apply_reading(struct coord *c)
+void co_doc_end_reading(struct coord *c, int reread)
+{
+	c->doc_reread_due |= reread;
+	finish_reading(c);
+}
+
+void co_doc_apply_reading(struct coord *c)
 {
 	struct doc_reading *r = c->doc_reading;
 
-	replace_doc(c, &r->head, &r->sections, r->mod_revision);
+	if (replace_doc(c, &r->head, &r->sections) == ERR_OK)
+		co_doc_note_stored(c, &r->head, r->mod_revision, r->era);
 	memset(&r->sections, 0, sizeof(r->sections));
 	co_services_update(c);
 	c->placement_due = 1;
@@ -368,7 +385,7 @@
 	char key[DOC_NAME_BYTES + 128];
 
 	if (!s) {
-		apply_reading(c);
+		co_doc_apply_reading(c);
 		return;
 	}
 	call = co_call_new(c, 0);
@@ -376,7 +393,7 @@
 		finish_reading(c);
 		return;
 	}
-	section_key(c, key, sizeof(key), s->name);
+	co_doc_section_key(c, key, sizeof(key), s->name);
 	c->config.store->ops->range(c->config.store, key, 0, on_section, call);
 }
 
@@ -394,6 +411,17 @@
 	}
 }
 
+static enum err parse_head(struct doc_reading *r,
+			   const struct store_range *range)
+{
+	r->era = range->era;
+	if (!range->count)
+		return ERR_OK;
+	r->mod_revision = range->kvs[0].mod_revision;
+	return doc_head_parse(&r->head, (const char *)range->kvs[0].value,
+			      range->kvs[0].value_len);
+}
+
 static void on_head(enum err e, const struct store_range *range, void *priv)
 {
 	struct coord *c = co_call_end(priv, NULL, NULL);
@@ -401,26 +429,28 @@
 
 	if (!c)
 		return;
-	if (e != ERR_OK || !range->count ||
-	    range->kvs[0].mod_revision == c->doc_mod_revision) {
+	r = e == ERR_OK ? calloc(1, sizeof(*r)) : NULL;
+	c->doc_reading = r;
+	if (!r) {
 		finish_reading(c);
 		return;
 	}
-	r = calloc(1, sizeof(*r));
-	if (!r ||
-	    doc_head_parse(&r->head, (const char *)range->kvs[0].value,
-			   range->kvs[0].value_len) != ERR_OK ||
-	    r->head.revision <= c->doc_rev) {
-		log_error("document_head_refused", "revision=%llu",
-			  (unsigned long long)(r ? r->head.revision : 0));
-		if (r)
-			doc_head_finish(&r->head);
-		free(r);
+	e = parse_head(r, range);
+	if (e != ERR_OK) {
+		log_error("document_head_malformed", "error=%s", err_name(e));
 		finish_reading(c);
 		return;
 	}
-	r->mod_revision = range->kvs[0].mod_revision;
-	c->doc_reading = r;
+	switch (co_doc_judge(c, r)) {
+	case CO_DOC_KEEP:
+		finish_reading(c);
+		return;
+	case CO_DOC_WRITE_BACK:
+		co_doc_write_back(c);
+		return;
+	case CO_DOC_TAKE:
+		break;
+	}
 	reuse_unchanged_sections(c, r);
 	read_next_section(c);
 }
@@ -486,6 +516,8 @@
 	c->doc_reread_due = 0;
 	finish_reading(c);
 	c->doc_mod_revision = 0;
+	c->doc_era = 0;
+	c->doc_newest = 0;
 }
 
 /*
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -222,10 +222,12 @@
 	uint64_t doc_frame_rev; /* revision of doc_frame; 0: none */
 	uint64_t map_frame_rev; /* revision of map_frame; 0: none */
 	uint64_t doc_rev;
-	int64_t doc_mod_revision;
+	int64_t doc_mod_revision; /* of its head in the store; 0: not there */
+	uint64_t doc_era;	  /* of doc_mod_revision */
+	int doc_newest;		  /* an operator wrote the head in that era */
 	struct store_watch *doc_watch;
 	int doc_read_pending; /* the head or a section is being read */
-	struct doc_reading *doc_reading; /* private to coord_doc.c */
+	struct doc_reading *doc_reading; /* private to coord_doc*.c */
 	int doc_reread_due;		 /* it changed while being read */
 	int64_t doc_fetch_at_ms;	 /* 0: no member has a newer document */
 
