coord: a change to a restored document is not refused

An operator who changed the document of a restored store got a revision that the nodes had seen with another content: the coordinator refused it for ever.

A head that an operator wrote in the store's present era is the newest word, whatever its revision. The coordinator gives its document a revision above all that it has seen, and above those that it cannot know of, by the store's number_floor, and writes the head with it. Only then is the document put in force: the head is compared, so that two coordinators cannot give one revision to two documents.

test_document_restore changed_after_restore failed on the sources before (no agreement after 8 s).

--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -385,7 +385,10 @@
 	char key[DOC_NAME_BYTES + 128];
 
 	if (!s) {
-		co_doc_apply_reading(c);
+		if (c->doc_reading->new_revision)
+			co_doc_write_renumbered(c);
+		else
+			co_doc_apply_reading(c);
 		return;
 	}
 	call = co_call_new(c, 0);
@@ -448,6 +451,9 @@
 	case CO_DOC_WRITE_BACK:
 		co_doc_write_back(c);
 		return;
+	case CO_DOC_RENUMBER:
+		r->new_revision = co_doc_unused_revision(c, &r->head);
+		break;
 	case CO_DOC_TAKE:
 		break;
 	}
--- a/membership/coord_doc_priv.h
+++ b/membership/coord_doc_priv.h
@@ -8,8 +8,10 @@
 /* A reading of the document from the store: the head, then its sections. */
 struct doc_reading {
 	struct doc_head head;
-	int64_t mod_revision;	      /* of the head; 0: absent */
-	uint64_t era;		      /* of mod_revision; 0: not told */
+	int64_t mod_revision; /* of the head; 0: absent */
+	uint64_t era;	      /* of mod_revision; 0: not told */
+	/* The revision under which it is written; 0: it is only read. */
+	uint64_t new_revision;
 	struct doc_sections sections; /* those read or reused so far */
 };
 
@@ -17,6 +19,7 @@
 enum co_doc_action {
 	CO_DOC_KEEP,	   /* nothing: the document in force stays */
 	CO_DOC_TAKE,	   /* put its document in force */
+	CO_DOC_RENUMBER,   /* the same, under a new revision */
 	CO_DOC_WRITE_BACK, /* write the document in force to the store */
 };
 
@@ -36,10 +39,16 @@
 
 /* Decides on the head of the reading. */
 enum co_doc_action co_doc_judge(struct coord *c, struct doc_reading *r);
+/* Returns a revision above all that any node may have seen. */
+uint64_t co_doc_unused_revision(const struct coord *c,
+				const struct doc_head *head);
 /*
- * Writes the document in force to the store, provided that the head has not
- * changed since it was read, and ends the reading.
+ * Both write to the store, provided that the head has not changed since it was
+ * read, and end the reading. The first writes the document in force, the second
+ * the head of the reading under its new revision, whose document is then put in
+ * force.
  */
 void co_doc_write_back(struct coord *c);
+void co_doc_write_renumbered(struct coord *c);
 
 #endif
--- a/membership/coord_doc_restore.c
+++ b/membership/coord_doc_restore.c
@@ -40,6 +40,18 @@
 	return 1;
 }
 
+static uint64_t highest_member_revision(const struct coord *c)
+{
+	const struct co_member *m, *tmp;
+	uint64_t rev = 0;
+
+	HASH_ITER(hh, c->members, m, tmp) {
+		if (m->doc_rev > rev)
+			rev = m->doc_rev;
+	}
+	return rev;
+}
+
 /* A head with a revision that is not above that of the document in force. */
 static enum co_doc_action judge_lower(struct coord *c,
 				      const struct doc_reading *r)
@@ -51,6 +63,8 @@
 		co_doc_note_stored(c, h, r->mod_revision, r->era);
 		return CO_DOC_KEEP;
 	}
+	if (newest && !(c->doc_newest && c->doc_era == r->era))
+		return CO_DOC_RENUMBER;
 	/* Within one era, a head without an era is no sign of a restore. */
 	if (r->era && !newest && (h->era || c->doc_era != r->era))
 		return CO_DOC_WRITE_BACK;
@@ -73,6 +87,21 @@
 	return judge_lower(c, r);
 }
 
+uint64_t co_doc_unused_revision(const struct coord *c,
+				const struct doc_head *head)
+{
+	const struct store *s = c->config.store;
+	uint64_t members = highest_member_revision(c);
+	uint64_t floor = s->ops->number_floor(s);
+	uint64_t rev = c->doc_rev;
+
+	if (head->revision > rev)
+		rev = head->revision;
+	if (members > rev)
+		rev = members;
+	return rev + 1 > floor ? rev + 1 : floor;
+}
+
 /* ---- writing the document in force ---- */
 
 struct write_back {
@@ -228,6 +257,7 @@
 	struct write_back w;
 	enum err e = write_back_init(c, &w, stored);
 
+	c->doc_reading->new_revision = c->doc_rev;
 	if (call && e == ERR_OK) {
 		c->config.store->ops->txn(c->config.store, &w.compare, 1,
 					  w.puts, w.put_count, on_written_back,
@@ -272,3 +302,65 @@
 	co_store_key(c, key, sizeof(key), "doc/");
 	c->config.store->ops->range(c->config.store, key, 1, on_stored, call);
 }
+
+/* ---- writing the newest document under a new revision ---- */
+
+/*
+ * The document is put in force only now: another coordinator may have given the
+ * revision to another document, and only one of them is written.
+ */
+static void on_renumbered(enum err e, int64_t revision, void *priv)
+{
+	struct coord *c = co_call_end(priv, NULL, NULL);
+	struct doc_reading *r;
+
+	if (!c)
+		return;
+	r = c->doc_reading;
+	if (e != ERR_OK) {
+		end_failed(c, e, "document_renumber_failed", r->head.revision);
+		return;
+	}
+	log_warn("document_renumbered",
+		 "revision=%llu era=%llu has_revision=%llu author=%s",
+		 (unsigned long long)r->head.revision,
+		 (unsigned long long)r->era, (unsigned long long)c->doc_rev,
+		 LOG_Q(r->head.author));
+	r->mod_revision = revision;
+	co_doc_apply_reading(c);
+}
+
+static void set_revision(struct doc_head *h, uint64_t revision)
+{
+	if (h->recent_count && h->recent[0].revision == h->revision)
+		h->recent[0].revision = revision;
+	h->revision = revision;
+}
+
+void co_doc_write_renumbered(struct coord *c)
+{
+	struct doc_reading *r = c->doc_reading;
+	struct co_call *call = co_call_new(c, 0);
+	struct store_compare compare = { .mod_revision = r->mod_revision };
+	struct store_put put = { 0 };
+	char key[KEY_BYTES];
+	struct buf text;
+
+	buf_init(&text);
+	co_store_key(c, key, sizeof(key), "doc/head");
+	set_revision(&r->head, r->new_revision);
+	if (call && doc_head_write(&r->head, &text) == ERR_OK) {
+		compare.key = key;
+		put.key = key;
+		put.value = text.data;
+		put.value_len = text.len;
+		c->config.store->ops->txn(c->config.store, &compare, 1, &put, 1,
+					  on_renumbered, call);
+	} else {
+		if (call)
+			co_call_end(call, NULL, NULL);
+		end_failed(c, ERR_NOMEM, "document_renumber_failed",
+			   r->new_revision);
+	}
+	buf_finish(&text);
+}
--- a/test/unit/test_document_restore.c
+++ b/test/unit/test_document_restore.c
@@ -296,6 +296,26 @@
 	stop(&f);
 }
 
+/*
+ * Guards against an operator's change to the restored document that is refused
+ * for ever, since the nodes had its revision with another content.
+ */
+static void test_changed_after_restore(void)
+{
+	struct fixture f;
+	char *text;
+
+	start_and_copy(&f);
+	ssrv_restore(&f.server, NULL);
+	write_document(&f, 2, 102, 0, present_era(&f));
+	wait_agreed(&f, 102);
+	g_assert_cmpuint(f.c->doc_rev, >, 3);
+	text = get_stored(&f, "/t/doc/head");
+	g_assert_null(strstr(text, "\"written_back\""));
+	g_free(text);
+	stop(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -304,5 +324,7 @@
 			test_same_mod_revision);
 	g_test_add_func("/document_restore/heads_without_era",
 			test_heads_without_era);
+	g_test_add_func("/document_restore/changed_after_restore",
+			test_changed_after_restore);
 	return g_test_run();
 }
