coord: the document lost by the store is fetched from a member

A coordinator that was elected after the store had been restored loaded the older document and kept it, although members had the newer one in force: on the project's own interface it fetched nothing from them.

It now follows members there as it does on the platform's interface, unless an operator wrote the document in force in the store's present era, and writes what it gets back to the store. If an operator did, the head is read once more, and if it is still the same, its document gets a revision above the members': what they have is from before the restore, and they would refuse the operator's.

test_document_restore document_of_member (no Fetch sent) and older_document_of_member (revision stayed 2) failed on the sources before.

--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -222,8 +222,9 @@
 /*
  * Asks a member for a document that is newer than this node's. A coordinator
  * that the store turns away learns of a change in this way alone, and so do the
- * other nodes that the store turns away. Normally this node reads a change as
- * soon as the others do.
+ * other nodes that the store turns away; and after a restore, only members may
+ * have what the store has lost. Normally this node reads a change as soon as
+ * the others do.
  */
 static void fetch_from_member(struct coord *c, int64_t now_ms)
 {
@@ -247,14 +248,76 @@
 	co_send(m, FRAME_FETCH, &f.base);
 }
 
+/* Returns 1 if the store has the operators' newest document, in force here. */
+static int is_newest_stored(const struct coord *c)
+{
+	return c->doc_newest && c->doc_era == c->config.store->era;
+}
+
+/*
+ * Follows members that have a newer document. If an operator wrote the document
+ * in force in the store's present era, it is newer than theirs in spite of its
+ * revision; the head is read once more to be sure.
+ */
+static void follow_members(struct coord *c, int64_t now_ms)
+{
+	if (!c->config.store->era || !find_newer_member(c)) {
+		c->doc_behind_ms = 0;
+		c->doc_fetch_at_ms = 0;
+		return;
+	}
+	if (!c->doc_behind_ms)
+		c->doc_behind_ms = now_ms;
+	if (!is_newest_stored(c)) {
+		fetch_from_member(c, now_ms);
+	} else if (now_ms >= c->doc_fetch_at_ms) {
+		c->doc_fetch_at_ms = now_ms + CO_DOC_FETCH_RETRY_MS;
+		read_doc(c);
+	}
+}
+
+/*
+ * Puts a member's document in force. Reading the head then finds that the store
+ * lacks it, or that an operator has written a newer one meanwhile.
+ */
+static void take_from_member(struct coord *c, const Wire__DocPush *p)
+{
+	struct doc_sections sections;
+	struct doc_head head = { .revision = p->rev };
+	enum err e;
+
+	if (is_newest_stored(c))
+		return;
+	e = doc_push_read(p, NULL, &sections);
+	if (e != ERR_OK) {
+		log_error("document_invalid", "error=%s revision=%llu",
+			  err_name(e), (unsigned long long)p->rev);
+		doc_sections_finish(&sections);
+		return;
+	}
+	log_warn("document_of_member",
+		 "revision=%llu has_revision=%llu era=%llu",
+		 (unsigned long long)p->rev, (unsigned long long)c->doc_rev,
+		 (unsigned long long)c->config.store->era);
+	if (replace_doc(c, &head, &sections) != ERR_OK)
+		return;
+	co_services_update(c);
+	c->placement_due = 1;
+	read_doc(c);
+}
+
 void co_on_doc_push(struct coord *c, const Wire__DocPush *p)
 {
 	struct doc_sections sections;
 	struct buf problems;
 	struct doc doc;
 
-	if (!c->config.offer_document || p->base_rev || p->rev <= c->doc_rev)
+	if (p->base_rev || p->rev <= c->doc_rev)
+		return;
+	if (!c->config.offer_document) {
+		take_from_member(c, p);
 		return;
+	}
 	buf_init(&problems);
 	if (doc_push_read(p, NULL, &sections) == ERR_OK &&
 	    doc_parse_sections(&doc, &sections, &problems) == ERR_OK) {
@@ -333,6 +396,11 @@
 {
 	struct doc_reading *r = c->doc_reading;
 
+	/* A member's document was put in force meanwhile. */
+	if (r->head.revision <= c->doc_rev) {
+		co_doc_end_reading(c, 1);
+		return;
+	}
 	if (replace_doc(c, &r->head, &r->sections) == ERR_OK)
 		co_doc_note_stored(c, &r->head, r->mod_revision, r->era);
 	memset(&r->sections, 0, sizeof(r->sections));
@@ -427,7 +495,8 @@
 
 static void on_head(enum err e, const struct store_range *range, void *priv)
 {
-	struct coord *c = co_call_end(priv, NULL, NULL);
+	int64_t asked_ms;
+	struct coord *c = co_call_end(priv, &asked_ms, NULL);
 	struct doc_reading *r;
 
 	if (!c)
@@ -444,7 +513,7 @@
 		finish_reading(c);
 		return;
 	}
-	switch (co_doc_judge(c, r)) {
+	switch (co_doc_judge(c, r, asked_ms)) {
 	case CO_DOC_KEEP:
 		finish_reading(c);
 		return;
@@ -509,6 +578,7 @@
 	c->doc_reread_due = 0;
 	c->doc_poll_at_ms = 0;
 	c->doc_fetch_at_ms = 0;
+	c->doc_behind_ms = 0;
 	co_doc_tick(c, clk_ms());
 }
 
@@ -544,6 +614,7 @@
 		fetch_from_member(c, now_ms);
 		return;
 	}
+	follow_members(c, now_ms);
 	if (now_ms < c->doc_poll_at_ms)
 		return;
 	c->doc_poll_at_ms = now_ms + CO_DOC_POLL_MS;
--- a/membership/coord_doc_priv.h
+++ b/membership/coord_doc_priv.h
@@ -37,8 +37,9 @@
 
 /* ---- coord_doc_restore.c ---- */
 
-/* Decides on the head of the reading. */
-enum co_doc_action co_doc_judge(struct coord *c, struct doc_reading *r);
+/* Decides on the head of the reading, which was asked for at asked_ms. */
+enum co_doc_action co_doc_judge(struct coord *c, struct doc_reading *r,
+				int64_t asked_ms);
 /* Returns a revision above all that any node may have seen. */
 uint64_t co_doc_unused_revision(const struct coord *c,
 				const struct doc_head *head);
--- a/membership/coord_doc_restore.c
+++ b/membership/coord_doc_restore.c
@@ -76,12 +76,21 @@
 	return CO_DOC_KEEP;
 }
 
-enum co_doc_action co_doc_judge(struct coord *c, struct doc_reading *r)
+enum co_doc_action co_doc_judge(struct coord *c, struct doc_reading *r,
+				int64_t asked_ms)
 {
 	if (!r->mod_revision)
 		return c->has_doc && r->era ? CO_DOC_WRITE_BACK : CO_DOC_KEEP;
-	if (r->era == c->doc_era && r->mod_revision == c->doc_mod_revision)
+	if (r->era == c->doc_era && r->mod_revision == c->doc_mod_revision) {
+		/*
+		 * The store still has the operator's newest document, so a
+		 * member's higher revision is from before the restore.
+		 */
+		if (c->doc_newest && c->doc_behind_ms &&
+		    asked_ms > c->doc_behind_ms)
+			return CO_DOC_RENUMBER;
 		return CO_DOC_KEEP;
+	}
 	if (r->head.revision > c->doc_rev)
 		return CO_DOC_TAKE;
 	return judge_lower(c, r);
@@ -240,6 +249,11 @@
 		end_failed(c, e, "document_write_back_failed", c->doc_rev);
 		return;
 	}
+	/* A member's document was put in force meanwhile. */
+	if (c->doc_rev != r->new_revision) {
+		co_doc_end_reading(c, 1);
+		return;
+	}
 	log_warn("document_written_back",
 		 "revision=%llu era=%llu store_revision=%llu store_era=%llu",
 		 (unsigned long long)c->doc_rev, (unsigned long long)r->era,
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -230,6 +230,7 @@
 	struct doc_reading *doc_reading; /* private to coord_doc*.c */
 	int doc_reread_due;		 /* it changed while being read */
 	int64_t doc_fetch_at_ms;	 /* 0: no member has a newer document */
+	int64_t doc_behind_ms;		 /* since when one has; 0: none */
 
 	struct co_slot *slots;
 	size_t slot_count;
--- a/test/unit/test_document_restore.c
+++ b/test/unit/test_document_restore.c
@@ -1,9 +1,11 @@
 #include "common/clk.h"
 #include "membership/coord_priv.h"
+#include "membership/doc_push.h"
 #include "standins/common_storesrv.h"
 
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /*
  * Tests what an elected coordinator does with the document when the store, a
@@ -22,6 +24,10 @@
 	struct cnt cnt;
 	struct dgram dgram;
 	struct coord *c;
+	/* The control connection of a member. */
+	struct tcp_conn ends[2];
+	struct co_conn conn;
+	unsigned fetches;
 };
 
 static const struct dgram_ops no_datagrams;
@@ -141,6 +147,76 @@
 	}
 }
 
+static void on_frame(struct tcp_conn *t, const struct frame *frame, void *priv)
+{
+	struct fixture *f = priv;
+
+	(void)t;
+	f->fetches += frame->type == FRAME_FETCH;
+}
+
+static void on_closed(struct tcp_conn *t, enum err why, void *priv)
+{
+	(void)t;
+	(void)why;
+	(void)priv;
+}
+
+static const struct tcp_ops control_ops = { .frame = on_frame,
+					    .closed = on_closed };
+
+/* Connects a member that has this document in force. */
+static struct co_member *add_member(struct fixture *f, uint64_t doc_rev)
+{
+	Wire__Node n = WIRE__NODE__INIT;
+	struct co_member *m;
+	struct own_peer *p;
+	int fds[2];
+
+	n.id = 7;
+	n.name = "n7";
+	n.address = "127.0.0.1";
+	n.peer_port = 9;
+	m = co_member_add(f->c, &n);
+	own_coord_add_inherited(&f->c->own, n.id, 1, 0, 0);
+	p = own_coord_find(&f->c->own, n.id);
+	p->heard = 1;
+	p->heard_ms = clk_ms();
+	/* It does not renew a grant, and must not be found lost. */
+	m->join = CO_JOIN_QUEUED;
+	m->doc_rev = doc_rev;
+	g_assert_cmpint(
+		socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds), ==,
+		0);
+	for (int i = 0; i < 2; i++)
+		tcp_conn_init_fd(&f->ends[i], f->loop, fds[i], &control_ops, f);
+	f->conn.c = f->c;
+	f->conn.tcp = &f->ends[0];
+	m->conn = &f->conn;
+	return m;
+}
+
+static void remove_member(struct fixture *f, struct co_member *m)
+{
+	m->conn = NULL;
+	for (int i = 0; i < 2; i++)
+		tcp_conn_finish(&f->ends[i]);
+}
+
+/* Delivers the member's document to the coordinator. */
+static void push_document(struct fixture *f, uint64_t revision, unsigned queue)
+{
+	struct doc_sections s = make_document(queue, 0);
+	Wire__DocPush p;
+
+	g_assert_cmpint(doc_push_init(&p, s.count), ==, ERR_OK);
+	g_assert_cmpint(doc_push_add_all(&p, &s), ==, ERR_OK);
+	p.rev = revision;
+	co_on_doc_push(f->c, &p);
+	doc_push_finish(&p);
+	doc_sections_finish(&s);
+}
+
 static void start_store(struct fixture *f)
 {
 	enum err e;
@@ -316,6 +392,66 @@
 	stop(&f);
 }
 
+/*
+ * Guards against a coordinator that was elected after the restore and leaves
+ * the older document in force here and in the store although a member has the
+ * newer one.
+ */
+static void test_document_of_member(void)
+{
+	struct co_member *m;
+	struct fixture f;
+
+	start_store(&f);
+	write_document(&f, 1, 101, 1, present_era(&f));
+	ssrv_take_copy(&f.server);
+	ssrv_restore(&f.server, NULL);
+	start_coordinator(&f);
+	m = add_member(&f, 3);
+	for (int i = 0; i < WAIT_MS && !f.fetches; i++)
+		run_ms(&f, 1);
+	g_assert_cmpuint(f.fetches, >, 0);
+	push_document(&f, 3, 103);
+	g_assert_true(is_in_force(&f, 103));
+	wait_agreed(&f, 103);
+	g_assert_cmpuint(f.c->doc_rev, ==, 3);
+	/* One that could not be reached before replaces what was written. */
+	m->doc_rev = 5;
+	push_document(&f, 5, 105);
+	wait_agreed(&f, 105);
+	g_assert_cmpuint(f.c->doc_rev, ==, 5);
+	remove_member(&f, m);
+	stop(&f);
+}
+
+/*
+ * Guards against a member's document from before the restore that replaces an
+ * operator's later change, and against members that refuse this change.
+ */
+static void test_older_document_of_member(void)
+{
+	struct co_member *m;
+	struct fixture f;
+
+	start_store(&f);
+	write_document(&f, 1, 101, 1, present_era(&f));
+	ssrv_take_copy(&f.server);
+	ssrv_restore(&f.server, NULL);
+	write_document(&f, 2, 102, 0, present_era(&f));
+	start_coordinator(&f);
+	wait_agreed(&f, 102);
+	push_document(&f, 3, 103);
+	g_assert_true(is_in_force(&f, 102));
+	m = add_member(&f, 3);
+	for (int i = 0; i < WAIT_MS && f.c->doc_rev <= 3; i++)
+		run_ms(&f, 1);
+	g_assert_cmpuint(f.c->doc_rev, >, 3);
+	wait_agreed(&f, 102);
+	g_assert_cmpuint(f.fetches, ==, 0);
+	remove_member(&f, m);
+	stop(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -326,5 +462,9 @@
 			test_heads_without_era);
 	g_test_add_func("/document_restore/changed_after_restore",
 			test_changed_after_restore);
+	g_test_add_func("/document_restore/document_of_member",
+			test_document_of_member);
+	g_test_add_func("/document_restore/older_document_of_member",
+			test_older_document_of_member);
 	return g_test_run();
 }
