--- a/membership/coord_restore.c
+++ b/membership/coord_restore.c
@@ -253,7 +253,7 @@
 		from_copy, (unsigned long long)c->map.rev,
 		(unsigned long long)base_rev);
 	if (from_copy) {
-		own_coord_end_recovery(&c->own, c->map.rev);
+		own_coord_end_recovery(&c->own, c->map.rev, clk_ms());
 		send_maps(c);
 	} else {
 		push_revision(c, base_rev);
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -352,13 +352,16 @@
 	return has_ended_on_all(c, now_ms);
 }
 
-void own_coord_end_recovery(struct own_coord *c, uint64_t floor_rev)
+void own_coord_end_recovery(struct own_coord *c, uint64_t floor_rev,
+			    int64_t now_ms)
 {
 	struct own_peer *p, *tmp;
 
 	c->recovering = 0;
 	HASH_ITER(hh, c->peers, p, tmp) {
 		p->floor_rev = floor_rev;
+		if (p->heard_ms && now_ms < p->heard_ms + c->times.grant_ms)
+			p->grant_end_ms = now_ms + c->times.grant_ms;
 	}
 }
 
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -422,8 +422,13 @@
  * so that slots may be given to nodes by any map.
  */
 int own_coord_is_recovered(const struct own_coord *c, int64_t now_ms);
-/* Gives grants again, by maps of revision floor_rev and higher. */
-void own_coord_end_recovery(struct own_coord *c, uint64_t floor_rev);
+/*
+ * Gives grants again, by maps of revision floor_rev and higher. A node that was
+ * heard during the recovery has the length of a grant to ask for one before it
+ * is declared lost.
+ */
+void own_coord_end_recovery(struct own_coord *c, uint64_t floor_rev,
+			    int64_t now_ms);
 /*
  * Returns 1 if the node's grant and hold are certain to have ended at least
  * extra_ms ago, so that its slots may be moved. Returns 0 as long as the
--- a/test/unit/test_document_restore.c
+++ b/test/unit/test_document_restore.c
@@ -253,7 +253,7 @@
 	e = etcd_open(&config.store, f->loop, endpoint, 1000, NULL);
 	g_assert_cmpint(e, ==, ERR_OK);
 	g_assert_cmpint(coord_new(&f->c, &config), ==, ERR_OK);
-	coord_start_election(f->c, &none);
+	coord_start_election(f->c, &none, 0);
 	for (int i = 0; i < WAIT_MS && !coord_is_active(f->c); i++)
 		run_ms(f, 1);
 	g_assert_true(coord_is_active(f->c));
--- a/test/unit/test_own.c
+++ b/test/unit/test_own.c
@@ -575,7 +575,8 @@
 		g_assert_false(is_lost(f, i, t + waited_ms + 60000));
 	}
 	g_assert_true(own_coord_is_recovered(&f->c, t + waited_ms));
-	own_coord_end_recovery(&f->c, 1000);
+	own_coord_end_recovery(&f->c, 1000, t + waited_ms);
+	g_assert_false(is_lost(f, 0, t + waited_ms + 1));
 	run_members(f, 3, t + waited_ms + 100, t + waited_ms + 100);
 	/* By the new map only. */
 	g_assert_false(may_serve(f, 0, t + waited_ms + 100));
