routing: log which check refuses a request with a 4xx status

The line request_end did not say which of twenty checks refused the request, and had no request id, host or path, since these were set only after the checks; and the parser's reason was dropped.

Change: each check names itself. request_refused states request id, status, check, the inputs (host, path, key, deadline, sizes) and the document (revision and number of routes); as a line of a request it is within the limit of log_request. The counter in_refused, by check and status, has no such limit.

Result: test_ingress refused_line fails without the line and passes with it.

--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -76,25 +76,28 @@
 }
 
 static void answer_not_run(struct httpd_request *r, struct ingress *in,
-			   enum err error)
+			   enum err error, const char *refused_by)
 {
 	struct in_request *q = request_new(in, r);
 
 	in->open_requests++;
-	if (q)
-		in_answer_error(q, OUTCOME_NOT_RUN, error, 0);
-	else
+	if (!q) {
 		in_answer_no_memory(in, r);
+		return;
+	}
+	q->refused_by = refused_by;
+	in_answer_error(q, OUTCOME_NOT_RUN, error, 0);
 }
 
 static void on_refuse(struct httpd_request *r, void *priv)
 {
-	answer_not_run(r, priv, ERR_CLOSED);
+	answer_not_run(r, priv, ERR_CLOSED, NULL);
 }
 
 static void on_reject(struct httpd_request *r, void *priv)
 {
-	answer_not_run(r, priv, r->error);
+	answer_not_run(r, priv, r->error,
+		       r->parser_error ? r->parser_error : "http");
 }
 
 /*
--- a/routing/ingress_answer.c
+++ b/routing/ingress_answer.c
@@ -135,6 +135,43 @@
 						 : 0));
 }
 
+static const char *header_or_dash(const struct in_request *q, const char *name)
+{
+	const char *text = name ? httpd_get_header(q->http, name) : NULL;
+
+	return text ? LOG_Q(text) : "-";
+}
+
+/*
+ * Counts a request that ends with a 4xx status of this daemon by the check that
+ * refused it, and logs what the check looked at. A caller whose request was
+ * proper can then tell a misread request from a document that differs.
+ */
+static void log_refused(const struct in_request *q, enum err error,
+			unsigned status)
+{
+	const char *by = q->refused_by ? q->refused_by : "attempt";
+	const struct ingress *in = q->in;
+	const struct doc *doc = in->view->ops->doc(in->view);
+	char labels[LABEL_BYTES];
+
+	snprintf(labels, sizeof(labels), "check=\"%s\",status=\"%u\"", by,
+		 status);
+	cnt_add(in->cnt, "in_refused", labels, 1);
+	log_request(LOG_INFO, "request_refused",
+		    "id=%s status=%u check=%s error=%s method=%s host=%s "
+		    "path=%s key=%s deadline=%s body=%zu headers=%zu "
+		    "doc_revision=%llu routes=%zu",
+		    header_or_dash(q, in->dialect->request_id), status, by,
+		    err_name(error), LOG_Q(q->http->method),
+		    header_or_dash(q, "Host"), LOG_Q(q->http->path),
+		    q->key ? LOG_Q(q->key) : "-",
+		    header_or_dash(q, in->dialect->deadline), q->http->body.len,
+		    q->http->field_count,
+		    (unsigned long long)(doc ? doc->revision : 0),
+		    doc ? doc->route_count : 0);
+}
+
 void in_log_abandoned(const struct in_request *q)
 {
 	log_request(LOG_INFO, "request_abandoned",
@@ -264,6 +301,8 @@
 	in_cancel_attempt(q);
 	count_answer(q, outcome, error);
 	log_request_end(q, outcome, error, status);
+	if (status < 500)
+		log_refused(q, error, status);
 	snprintf(body, sizeof(body), "%s %s\n", outcome_name(outcome),
 		 err_name(error));
 	add_router_headers(&h, q, outcome);
--- a/routing/ingress_parse.c
+++ b/routing/ingress_parse.c
@@ -11,6 +11,13 @@
 /* Covers PEER_DEADLINE_MARGIN_MS and the way to a gate in another region. */
 #define IN_TIMEOUT_MARGIN_MS 60
 
+/* Notes which check refuses the request. */
+static enum err refuse(struct in_request *q, enum err error, const char *check)
+{
+	q->refused_by = check;
+	return error;
+}
+
 /* Chooses one of the route's services at random, by their weights. */
 static const struct doc_service *choose_service(const struct doc *doc,
 						const struct doc_route *r)
@@ -100,14 +107,16 @@
 	enum err e;
 
 	if (!len)
-		return ERR_NO_KEY;
+		return refuse(q, ERR_NO_KEY, "key_missing");
 	if (len > IN_MAX_KEY_BYTES)
-		return ERR_MALFORMED;
+		return refuse(q, ERR_MALFORMED, "key_length");
 	q->key = malloc(len + 1);
 	if (!q->key)
 		return ERR_NOMEM;
 	e = decode_segment(start, len, q->key);
-	return e == ERR_OK && !q->key[0] ? ERR_NO_KEY : e;
+	if (e != ERR_OK)
+		return refuse(q, e, "key_escape");
+	return q->key[0] ? ERR_OK : refuse(q, ERR_NO_KEY, "key_missing");
 }
 
 struct header_search {
@@ -143,11 +152,13 @@
 
 	httpd_each_header(q->http, match_header, &f);
 	if (!f.count || !f.value[0])
-		return ERR_NO_KEY;
-	if (f.count > 1 || strlen(f.value) > IN_MAX_KEY_BYTES)
-		return ERR_MALFORMED;
+		return refuse(q, ERR_NO_KEY, "key_missing");
+	if (f.count > 1)
+		return refuse(q, ERR_MALFORMED, "key_twice");
+	if (strlen(f.value) > IN_MAX_KEY_BYTES)
+		return refuse(q, ERR_MALFORMED, "key_length");
 	if (s->key_source == DOC_KEY_NUMBER && !is_key_number(f.value))
-		return ERR_MALFORMED;
+		return refuse(q, ERR_MALFORMED, "key_number");
 	q->key = strdup(f.value);
 	return q->key ? ERR_OK : ERR_NOMEM;
 }
@@ -172,7 +183,7 @@
 		size_t digits = strspn(text, "0123456789");
 
 		if (!digits || text[digits] || digits > IN_MAX_DEADLINE_DIGITS)
-			return ERR_MALFORMED;
+			return refuse(q, ERR_MALFORMED, "deadline");
 		ms = strtoul(text, NULL, 10);
 	}
 	if (ms > max_ms)
@@ -189,7 +200,7 @@
 	if (!text)
 		text = IN_DEFAULT_TENANT;
 	if (!text[0] || strlen(text) >= sizeof(q->tenant))
-		return ERR_MALFORMED;
+		return refuse(q, ERR_MALFORMED, "tenant");
 	memcpy(q->tenant, text, strlen(text) + 1);
 	return ERR_OK;
 }
@@ -230,12 +241,14 @@
 
 	l->count++;
 	l->framing_headers += (unsigned)is_framing(name);
-	if (strlen(name) + strlen(value) > IN_MAX_HEADER_BYTES ||
-	    l->count > IN_MAX_HEADERS)
-		l->error = ERR_RANGE;
-	else if (!hdr_is_token(name) || !hdr_value_is_valid(value) ||
-		 l->framing_headers > 1)
-		l->error = ERR_MALFORMED;
+	if (strlen(name) + strlen(value) > IN_MAX_HEADER_BYTES)
+		l->error = refuse(l->q, ERR_RANGE, "header_length");
+	else if (l->count > IN_MAX_HEADERS)
+		l->error = refuse(l->q, ERR_RANGE, "header_count");
+	else if (!hdr_is_token(name) || !hdr_value_is_valid(value))
+		l->error = refuse(l->q, ERR_MALFORMED, "header");
+	else if (l->framing_headers > 1)
+		l->error = refuse(l->q, ERR_MALFORMED, "framing");
 	if (strcasecmp(name, "Connection") == 0)
 		buf_addf(&l->connection, "%s,", value);
 }
@@ -275,15 +288,17 @@
 	return l.error;
 }
 
-static enum err check_request_line(const struct in_request *q)
+static enum err check_request_line(struct in_request *q)
 {
 	const struct httpd_request *r = q->http;
+	enum err e;
 
 	if (!hdr_is_token(r->method) || strcmp(r->method, "CONNECT") == 0)
-		return ERR_MALFORMED;
+		return refuse(q, ERR_MALFORMED, "method");
 	if (!hdr_target_is_valid(r->path))
-		return ERR_MALFORMED;
-	return check_path(r->path);
+		return refuse(q, ERR_MALFORMED, "target");
+	e = check_path(r->path);
+	return e == ERR_MALFORMED ? refuse(q, e, "path") : e;
 }
 
 static char *header_or_empty(const struct in_request *q, const char *name)
@@ -341,7 +356,7 @@
 		return e;
 	q->has_service = 1;
 	if (q->http->body.len > s->body_bytes)
-		return ERR_TOO_LARGE;
+		return refuse(q, ERR_TOO_LARGE, "body_length");
 	e = find_key(q, s);
 	if (e == ERR_OK)
 		e = parse_deadline(q, max_wait_ms(s, r));
@@ -362,6 +377,10 @@
 		return e;
 	r = doc_find_route(doc, httpd_get_header(q->http, "Host"),
 			   q->http->path);
-	s = r ? choose_service(doc, r) : NULL;
-	return s ? parse_for_service(q, s, r) : ERR_NO_SERVICE;
+	if (!r)
+		return refuse(q, ERR_NO_SERVICE, "no_route");
+	s = choose_service(doc, r);
+	if (!s)
+		return refuse(q, ERR_NO_SERVICE, "no_service");
+	return parse_for_service(q, s, r);
 }
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -94,6 +94,11 @@
 	char owner_name[64];
 	unsigned attempt_count;
 	int may_have_run; /* by an earlier attempt with unknown outcome */
+	/*
+	 * Which check found the request not acceptable, a constant of
+	 * ingress_parse.c or a name of the HTTP parser; NULL: none did.
+	 */
+	const char *refused_by;
 	ev_timer timer;
 	struct in_request *prev;
 	struct in_request *next;
@@ -138,6 +143,7 @@
  *   ERR_TOO_LARGE   the body exceeds the service's limit;
  *   ERR_RANGE       the headers are too large or too many;
  *   ERR_NOMEM.
+ * Sets q->refused_by on an error other than ERR_NOMEM.
  */
 enum err in_parse(struct in_request *q, const struct doc *doc);
 
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -261,6 +261,65 @@
 	teardown(&f);
 }
 
+/* The last line of an event that was logged; "" if there was none. */
+static char refused_line[1024];
+
+static GLogWriterOutput keep_refused_line(GLogLevelFlags flags,
+					  const GLogField *fields, gsize count,
+					  gpointer data)
+{
+	for (gsize i = 0; i < count; i++) {
+		if (strcmp(fields[i].key, "MESSAGE") == 0 &&
+		    strstr(fields[i].value, "event=request_refused "))
+			g_strlcpy(refused_line, fields[i].value,
+				  sizeof(refused_line));
+	}
+	return g_log_writer_default(flags, fields, count, data);
+}
+
+/*
+ * Guards against a request that is refused without a trace: from the line must
+ * follow which check refused which request under which document.
+ */
+static void test_refused_line(void)
+{
+	static const struct httpc_header id[] = { { "X-Id", "r-17" } };
+	static const struct httpc_header deadline[] = {
+		{ "X-Id", "r-18" }, { "Monsoonpin-Deadline-Ms", "1x" }
+	};
+	struct dialect with_id = dialect_native;
+	struct fixture f;
+	struct caller c;
+
+	setup(&f);
+	with_id.request_id = "X-Id";
+	f.in->dialect = &with_id;
+	f.view.doc.revision = 41;
+	start_with(&f, &c, "GET", "/none/a", id, 1, NULL);
+	expect(&f, &c, 404, "not-run");
+	finish(&c);
+	g_assert_nonnull(strstr(refused_line,
+				"id=r-17 status=404 check=no_route "
+				"error=no_service method=GET host=127.0.0.1:"));
+	g_assert_nonnull(strstr(refused_line, " path=/none/a "));
+	g_assert_nonnull(strstr(refused_line, " doc_revision=41 routes=1"));
+	start_with(&f, &c, "GET", "/kiln/a", deadline, 2, NULL);
+	expect(&f, &c, 400, "not-run");
+	finish(&c);
+	g_assert_nonnull(strstr(refused_line,
+				"id=r-18 status=400 check=deadline "
+				"error=malformed method=GET"));
+	g_assert_nonnull(strstr(refused_line, " deadline=1x "));
+	g_assert_cmpuint(cnt_get(&f.cnt, "in_refused",
+				 "check=\"no_route\",status=\"404\""),
+			 ==, 1);
+	refused_line[0] = 0;
+	f.view.may_route_result = ERR_STALE;
+	expect_get(&f, "/kiln/a", 503, "not-run");
+	g_assert_cmpstr(refused_line, ==, "");
+	teardown(&f);
+}
+
 struct raw_client {
 	char data[4096];
 	size_t len;
@@ -975,10 +1034,12 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_log_set_writer_func(keep_refused_line, NULL, NULL);
 	g_test_add_func("/ingress/answered", test_answered);
 	g_test_add_func("/ingress/head", test_head);
 	g_test_add_func("/ingress/malformed", test_malformed);
 	g_test_add_func("/ingress/malformed_framing", test_malformed_framing);
+	g_test_add_func("/ingress/refused_line", test_refused_line);
 	g_test_add_func("/ingress/limits", test_limits);
 	g_test_add_func("/ingress/key", test_key);
 	g_test_add_func("/ingress/waits_for_owner", test_waits_for_owner);
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -46,6 +46,8 @@
 	 * headers exceed HTTPD_MAX_HEAD_BYTES), ERR_MALFORMED or ERR_NOMEM.
 	 */
 	enum err error;
+	/* The parser's name for that, e.g. "HPE_INVALID_METHOD"; else NULL. */
+	const char *parser_error;
 	void *priv; /* for use by the callbacks */
 
 	/* Maintained by the server; the callbacks may read them. */
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -84,6 +84,9 @@
 		return;
 	}
 	r->error = error;
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+		r->parser_error =
+			http_errno_name(HTTP_PARSER_ERRNO(&c->parser));
 	/* The texts of an unfinished head have no end. */
 	if (!c->headers_done)
 		r->field_count = 0;
