routing: an attempt's error never ends a request with a 4xx status

Cause: the status of a not-run request was made from the error alone. The same codes come from attempts: ERR_NO_SERVICE from an owner whose map lacks the service (returned once the wait for a newer map ends by the route's latency target), ERR_TOO_LARGE and ERR_MALFORMED from a link whose other end sends bytes that are no frame. Both say nothing of the request.

Change: only an error that one of the ingress' own checks noted (refused_by) gives a 4xx status; any other not-run error is 503 with Retry-After.

Result: test_ingress attempt_errors got 404 and 413 before and passes.

--- a/routing/ingress_answer.c
+++ b/routing/ingress_answer.c
@@ -150,7 +150,7 @@
 static void log_refused(const struct in_request *q, enum err error,
 			unsigned status)
 {
-	const char *by = q->refused_by ? q->refused_by : "attempt";
+	const char *by = q->refused_by;
 	const struct ingress *in = q->in;
 	const struct doc *doc = in->view->ops->doc(in->view);
 	char labels[LABEL_BYTES];
@@ -239,8 +239,15 @@
 	free(h.list);
 }
 
-static unsigned not_run_status(enum err error)
+/*
+ * The 4xx statuses say that the request itself is wrong, so only what the
+ * checks of this daemon found gives one. The same errors of an attempt tell of
+ * a map or a link between daemons, and the caller may try again.
+ */
+static unsigned not_run_status(const struct in_request *q, enum err error)
 {
+	if (!q->refused_by)
+		return 503;
 	switch (error) {
 	case ERR_MALFORMED:
 	case ERR_NO_KEY:
@@ -292,7 +299,7 @@
 void in_answer_error(struct in_request *q, enum wire_outcome outcome,
 		     enum err error, uint32_t retry_after_ms)
 {
-	unsigned status = outcome == OUTCOME_NOT_RUN ? not_run_status(error)
+	unsigned status = outcome == OUTCOME_NOT_RUN ? not_run_status(q, error)
 						     : unknown_status(error);
 	struct httpd_header list[IN_MAX_ROUTER_HEADERS];
 	struct answer_headers h = { .list = list };
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -750,6 +750,44 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a proper request that is ended as a wrong one (400, 404, 413)
+ * for what is wrong between the daemons: the owner's map lacks the service, or
+ * something else answers at its address.
+ */
+static void test_attempt_errors(void)
+{
+	struct fixture f;
+	struct remote_node o;
+	struct caller c;
+	unsigned port;
+	int fd, link;
+
+	setup(&f);
+	remote_node_init(&o, &f);
+	fake_set_owner(&f.view, 2);
+	map_finish(&o.view.map);
+	map_init(&o.view.map);
+	o.view.map.rev = f.view.map.rev;
+	/* A latency target ends the wait for a map before the deadline. */
+	f.view.doc_route.target_ms = 200;
+	start(&f, &c, "POST", "/kiln/a");
+	expect(&f, &c, 503, "not-run");
+	finish(&c);
+	remote_node_finish(&o);
+	fd = fake_listen(&port);
+	fake_set_node(&f.view, 2, "n02", port);
+	start(&f, &c, "POST", "/kiln/a");
+	fake_pause(f.loop, 50);
+	link = accept(fd, NULL, NULL);
+	fake_write(link, "HTTP/1.1 400 Bad Request\r\n\r\n");
+	expect(&f, &c, 503, "not-run");
+	finish(&c);
+	close(link);
+	close(fd);
+	teardown(&f);
+}
+
 /* Guards against requests that fail while a lost owner is replaced. */
 static void test_lost_owner(void)
 {
@@ -1050,6 +1088,7 @@
 	g_test_add_func("/ingress/shed", test_shed);
 	g_test_add_func("/ingress/target_sheds", test_target_sheds);
 	g_test_add_func("/ingress/remote", test_remote);
+	g_test_add_func("/ingress/attempt_errors", test_attempt_errors);
 	g_test_add_func("/ingress/lost_owner", test_lost_owner);
 	g_test_add_func("/ingress/route_timeout", test_route_timeout);
 	g_test_add_func("/ingress/reroute_budget", test_reroute_budget);
