--- a/config/doc.h
+++ b/config/doc.h
@@ -32,7 +32,11 @@
 #define DOC_NAME_BYTES 64
 #define DOC_MAX_SERVICES 256
 #define DOC_MAX_SHARDS 65536
-#define DOC_MAX_ROUTES 4096
+/*
+ * More than a value of 1 MB, the most that a store holds, has room for: the
+ * users' store accepts every configuration of that size.
+ */
+#define DOC_MAX_ROUTES 65536
 #define DOC_MAX_DESTINATIONS 64
 #define DOC_HOST_BYTES 128
 /* Keys of DOC_KEY_NUMBER are the numbers from 0 to DOC_KEY_NUMBERS - 1. */
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -304,6 +304,51 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a configuration that the store accepts and the nodes refuse
+ * for its number of routes: they would keep an older one, and answer 404 for
+ * the routes that were added (day grown-config, seed 1: DENIED and CONFIG with
+ * 4,324 routes).
+ */
+static void test_many_routes(void)
+{
+	static const char head[] =
+		"{\"version\":\"0000000c\",\"routes\":{\"columns\":["
+		"\"name\",\"host\",\"pathPrefix\",\"kind\",\"service\"],"
+		"\"rows\":[";
+	static const char tail[] = "]},\"services\":{\"columns\":[\"name\"],"
+				   "\"rows\":[[\"s\"]]}}";
+	GString *text = g_string_new(head);
+	struct doc_sections sections;
+	struct buf problems;
+	const struct doc_route *r;
+	struct doc doc;
+	char path[32];
+	size_t count;
+
+	for (count = 0; text->len + 128 < STORE_MAX_VALUE_BYTES; count++)
+		g_string_append_printf(
+			text, "%s[\"%zu\",\"h\",\"/%zu/\",\"upload\",\"s\"]",
+			count ? "," : "", count, count);
+	g_string_append(text, tail);
+	g_assert_cmpuint(text->len, <=, STORE_MAX_VALUE_BYTES);
+	g_assert_cmpuint(count, >, 20000);
+	buf_init(&problems);
+	g_assert_cmpint(platform_document.read((const uint8_t *)text->str,
+					       text->len, &doc, &sections,
+					       &problems),
+			==, ERR_OK);
+	g_snprintf(path, sizeof(path), "/%zu/x", count - 1);
+	r = doc_find_route(&doc, "h", path);
+	g_assert_nonnull(r);
+	g_assert_cmpuint(strlen(r->prefix), ==, strlen(path) - 1);
+	g_assert_cmpuint(doc.route_count, ==, count);
+	doc_finish(&doc);
+	doc_sections_finish(&sections);
+	buf_finish(&problems);
+	g_string_free(text, TRUE);
+}
+
 /*
  * Guards against accepting a configuration with missing or invalid parts, and
  * against rejecting it without saying why.
@@ -487,6 +532,7 @@
 	g_test_add_func("/kv/outage", test_outage);
 	g_test_add_func("/kv/too_many_entries", test_too_many_entries);
 	g_test_add_func("/platform/feed", test_feed);
+	g_test_add_func("/platform/many_routes", test_many_routes);
 	g_test_add_func("/platform/malformed_documents",
 			test_malformed_documents);
 	g_test_add_func("/platform/announcement", test_announcement);
