config: binary search in the sections of a document

The sections are sorted by name, and were searched from the start: reading a configuration and comparing two of them for a push took time by the square of their number, in which the event loop stands still.

--- a/config/doc_sections.c
+++ b/config/doc_sections.c
@@ -8,11 +8,17 @@
 /* Returns the index of the first item whose name is not less than name. */
 static size_t find_position(const struct doc_sections *s, const char *name)
 {
-	size_t i = 0;
+	size_t low = 0, high = s->count;
 
-	while (i < s->count && strcmp(s->items[i].name, name) < 0)
-		i++;
-	return i;
+	while (low < high) {
+		size_t mid = (low + high) / 2;
+
+		if (strcmp(s->items[mid].name, name) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
 }
 
 const struct doc_section *doc_sections_get(const struct doc_sections *s,
