routing, httpc: one header may be as long as the whole head

What callers saw: 431 for a request with one header of more than 8,000 bytes, though the operators' configuration allows 16,384 bytes of headers.

Cause: httpc wrote each header into a buffer of 8,192 bytes, and the ingress refused what would not fit there.

--- a/routing/ingress_parse.c
+++ b/routing/ingress_parse.c
@@ -241,9 +241,8 @@
 
 	l->count++;
 	l->framing_headers += (unsigned)is_framing(name);
-	if (strlen(name) + strlen(value) > IN_MAX_HEADER_BYTES)
-		l->error = refuse(l->q, ERR_RANGE, "header_length");
-	else if (l->count > IN_MAX_HEADERS)
+	/* The HTTP server limits the length of the whole head. */
+	if (l->count > IN_MAX_HEADERS)
 		l->error = refuse(l->q, ERR_RANGE, "header_count");
 	else if (!hdr_is_token(name) || !hdr_value_is_valid(value))
 		l->error = refuse(l->q, ERR_MALFORMED, "header");
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -19,8 +19,6 @@
 #define IN_TENANT_BYTES 64
 #define IN_DEFAULT_TENANT "default"
 #define IN_MAX_KEY_BYTES 1024
-/* Name and value of one header; httpc can send a header of this size. */
-#define IN_MAX_HEADER_BYTES 8000
 #define IN_MAX_HEADERS 256
 
 /* Limits the table of budgets, since owners come and go. */
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -384,6 +384,37 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a proper request that is refused for one long header: the
+ * operators' limit is on the whole head, 16,384 bytes.
+ */
+static void test_long_header(void)
+{
+	struct raw_client raw_client = { 0 };
+	struct fixture f;
+	char *value = g_strnfill(16000, 'x');
+	char *text = g_strdup_printf(
+		"GET /kiln/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+		"X-Long: %s\r\n\r\n",
+		value);
+	int fd;
+
+	setup(&f);
+	fd = connect_to(httpd_port(&f.in->http));
+	fake_write(fd, text);
+	ev_io_init(&raw_client.io, on_raw_client, fd, EV_READ);
+	raw_client.io.data = &raw_client;
+	ev_io_start(f.loop, &raw_client.io);
+	fake_wait(f.loop, &raw_client.closed, 1);
+	g_assert_true(g_str_has_prefix(raw_client.data, "HTTP/1.1 200 "));
+	g_assert_cmpuint(f.target.runs, ==, 1);
+	g_assert_nonnull(strstr(f.target.last_request, value));
+	close(fd);
+	g_free(text);
+	g_free(value);
+	teardown(&f);
+}
+
 /* Guards against limits that are not applied and invalid values accepted. */
 static void test_limits(void)
 {
@@ -1078,6 +1109,7 @@
 	g_test_add_func("/ingress/malformed", test_malformed);
 	g_test_add_func("/ingress/malformed_framing", test_malformed_framing);
 	g_test_add_func("/ingress/refused_line", test_refused_line);
+	g_test_add_func("/ingress/long_header", test_long_header);
 	g_test_add_func("/ingress/limits", test_limits);
 	g_test_add_func("/ingress/key", test_key);
 	g_test_add_func("/ingress/waits_for_owner", test_waits_for_owner);
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -435,26 +435,34 @@
 	return ERR_OK;
 }
 
+/* Appends one header to the list that is sent. */
+static enum err add_header_line(struct httpc_request *r, struct buf *line,
+				const struct httpc_header *h)
+{
+	struct curl_slist *list;
+
+	/* libcurl drops "Name:"; "Name;" sends an empty value. */
+	buf_reset(line);
+	if (buf_addf(line, h->value[0] ? "%s: %s" : "%s;", h->name, h->value) !=
+	    ERR_OK)
+		return ERR_NOMEM;
+	list = curl_slist_append(r->header_list, buf_text(line));
+	if (!list)
+		return ERR_NOMEM;
+	r->header_list = list;
+	return ERR_OK;
+}
+
 static enum err add_headers(struct httpc_request *r)
 {
-	for (size_t i = 0; i < r->header_count; i++) {
-		const struct httpc_header *h = &r->headers[i];
-		struct curl_slist *list;
-		char line[8192];
-		int len;
-
-		/* libcurl drops "Name:"; "Name;" sends an empty value. */
-		len = snprintf(line, sizeof(line),
-			       h->value[0] ? "%s: %s" : "%s;", h->name,
-			       h->value);
-		if (len < 0 || (size_t)len >= sizeof(line))
-			return ERR_TOO_LARGE;
-		list = curl_slist_append(r->header_list, line);
-		if (!list)
-			return ERR_NOMEM;
-		r->header_list = list;
-	}
-	return suppress_default_headers(r);
+	enum err e = ERR_OK;
+	struct buf line;
+
+	buf_init(&line);
+	for (size_t i = 0; e == ERR_OK && i < r->header_count; i++)
+		e = add_header_line(r, &line, &r->headers[i]);
+	buf_finish(&line);
+	return e == ERR_OK ? suppress_default_headers(r) : e;
 }
 
 static void set_method(struct httpc_request *r)
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -137,8 +137,7 @@
 void httpc_finish(struct httpc *c);
 /*
  * Starts a request. On ERR_OK, done() is called later, never from inside this
- * call. Returns ERR_NOMEM, ERR_TOO_LARGE (a header is longer than 8 KiB) or
- * ERR_SYSTEM without a later callback.
+ * call. Returns ERR_NOMEM or ERR_SYSTEM without a later callback.
  */
 enum err httpc_start(struct httpc *c, struct httpc_request *r);
 /*
