config: the head of a document may list as many sections as a document has

Each route is a section of its own, and the head's limits counted services only.

Change: the limits count services, routes and the stops.

Result: test_doc head_of_many_routes (2,000 routes) failed before and passes.

--- a/config/doc.h
+++ b/config/doc.h
@@ -37,6 +37,8 @@
  * users' store accepts every configuration of that size.
  */
 #define DOC_MAX_ROUTES 65536
+/* Services, routes and the stops. */
+#define DOC_MAX_SECTIONS (DOC_MAX_SERVICES + DOC_MAX_ROUTES + 1)
 #define DOC_MAX_DESTINATIONS 64
 #define DOC_HOST_BYTES 128
 /* Keys of DOC_KEY_NUMBER are the numbers from 0 to DOC_KEY_NUMBERS - 1. */
--- a/config/doc_head.c
+++ b/config/doc_head.c
@@ -68,7 +68,7 @@
 	json_t *value;
 
 	if (!json_is_object(sections) ||
-	    json_object_size(sections) > DOC_MAX_SERVICES + 1)
+	    json_object_size(sections) > DOC_MAX_SECTIONS)
 		return ERR_MALFORMED;
 	json_object_foreach((json_t *)sections, name, value) {
 		uint64_t digest;
@@ -95,8 +95,7 @@
 	if (e != ERR_OK)
 		return e;
 	if (get_integer(value, "section_count", &section_count) != ERR_OK ||
-	    section_count > 2 * (DOC_MAX_SERVICES + 1) ||
-	    !json_is_array(names) ||
+	    section_count > 2 * DOC_MAX_SECTIONS || !json_is_array(names) ||
 	    json_array_size(names) > DOC_MAX_CHANGE_NAMES ||
 	    (int64_t)json_array_size(names) > section_count)
 		return ERR_MALFORMED;
--- a/test/unit/test_doc.c
+++ b/test/unit/test_doc.c
@@ -452,6 +452,38 @@
 	buf_finish(&out);
 }
 
+/*
+ * Guards against a document with many routes that can be written and not read
+ * again: each route is a section of its own.
+ */
+static void test_head_of_many_routes(void)
+{
+	struct doc_change change = { .revision = 1, .wall_ms = 5 };
+	struct doc_head h = { 0 };
+	struct doc_head back;
+	struct buf out;
+
+	g_snprintf(change.attempt, sizeof(change.attempt), "t-1");
+	g_snprintf(change.author, sizeof(change.author), "ada");
+	for (int i = 0; i < 2000; i++) {
+		char name[DOC_NAME_BYTES];
+
+		g_snprintf(name, sizeof(name), "route/r%04d", i);
+		doc_sections_set(&h.sections, name, "{}", 2);
+		doc_change_add_section(&change, name);
+	}
+	doc_head_add_change(&h, &change);
+	buf_init(&out);
+	g_assert_cmpint(doc_head_write(&h, &out), ==, ERR_OK);
+	g_assert_cmpint(doc_head_parse(&back, buf_text(&out), out.len), ==,
+			ERR_OK);
+	g_assert_cmpuint(back.sections.count, ==, 2000);
+	g_assert_cmpuint(back.recent[0].section_count, ==, 2000);
+	doc_head_finish(&back);
+	doc_head_finish(&h);
+	buf_finish(&out);
+}
+
 /* Guards against a malformed head that is accepted. */
 static void test_malformed_head(void)
 {
@@ -524,6 +556,7 @@
 	g_test_add_func("/doc/malformed_sections", test_malformed_sections);
 	g_test_add_func("/doc/diff_ignores_order", test_diff_ignores_order);
 	g_test_add_func("/doc/head_changes", test_head_changes);
+	g_test_add_func("/doc/head_of_many_routes", test_head_of_many_routes);
 	g_test_add_func("/doc/malformed_head", test_malformed_head);
 	g_test_add_func("/doc/guide_is_current", test_guide_is_current);
 	return g_test_run();
