--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -19,8 +19,6 @@
 #define IN_TENANT_BYTES 64
 #define IN_DEFAULT_TENANT "default"
 #define IN_MAX_KEY_BYTES 1024
-/* Name and value of one header; httpc can send a header of this size. */
-#define IN_MAX_HEADER_BYTES 8000
 #define IN_MAX_HEADERS 256
 
 /* Limits the table of budgets, since owners come and go. */
@@ -94,6 +92,11 @@
 	char owner_name[64];
 	unsigned attempt_count;
 	int may_have_run; /* by an earlier attempt with unknown outcome */
+	/*
+	 * Which check found the request not acceptable, a constant of
+	 * ingress_parse.c or a name of the HTTP parser; NULL: none did.
+	 */
+	const char *refused_by;
 	ev_timer timer;
 	struct in_request *prev;
 	struct in_request *next;
@@ -138,6 +141,7 @@
  *   ERR_TOO_LARGE   the body exceeds the service's limit;
  *   ERR_RANGE       the headers are too large or too many;
  *   ERR_NOMEM.
+ * Sets q->refused_by on an error other than ERR_NOMEM.
  */
 enum err in_parse(struct in_request *q, const struct doc *doc);
 
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -261,6 +261,65 @@
 	teardown(&f);
 }
 
+/* The last line of an event that was logged; "" if there was none. */
+static char refused_line[1024];
+
+static GLogWriterOutput keep_refused_line(GLogLevelFlags flags,
+					  const GLogField *fields, gsize count,
+					  gpointer data)
+{
+	for (gsize i = 0; i < count; i++) {
+		if (strcmp(fields[i].key, "MESSAGE") == 0 &&
+		    strstr(fields[i].value, "event=request_refused "))
+			g_strlcpy(refused_line, fields[i].value,
+				  sizeof(refused_line));
+	}
+	return g_log_writer_default(flags, fields, count, data);
+}
+
+/*
+ * Guards against a request that is refused without a trace: from the line must
+ * follow which check refused which request under which document.
+ */
+static void test_refused_line(void)
+{
+	static const struct httpc_header id[] = { { "X-Id", "r-17" } };
+	static const struct httpc_header deadline[] = {
+		{ "X-Id", "r-18" }, { "Monsoonpin-Deadline-Ms", "1x" }
+	};
+	struct dialect with_id = dialect_native;
+	struct fixture f;
+	struct caller c;
+
+	setup(&f);
+	with_id.request_id = "X-Id";
+	f.in->dialect = &with_id;
+	f.view.doc.revision = 41;
+	start_with(&f, &c, "GET", "/none/a", id, 1, NULL);
+	expect(&f, &c, 404, "not-run");
+	finish(&c);
+	g_assert_nonnull(strstr(refused_line,
+				"id=r-17 status=404 check=no_route "
+				"error=no_service method=GET host=127.0.0.1:"));
+	g_assert_nonnull(strstr(refused_line, " path=/none/a "));
+	g_assert_nonnull(strstr(refused_line, " doc_revision=41 routes=1"));
+	start_with(&f, &c, "GET", "/kiln/a", deadline, 2, NULL);
+	expect(&f, &c, 400, "not-run");
+	finish(&c);
+	g_assert_nonnull(strstr(refused_line,
+				"id=r-18 status=400 check=deadline "
+				"error=malformed method=GET"));
+	g_assert_nonnull(strstr(refused_line, " deadline=1x "));
+	g_assert_cmpuint(cnt_get(&f.cnt, "in_refused",
+				 "check=\"no_route\",status=\"404\""),
+			 ==, 1);
+	refused_line[0] = 0;
+	f.view.may_route_result = ERR_STALE;
+	expect_get(&f, "/kiln/a", 503, "not-run");
+	g_assert_cmpstr(refused_line, ==, "");
+	teardown(&f);
+}
+
 struct raw_client {
 	char data[4096];
 	size_t len;
@@ -325,6 +384,37 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a proper request that is refused for one long header: the
+ * operators' limit is on the whole head, 16,384 bytes.
+ */
+static void test_long_header(void)
+{
+	struct raw_client raw_client = { 0 };
+	struct fixture f;
+	char *value = g_strnfill(16000, 'x');
+	char *text = g_strdup_printf(
+		"GET /kiln/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+		"X-Long: %s\r\n\r\n",
+		value);
+	int fd;
+
+	setup(&f);
+	fd = connect_to(httpd_port(&f.in->http));
+	fake_write(fd, text);
+	ev_io_init(&raw_client.io, on_raw_client, fd, EV_READ);
+	raw_client.io.data = &raw_client;
+	ev_io_start(f.loop, &raw_client.io);
+	fake_wait(f.loop, &raw_client.closed, 1);
+	g_assert_true(g_str_has_prefix(raw_client.data, "HTTP/1.1 200 "));
+	g_assert_cmpuint(f.target.runs, ==, 1);
+	g_assert_nonnull(strstr(f.target.last_request, value));
+	close(fd);
+	g_free(text);
+	g_free(value);
+	teardown(&f);
+}
+
 /* Guards against limits that are not applied and invalid values accepted. */
 static void test_limits(void)
 {
@@ -691,6 +781,44 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a proper request that is ended as a wrong one (400, 404, 413)
+ * for what is wrong between the daemons: the owner's map lacks the service, or
+ * something else answers at its address.
+ */
+static void test_attempt_errors(void)
+{
+	struct fixture f;
+	struct remote_node o;
+	struct caller c;
+	unsigned port;
+	int fd, link;
+
+	setup(&f);
+	remote_node_init(&o, &f);
+	fake_set_owner(&f.view, 2);
+	map_finish(&o.view.map);
+	map_init(&o.view.map);
+	o.view.map.rev = f.view.map.rev;
+	/* A latency target ends the wait for a map before the deadline. */
+	f.view.doc_route.target_ms = 200;
+	start(&f, &c, "POST", "/kiln/a");
+	expect(&f, &c, 503, "not-run");
+	finish(&c);
+	remote_node_finish(&o);
+	fd = fake_listen(&port);
+	fake_set_node(&f.view, 2, "n02", port);
+	start(&f, &c, "POST", "/kiln/a");
+	fake_pause(f.loop, 50);
+	link = accept(fd, NULL, NULL);
+	fake_write(link, "HTTP/1.1 400 Bad Request\r\n\r\n");
+	expect(&f, &c, 503, "not-run");
+	finish(&c);
+	close(link);
+	close(fd);
+	teardown(&f);
+}
+
 /* Guards against requests that fail while a lost owner is replaced. */
 static void test_lost_owner(void)
 {
@@ -975,10 +1103,13 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_log_set_writer_func(keep_refused_line, NULL, NULL);
 	g_test_add_func("/ingress/answered", test_answered);
 	g_test_add_func("/ingress/head", test_head);
 	g_test_add_func("/ingress/malformed", test_malformed);
 	g_test_add_func("/ingress/malformed_framing", test_malformed_framing);
+	g_test_add_func("/ingress/refused_line", test_refused_line);
+	g_test_add_func("/ingress/long_header", test_long_header);
 	g_test_add_func("/ingress/limits", test_limits);
 	g_test_add_func("/ingress/key", test_key);
 	g_test_add_func("/ingress/waits_for_owner", test_waits_for_owner);
@@ -989,6 +1120,7 @@
 	g_test_add_func("/ingress/shed", test_shed);
 	g_test_add_func("/ingress/target_sheds", test_target_sheds);
 	g_test_add_func("/ingress/remote", test_remote);
+	g_test_add_func("/ingress/attempt_errors", test_attempt_errors);
 	g_test_add_func("/ingress/lost_owner", test_lost_owner);
 	g_test_add_func("/ingress/route_timeout", test_route_timeout);
 	g_test_add_func("/ingress/reroute_budget", test_reroute_budget);
