mpinctl: a change to a restored document is told of and gets a new revision

An operator who changed the document after the store had been restored from a copy was told nothing of the changes that the document lacked, and the change got a revision that had been given out before with another content.

apply, drain and undrain now wait up to 3 s for the coordinator to write a newer document back. A change to a document that is from a copy or was written back gets its revision from the store's number_floor, since a node that could not be reached may have any of the lost ones. Revisions thus leave numbers out, so the result of an attempt without an answer is now decided by whether the head lists all changes since the base, no longer by the next number. That replaces doc_head_find_revision and its checks in test_doc, which check the same limit of the list and two more cases.

New in test_ctl: change_after_restore, change_after_write_back and change_of_lost_document.

--- a/config/doc.h
+++ b/config/doc.h
@@ -295,9 +295,11 @@
 /* Returns the recent change with this attempt, NULL if there is none. */
 const struct doc_change *doc_head_find_attempt(const struct doc_head *h,
 					       const char *attempt);
-/* Returns the recent change that led to this revision, NULL if none did. */
-const struct doc_change *doc_head_find_revision(const struct doc_head *h,
-						uint64_t revision);
+/*
+ * Returns 1 if recent has all changes after this revision. Revisions may leave
+ * numbers out, so the next one need not be listed.
+ */
+int doc_head_lists_all_since(const struct doc_head *h, uint64_t revision);
 
 /* Appends a line for each field: name, range, default and meaning. */
 void doc_describe(struct buf *out);
--- a/config/doc_head.c
+++ b/config/doc_head.c
@@ -293,12 +293,10 @@
 	return NULL;
 }
 
-const struct doc_change *doc_head_find_revision(const struct doc_head *h,
-						uint64_t revision)
+int doc_head_lists_all_since(const struct doc_head *h, uint64_t revision)
 {
-	for (uint32_t i = 0; i < h->recent_count; i++) {
-		if (h->recent[i].revision == revision)
-			return &h->recent[i];
-	}
-	return NULL;
+	uint32_t count = h->recent_count;
+
+	return count && (count < DOC_MAX_RECENT ||
+			 h->recent[count - 1].revision <= revision + 1);
 }
--- a/ctl/apply.c
+++ b/ctl/apply.c
@@ -7,7 +7,7 @@
 	enum ctl_exit result;
 	struct ctl_doc base;
 
-	result = ctl_doc_read(c, &base);
+	result = ctl_doc_read_for_change(c, &base);
 	if (result != CTL_DONE)
 		return result;
 	ctl_commit(c, &base, next, &change);
--- a/ctl/commit.c
+++ b/ctl/commit.c
@@ -85,6 +85,22 @@
 	return ERR_OK;
 }
 
+/*
+ * Revisions that were given out since the copy are not known, and nodes may
+ * have them in force with another content.
+ */
+static uint64_t next_revision(const struct ctl *c, const struct ctl_doc *base)
+{
+	uint64_t next = base->head.revision + 1;
+	uint64_t floor;
+
+	if (!base->from_copy &&
+	    !doc_head_may_lack_changes(&base->head, base->era))
+		return next;
+	floor = c->store->ops->number_floor(c->store);
+	return next > floor ? next : floor;
+}
+
 /*
  * Builds the transaction that changes the document from base to next.
  * ERR_NOT_FOUND: they are equal. The caller calls transaction_finish in each
@@ -111,7 +127,7 @@
 	add_sections(c, txn, &base->sections, next);
 	if (!txn->put_count)
 		return ERR_NOT_FOUND;
-	txn->change.revision = base->head.revision + 1;
+	txn->change.revision = next_revision(c, base);
 	txn->change.wall_ms = clk_wall_ms();
 	snprintf(txn->change.author, sizeof(txn->change.author), "%s",
 		 c->author);
@@ -185,8 +201,11 @@
 			     const struct transaction *txn,
 			     const struct ctl_doc *base, struct doc_head *head)
 {
-	if (doc_head_find_attempt(head, txn->change.attempt)) {
-		commit->revision = txn->change.revision;
+	const struct doc_change *own =
+		doc_head_find_attempt(head, txn->change.attempt);
+
+	if (own) {
+		commit->revision = own->revision;
 		set_result(commit, CTL_DONE, "written");
 		return 1;
 	}
@@ -194,10 +213,10 @@
 		return 0;
 	commit->stops_changed = stops_differ(head, &base->sections);
 	/*
-	 * If the next revision is still listed, another change made it. If it
-	 * is no longer listed, the attempt itself may have made it.
+	 * If all changes since the base are still listed, others made them all.
+	 * Else the attempt may be one that is no longer listed.
 	 */
-	if (doc_head_find_revision(head, txn->change.revision))
+	if (doc_head_lists_all_since(head, base->head.revision))
 		set_result(commit, CTL_RACE, "race");
 	else
 		set_result(commit, CTL_FAILED, "unknown");
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -161,6 +161,12 @@
 struct ctl_doc {
 	int64_t head_mod_revision; /* of doc/head in the store; 0: absent */
 	uint64_t era;		   /* of head_mod_revision */
+	/*
+	 * Set by ctl_doc_read_for_change: 1 if the store has the document from
+	 * a copy, so that it lacks changes that were accepted since.
+	 */
+	int from_copy;
+	uint64_t in_force; /* from_copy: the coordinator's; 0: not known */
 	struct doc_head head;
 	struct doc_sections sections;
 	enum err error; /* of the first record that cannot be parsed */
@@ -173,6 +179,12 @@
  * empty.
  */
 enum ctl_exit ctl_doc_read(struct ctl *c, struct ctl_doc *d);
+/*
+ * Does the same for a document that is to be changed. If the store was restored
+ * from a copy, waits a few seconds for the coordinator, which writes a newer
+ * document back if a node has one.
+ */
+enum ctl_exit ctl_doc_read_for_change(struct ctl *c, struct ctl_doc *d);
 void ctl_doc_finish(struct ctl_doc *d);
 
 /* commit.c */
--- a/ctl/document.c
+++ b/ctl/document.c
@@ -1,7 +1,12 @@
+#include "common/clk.h"
 #include "ctl/ctl.h"
 
 #include <string.h>
 
+/* A coordinator reads the head every 2 s, CO_DOC_POLL_MS in membership/. */
+#define WRITE_BACK_MS 3000
+#define WRITE_BACK_PAUSE_MS 250
+
 struct document_read {
 	const struct ctl *c;
 	struct ctl_doc *d;
@@ -75,6 +80,48 @@
 	return CTL_FAILED;
 }
 
+/* Returns the revision that the coordinator has in force; 0: not known. */
+static uint64_t read_in_force(struct ctl *c)
+{
+	uint64_t revision = 0;
+	json_t *status;
+
+	if (ctl_coord_get_json(c, "/status", 0, &status) == CTL_DONE)
+		revision = (uint64_t)json_integer_value(
+			json_object_get(status, "doc_revision"));
+	json_decref(status);
+	return revision;
+}
+
+/*
+ * A head that does not tell its era, as before the first change or after one by
+ * an earlier version, is from a copy if a higher revision is in force.
+ */
+static void check_from_copy(struct ctl *c, struct ctl_doc *d)
+{
+	if (!d->era || d->head.era == d->era)
+		return;
+	d->in_force = read_in_force(c);
+	d->from_copy = d->head.era || d->in_force > d->head.revision;
+}
+
+enum ctl_exit ctl_doc_read_for_change(struct ctl *c, struct ctl_doc *d)
+{
+	int64_t end = clk_ms() + WRITE_BACK_MS;
+	enum ctl_exit result;
+
+	for (;;) {
+		result = ctl_doc_read(c, d);
+		if (result != CTL_DONE)
+			return result;
+		check_from_copy(c, d);
+		if (!d->from_copy || clk_ms() >= end)
+			return CTL_DONE;
+		ctl_doc_finish(d);
+		ctl_sleep(c, WRITE_BACK_PAUSE_MS);
+	}
+}
+
 void ctl_doc_finish(struct ctl_doc *d)
 {
 	doc_head_finish(&d->head);
--- a/ctl/report.c
+++ b/ctl/report.c
@@ -50,13 +50,13 @@
 
 static void print_changes(const struct doc_head *head, uint64_t base)
 {
-	uint64_t listed = 0;
+	uint64_t oldest = head->revision + 1;
 
-	for (uint32_t i = 0; i < head->recent_count; i++)
-		listed += head->recent[i].revision > base;
-	if (head->revision - base > listed)
+	if (head->recent_count)
+		oldest = head->recent[head->recent_count - 1].revision;
+	if (!doc_head_lists_all_since(head, base))
 		ctl_error("  %llu earlier changes are no longer listed",
-			  (unsigned long long)(head->revision - base - listed));
+			  (unsigned long long)(oldest - base - 1));
 	for (uint32_t i = head->recent_count; i-- > 0;) {
 		if (head->recent[i].revision > base)
 			print_change(&head->recent[i]);
@@ -101,6 +101,20 @@
 	}
 }
 
+static void print_from_copy(const struct ctl_doc *base)
+{
+	char newer[64] = "";
+
+	if (base->in_force > base->head.revision)
+		snprintf(newer, sizeof(newer), "; revision %llu was in force",
+			 (unsigned long long)base->in_force);
+	ctl_error("the store was restored from a copy: the change was made to "
+		  "revision %llu, which may lack changes since the "
+		  "copy%s; "
+		  "compare with \"mpinctl diff\"",
+		  (unsigned long long)base->head.revision, newer);
+}
+
 static void print_pending(const struct ctl_commit *commit, int wait_ms,
 			  const json_t *missing)
 {
@@ -115,20 +129,29 @@
 	}
 }
 
-static void report_success(const struct ctl *c, const struct ctl_commit *commit,
+static void report_success(const struct ctl *c, const struct ctl_doc *base,
+			   const struct ctl_commit *commit,
 			   enum ctl_exit result, json_t *missing)
 {
+	int from_copy =
+		base->from_copy && strcmp(commit->result, "no_change") != 0;
 	const char *state = result == CTL_PENDING ? "pending" : "in_force";
 	unsigned long long revision = commit->revision;
 
 	if (!c->wait_ms)
 		state = "not_awaited";
 	if (c->json) {
-		ctl_print_json(
+		json_t *report =
 			json_pack("{s:s, s:s, s:I, s:s, s:O}", "result",
 				  commit->result, "state", state, "revision",
 				  (json_int_t)commit->revision, "attempt",
-				  commit->attempt, "missing", missing));
+				  commit->attempt, "missing", missing);
+
+		if (from_copy)
+			json_object_set_new(
+				report, "changed_copy_of_revision",
+				json_integer((json_int_t)base->head.revision));
+		ctl_print_json(report);
 		return;
 	}
 	if (!strcmp(commit->result, "no_change"))
@@ -136,6 +159,8 @@
 		       revision);
 	else
 		printf("accepted: revision %llu\n", revision);
+	if (from_copy)
+		print_from_copy(base);
 	if (result == CTL_PENDING)
 		print_pending(commit, c->wait_ms, missing);
 	else if (c->wait_ms)
@@ -156,7 +181,7 @@
 		result = ctl_wait_in_force(c, commit->revision, &missing);
 	if (!missing)
 		missing = json_array();
-	report_success(c, commit, result, missing);
+	report_success(c, base, commit, result, missing);
 	json_decref(missing);
 	return result;
 }
--- a/ctl/stops.c
+++ b/ctl/stops.c
@@ -131,7 +131,7 @@
 	struct doc_sections next = { 0 };
 	struct ctl_commit commit;
 	struct ctl_doc base;
-	enum ctl_exit result = ctl_doc_read(c, &base);
+	enum ctl_exit result = ctl_doc_read_for_change(c, &base);
 
 	*retry = 0;
 	if (result != CTL_DONE)
--- a/test/unit/test_ctl.c
+++ b/test/unit/test_ctl.c
@@ -217,6 +217,129 @@
 	stop_fixture(&f);
 }
 
+/* Reads the document for a change and adds the service to it. */
+static void commit_service(struct fixture *f, const char *service,
+			   struct ctl_doc *base, struct ctl_commit *result)
+{
+	char *text = g_strdup_printf("{\"version\":1,\"services\":{\"%s\":{"
+				     "\"keyed\":false}}}",
+				     service);
+	struct doc_sections next;
+
+	g_assert_cmpint(ctl_doc_read_for_change(&f->c, base), ==, CTL_DONE);
+	g_assert_cmpint(doc_split(text, strlen(text), &next, NULL), ==, ERR_OK);
+	ctl_commit(&f->c, base, &next, result);
+	g_assert_cmpstr(result->result, ==, "written");
+	doc_sections_finish(&next);
+	g_free(text);
+}
+
+static void read_head(const struct fixture *f, struct doc_head *head)
+{
+	const struct sdb_kv *kv = sdb_get(&f->store.db, "/mpin/doc/head");
+
+	g_assert_nonnull(kv);
+	g_assert_cmpint(
+		doc_head_parse(head, (const char *)kv->value, kv->value_len),
+		==, ERR_OK);
+}
+
+/*
+ * Guards against a change to a restored document that gets a revision which the
+ * nodes have had with another content, and against one that the operator is not
+ * told of. A new store and the next changes must not count as restored.
+ */
+static void test_change_after_restore(void)
+{
+	struct ctl_commit result;
+	struct doc_head head;
+	struct ctl_doc base;
+	struct fixture f;
+	uint64_t restored;
+
+	start_fixture(&f);
+	for (unsigned i = 1; i <= 2; i++) {
+		commit_service(&f, i == 1 ? "kiln" : "desk", &base, &result);
+		g_assert_false(base.from_copy);
+		g_assert_cmpuint(result.revision, ==, i);
+		ctl_commit_finish(&result);
+		ctl_doc_finish(&base);
+		if (i == 1)
+			ssrv_take_copy(&f.store);
+	}
+	ssrv_restore(&f.store, NULL);
+	commit_service(&f, "dues", &base, &result);
+	g_assert_true(base.from_copy);
+	g_assert_cmpuint(base.head.revision, ==, 1);
+	restored = result.revision;
+	g_assert_cmpuint(restored, >, 1000000);
+	ctl_commit_finish(&result);
+	ctl_doc_finish(&base);
+	read_head(&f, &head);
+	g_assert_cmpuint(head.revision, ==, restored);
+	g_assert_true(doc_head_is_newest(&head, f.store.db.cluster_id));
+	doc_head_finish(&head);
+	commit_service(&f, "kiln", &base, &result);
+	g_assert_false(base.from_copy);
+	g_assert_cmpuint(result.revision, ==, restored + 1);
+	ctl_commit_finish(&result);
+	ctl_doc_finish(&base);
+	stop_fixture(&f);
+}
+
+/* Writes the head back as a coordinator does that has revision 7. */
+static void on_write_back_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct doc_change change = { .revision = 7, .author = "n01" };
+	struct fixture *f = w->data;
+	struct doc_head head;
+	struct buf out;
+
+	(void)loop;
+	(void)events;
+	read_head(f, &head);
+	head.era = f->store.db.cluster_id;
+	head.written_back = 1;
+	doc_head_add_change(&head, &change);
+	buf_init(&out);
+	g_assert_cmpint(doc_head_write(&head, &out), ==, ERR_OK);
+	sdb_put(&f->store.db, "/mpin/doc/head", out.data, out.len, 0);
+	sdb_commit(&f->store.db);
+	buf_finish(&out);
+	doc_head_finish(&head);
+}
+
+/*
+ * Guards against a change that is made to the restored document although the
+ * coordinator is about to write the newer one back, and against a revision that
+ * a node may have which the coordinator could not reach.
+ */
+static void test_change_after_write_back(void)
+{
+	struct ctl_commit result;
+	struct doc_head head;
+	struct ctl_doc base;
+	struct fixture f;
+
+	start_fixture(&f);
+	commit_service(&f, "kiln", &base, &result);
+	ctl_commit_finish(&result);
+	ctl_doc_finish(&base);
+	ssrv_take_copy(&f.store);
+	ssrv_restore(&f.store, NULL);
+	start_timer(&f, 0.4, on_write_back_timer);
+	commit_service(&f, "dues", &base, &result);
+	g_assert_false(base.from_copy);
+	g_assert_cmpuint(base.head.revision, ==, 7);
+	g_assert_cmpuint(result.revision, >, 1000000);
+	ctl_commit_finish(&result);
+	ctl_doc_finish(&base);
+	read_head(&f, &head);
+	g_assert_true(doc_head_is_newest(&head, f.store.db.cluster_id));
+	doc_head_finish(&head);
+	stop_fixture(&f);
+}
+
 #define NODE(name, state, more, revision)                              \
 	"{\"id\":1,\"name\":\"" name "\",\"state\":\"" state "\"" more \
 	",\"doc_revision\":" revision "}"
@@ -274,6 +397,29 @@
 	stop_fixture(&f);
 }
 
+/*
+ * Guards against a change that is made to the document of a copy without an
+ * era, as earlier versions wrote it, or to none, although the coordinator has a
+ * newer one in force.
+ */
+static void test_change_of_lost_document(void)
+{
+	struct ctl_commit result;
+	struct ctl_doc base;
+	struct fixture f;
+
+	start_fixture(&f);
+	f.answers[0] = STATUS("7", "");
+	f.answers[1] = f.answers[0];
+	commit_service(&f, "kiln", &base, &result);
+	g_assert_true(base.from_copy);
+	g_assert_cmpuint(base.in_force, ==, 7);
+	g_assert_cmpuint(result.revision, >, 1000000);
+	ctl_commit_finish(&result);
+	ctl_doc_finish(&base);
+	stop_fixture(&f);
+}
+
 /*
  * Guards against a failure that is reported while a new coordinator takes over
  * and answers 503.
@@ -350,6 +496,11 @@
 			test_answer_lost_then_unlisted);
 	g_test_add_func("/ctl/request_lost_then_resent",
 			test_request_lost_then_resent);
+	g_test_add_func("/ctl/change_after_restore", test_change_after_restore);
+	g_test_add_func("/ctl/change_after_write_back",
+			test_change_after_write_back);
+	g_test_add_func("/ctl/change_of_lost_document",
+			test_change_of_lost_document);
 	g_test_add_func("/ctl/wait_in_force", test_wait_in_force);
 	g_test_add_func("/ctl/wait_names_missing", test_wait_names_missing);
 	g_test_add_func("/ctl/coordinator_not_ready",
--- a/test/unit/test_doc.c
+++ b/test/unit/test_doc.c
@@ -445,8 +445,13 @@
 			 DOC_MAX_CHANGE_NAMES + 1);
 	g_assert_cmpuint(doc_head_find_attempt(&back, "t-3")->name_count, ==,
 			 DOC_MAX_CHANGE_NAMES);
-	g_assert_null(doc_head_find_revision(&back, 2));
-	g_assert_nonnull(doc_head_find_revision(&back, 18));
+	g_assert_false(doc_head_lists_all_since(&back, 1));
+	g_assert_true(doc_head_lists_all_since(&back, 2));
+	/* Change 3 is the one that is dropped next. */
+	back.recent[DOC_MAX_RECENT - 1].revision = 4;
+	g_assert_false(doc_head_lists_all_since(&back, 2));
+	back.recent_count--;
+	g_assert_true(doc_head_lists_all_since(&back, 2));
 	doc_head_finish(&back);
 	doc_head_finish(&h);
 	buf_finish(&out);
