--- a/ctl/report.c
+++ b/ctl/report.c
@@ -109,7 +109,8 @@
 		snprintf(newer, sizeof(newer), "; revision %llu was in force",
 			 (unsigned long long)base->in_force);
 	ctl_error("the store was restored from a copy: the change was made to "
-		  "revision %llu, which lacks changes since the copy%s; "
+		  "revision %llu, which may lack changes since the "
+		  "copy%s; "
 		  "compare with \"mpinctl diff\"",
 		  (unsigned long long)base->head.revision, newer);
 }
