--- a/test/unit/test_own.c
+++ b/test/unit/test_own.c
@@ -637,6 +637,153 @@
 	g_assert_true(own_coord_is_recovered(&f->c, t + 5500 + OWN_GRANT_MS));
 }
 
+/* Lets a successor take over that reads the first count nodes of the roster. */
+static void take_over_old_roster(struct fixture *f, int64_t now_ms,
+				 uint32_t count, int64_t hold_max_ms)
+{
+	struct own_times times = own_times_for(0);
+
+	times.hold_max_ms = hold_max_ms;
+	own_coord_finish(&f->c);
+	own_coord_init_times(&f->c, &times, f->c.term + 1, now_ms, now_ms);
+	for (uint32_t id = 1; id <= count; id++)
+		own_coord_add_inherited(&f->c, id, id + 99, 5, 0);
+	own_coord_begin_recovery(&f->c);
+}
+
+/*
+ * Guards against a recovery that ends while a node that joined after the copy,
+ * and is not in its roster, serves in a hold of the predecessor.
+ */
+static void test_recovery_hold_of_unknown_node(struct fixture *f,
+					       gconstpointer data)
+{
+	int64_t t = T0 + 200;
+	int64_t end_ms;
+
+	(void)data;
+	f->c.times.hold_max_ms = 8000;
+	for (int i = 0; i < 3; i++)
+		exchange(f, i, t);
+	t = enter_hold(f);
+	for (int i = 0; i < 3; i++)
+		exchange(f, i, t);
+	g_assert_true(own_member_in_hold(&f->m[2], t));
+	/* The copy is of the time before the third node joined. */
+	take_over_old_roster(f, t, 2, 8000);
+	for (end_ms = t; end_ms < t + 7000; end_ms += 100) {
+		run_members(f, 2, end_ms, end_ms);
+		if (own_coord_is_recovered(&f->c, end_ms))
+			g_assert_false(own_member_in_hold(&f->m[2], end_ms));
+	}
+}
+
+/*
+ * Guards against a majority of a roster that came back with a copy, and lacks
+ * most nodes, that is taken for one of the roster that a hold was given over.
+ */
+static void test_recovery_majority_of_old_roster(struct fixture *f,
+						 gconstpointer data)
+{
+	int64_t t = T0 + 200;
+
+	(void)data;
+	f->c.times.hold_max_ms = 8000;
+	for (int i = 0; i < 3; i++)
+		exchange(f, i, t);
+	t = enter_hold(f);
+	for (int i = 1; i < 3; i++)
+		exchange(f, i, t);
+	/* The first one, alone in the roster, did not record the hold. */
+	own_member_init(&f->m[0], 100);
+	own_member_complete_join(&f->m[0], 1, t);
+	take_over_old_roster(f, t, 1, 8000);
+	run_members(f, 1, t, t + OWN_AUTHORITY_MS + 100);
+	g_assert_true(own_member_in_hold(&f->m[2], t + OWN_AUTHORITY_MS + 100));
+	g_assert_false(
+		own_coord_is_recovered(&f->c, t + OWN_AUTHORITY_MS + 100));
+}
+
+/*
+ * Guards against a node that a member's map adds to the roster of the copy, and
+ * that may be in a hold, after the holds of that roster were resolved.
+ */
+static void test_recovery_adds_node_in_hold(struct fixture *f,
+					    gconstpointer data)
+{
+	int64_t t;
+
+	(void)data;
+	f->c.times.hold_max_ms = 8000;
+	t = enter_hold(f);
+	for (int i = 0; i < 3; i++)
+		exchange(f, i, t);
+	take_over_old_roster(f, t, 2, 8000);
+	run_members(f, 2, t, t + 300);
+	own_coord_correct_inherited(&f->c, 3, 102);
+	for (t += 400; t < T0 + 8000; t += 100) {
+		run_members(f, 2, t, t);
+		if (own_coord_is_recovered(&f->c, t))
+			g_assert_false(own_member_in_hold(&f->m[2], t));
+	}
+}
+
+/*
+ * Guards against members that were heard throughout a recovery and are declared
+ * lost at its end, before they can get a grant.
+ */
+static void test_recovery_end_loses_nobody(struct fixture *f,
+					   gconstpointer data)
+{
+	int64_t t = T0 + 200;
+	int64_t end_ms = t + OWN_AUTHORITY_MS + 300;
+
+	(void)data;
+	take_over(f, t, 0);
+	run_members(f, 3, t, end_ms);
+	g_assert_true(own_coord_is_recovered(&f->c, end_ms));
+	own_coord_end_recovery(&f->c, 1000);
+	own_coord_extend_authority(&f->c, end_ms);
+	/* The next tick, before any ask. */
+	own_coord_tick(&f->c, end_ms + 25);
+	for (int i = 0; i < 3; i++)
+		g_assert_false(is_lost(f, i, end_ms + 25));
+}
+
+/*
+ * Guards against a roster without marks that is written during a hold, which
+ * the restore of the store makes the coordinator do: new processes of most
+ * nodes, which that roster has and which recorded nothing, would show a
+ * successor that no hold is in force.
+ */
+static void test_roster_written_in_hold(struct fixture *f, gconstpointer data)
+{
+	struct own_times times = own_times_for(0);
+	uint32_t mark;
+	int64_t t;
+
+	(void)data;
+	t = enter_hold(f);
+	for (int i = 0; i < 3; i++)
+		exchange(f, i, t);
+	/* The daemons of the first two are started again and join. */
+	own_coord_begin_add(&f->c, 1, 555, 5);
+	own_coord_begin_add(&f->c, 2, 556, 5);
+	mark = own_coord_hold_mark(&f->c, own_coord_find(&f->c, 3));
+	own_coord_finish(&f->c);
+	own_coord_init_times(&f->c, &times, 2, t, t);
+	own_coord_add_inherited(&f->c, 1, 555, 5, 0);
+	own_coord_add_inherited(&f->c, 2, 556, 5, 0);
+	own_coord_add_inherited(&f->c, 3, 102, 5, mark);
+	for (int i = 0; i < 2; i++) {
+		own_member_init(&f->m[i], (uint64_t)i + 555);
+		own_member_complete_join(&f->m[i], (uint32_t)i + 1, t);
+	}
+	run_members(f, 2, t, t + 5000);
+	g_assert_true(own_member_in_hold(&f->m[2], t + 5000));
+	g_assert_false(is_lost(f, 2, t + 5000));
+}
+
 #define ADD(name, fn) \
 	g_test_add("/own/" name, struct fixture, NULL, setup, fn, teardown)
 
@@ -666,5 +813,12 @@
 	ADD("recovery_waits", test_recovery_waits);
 	ADD("recovery_silent_node", test_recovery_silent_node);
 	ADD("recovery_member_in_hold", test_recovery_member_in_hold);
+	ADD("recovery_hold_of_unknown_node",
+	    test_recovery_hold_of_unknown_node);
+	ADD("recovery_majority_of_old_roster",
+	    test_recovery_majority_of_old_roster);
+	ADD("recovery_adds_node_in_hold", test_recovery_adds_node_in_hold);
+	ADD("recovery_end_loses_nobody", test_recovery_end_loses_nobody);
+	ADD("roster_written_in_hold", test_roster_written_in_hold);
 	return g_test_run();
 }
