--- a/membership/coord_restore.c
+++ b/membership/coord_restore.c
@@ -138,7 +138,7 @@
 	HASH_ITER(hh, c->map.nodes, n, next) {
 		m = co_member_find(c, n->id);
 		if (!m)
-			m = co_member_add(c, n->info);
+			co_member_add(c, n->info);
 		else if (!m->conn)
 			co_member_set_info(m, n->info);
 		c->next_id = MAX(c->next_id, n->id + 1);
@@ -253,7 +253,7 @@
 		from_copy, (unsigned long long)c->map.rev,
 		(unsigned long long)base_rev);
 	if (from_copy) {
-		own_coord_end_recovery(&c->own, c->map.rev);
+		own_coord_end_recovery(&c->own, c->map.rev, clk_ms());
 		send_maps(c);
 	} else {
 		push_revision(c, base_rev);
