--- a/test/unit/test_own.c
+++ b/test/unit/test_own.c
@@ -743,7 +743,7 @@
 	take_over(f, t, 0);
 	run_members(f, 3, t, end_ms);
 	g_assert_true(own_coord_is_recovered(&f->c, end_ms));
-	own_coord_end_recovery(&f->c, 1000);
+	own_coord_end_recovery(&f->c, 1000, end_ms);
 	own_coord_extend_authority(&f->c, end_ms);
 	/* The next tick, before any ask. */
 	own_coord_tick(&f->c, end_ms + 25);
