coord, own: recoveries that ended too early, never, or began without need

An absent record counts as lost unless the store is in its first era. A node that is told to wait is no standby, leaves its hold and counts no unanswered asks. - Recoveries ended while a node that the roster of the copy lacks was in a hold. A majority of that roster proves nothing until a member's map has confirmed the roster; a node that the map adds opens the question again; a node that joins with a hold is waited for. A roster that is written in a hold has marks. - A coordinator that had been superseded, and whose successor the store had forgotten, wrote its old state over the newer one. It steps down unless it has authority, or more than half of the roster in its hold. - A standby took over from the copy before the coordinator, which was in a hold, had written its state again. It waits 1.5 s for that. - An election in one era whose record took effect in the next one could repeat a term. It steps down. - Ids skip a random multiple of 10,000, since the same copy may come back twice. - A store that tells no era, but whose record is below a term that was seen, is recovered from as well.

--- a/membership/coord.c
+++ b/membership/coord.c
@@ -172,6 +172,10 @@
 	uint64_t term = known->term;
 	int restored = record_is_restored(known);
 
+	/* The copy may be from before the first election. */
+	if (!known->mod_revision && known->read_era &&
+	    known->read_era != STORE_FIRST_ERA)
+		restored = 1;
 	r->state_era = known->state_era;
 	r->read_era = known->read_era;
 	if (!known->mod_revision || known->state_era == RECORD_ANY_ERA)
@@ -180,6 +184,7 @@
 		term = c->seen_term;
 		restored = 1;
 	}
+	c->recovery_due = restored;
 	if (restored) {
 		r->state_era = 0;
 		term = MAX(term,
--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -64,7 +64,7 @@
 
 	DL_FOREACH(c->conns, k) {
 		if (!k->dead && k->member && k->member->join != CO_JOIN_DONE)
-			send_join_reply(k, ERR_NO_GRANT, 0);
+			send_join_reply(k, ERR_NO_GRANT, k->member->id);
 	}
 }
 
@@ -247,7 +247,7 @@
 	 * process has ended. With another address, it may still be serving.
 	 */
 	if (restarted && !same_address(m->info, n) && !m->lost)
-		return ERR_CONFLICT;
+		return co_is_recovering(c) ? ERR_NO_GRANT : ERR_CONFLICT;
 	if (restarted && m->join == CO_JOIN_WRITING)
 		return ERR_CONFLICT;
 	if (m->conn)
@@ -284,9 +284,12 @@
 	Wire__Node node = *j->node;
 
 	/* During a recovery, nothing is written before all holds have ended. */
-	if (co_is_recovering(c) ? !co_may_add_recovering(c)
-				: !own_coord_may_add(&c->own))
+	if (co_is_recovering(c)) {
+		if (!co_may_add_recovering(c))
+			return ERR_NO_GRANT;
+	} else if (!own_coord_may_add(&c->own)) {
 		return ERR_STALE;
+	}
 	if (c->next_id < 1)
 		c->next_id = 1;
 	node.id = c->next_id;
@@ -328,6 +331,9 @@
 	} else {
 		m = co_member_find_name(c, j->node->name);
 		e = m ? rejoin_member(c, k, m, j) : join_new_member(c, k, j);
+		if (e == ERR_OK && j->hold_term && co_is_recovering(c))
+			own_coord_note_hold_left(&c->own, k->member->id,
+						 clk_ms());
 	}
 	if (e == ERR_OK || k->dead)
 		return;
--- a/membership/coord_load.c
+++ b/membership/coord_load.c
@@ -203,6 +203,11 @@
 
 	if (!c)
 		return;
+	/* The term may have been given out since the copy. */
+	if (e == ERR_OK && c->record.read_era && r->era != c->record.read_era) {
+		co_step_down(c, "store_restored");
+		return;
+	}
 	if (e == ERR_OK)
 		e = load_range(c, r);
 	if (e == ERR_TIMEOUT || e == ERR_STORE_DOWN) {
@@ -225,7 +230,7 @@
 		 (unsigned long long)c->record.term, HASH_COUNT(c->members),
 		 (unsigned long long)c->map.rev,
 		 (unsigned long long)c->doc_rev);
-	if (c->record.state_era != c->era)
+	if (c->recovery_due || c->record.state_era != c->era)
 		co_recover(c);
 	co_doc_start(c);
 	co_services_update(c);
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -58,6 +58,8 @@
  * to whom they were given: more than nodes join in the age of a copy.
  */
 #define CO_RECOVERY_IDS 10000
+/* A random multiple, since the store may be restored to the same copy twice. */
+#define CO_RECOVERY_ID_STEPS 1000
 /*
  * New nodes wait for this long in a recovery, in which the members that were
  * not restarted join and give their maps.
@@ -200,7 +202,7 @@
 	 * which is complete.
 	 */
 	int from_copy;
-	uint64_t asked_rev;  /* revision of the map asked of a member */
+	int64_t fetch_at_ms; /* no map is asked of a member before this */
 	int has_new_nodes;   /* nodes joined that were not in the roster */
 	int64_t defer_at_ms; /* when waiting nodes are told to wait again */
 	int in_flight;	     /* a call to the store is not answered yet */
@@ -245,6 +247,8 @@
 	struct record record;
 	uint64_t seen_term; /* highest that this node or a member has seen */
 	uint64_t era;	    /* of the store's revisions below; 0: unknown */
+	/* The election showed that the store has only a copy of the state. */
+	int recovery_due;
 	struct co_restore restore;
 	struct own_coord own;
 	struct map map;
--- a/membership/coord_restore.c
+++ b/membership/coord_restore.c
@@ -67,7 +67,8 @@
 	 * Nodes that joined since the copy are not in its roster. They join
 	 * again; their ids must not be those of other nodes meanwhile.
 	 */
-	c->next_id += CO_RECOVERY_IDS;
+	c->next_id += CO_RECOVERY_IDS *
+		      (uint32_t)g_random_int_range(1, CO_RECOVERY_ID_STEPS);
 	own_coord_begin_recovery(&c->own);
 }
 
@@ -79,8 +80,11 @@
 	return 1;
 }
 
-/* Fetches the map of a member that has a newer one than the copy. */
-static void fetch_map(struct coord *c)
+/*
+ * Fetches the map of a member that has a newer one than the copy. Once there is
+ * none any more, the roster is the newest that is known.
+ */
+static void fetch_map(struct coord *c, int64_t now_ms)
 {
 	Wire__Fetch f = WIRE__FETCH__INIT;
 	struct co_member *m, *tmp, *newest = NULL;
@@ -90,10 +94,16 @@
 		    (!newest || m->map_rev > newest->map_rev))
 			newest = m;
 	}
-	if (!newest || newest->map_rev <= c->map.rev ||
-	    newest->map_rev <= c->restore.asked_rev)
+	if (!newest)
+		return;
+	if (newest->map_rev <= c->map.rev) {
+		if (now_ms >= c->elected_ms + CO_ADOPT_MAP_MS)
+			own_coord_confirm_roster(&c->own);
+		return;
+	}
+	if (now_ms < c->restore.fetch_at_ms)
 		return;
-	c->restore.asked_rev = newest->map_rev;
+	c->restore.fetch_at_ms = now_ms + CO_DOC_FETCH_RETRY_MS;
 	log_info("map_fetch", "from=%s revision=%llu has_revision=%llu",
 		 LOG_Q(newest->info->name), (unsigned long long)newest->map_rev,
 		 (unsigned long long)c->map.rev);
@@ -132,8 +142,8 @@
 		m->dirty = 1;
 		if (m->conn)
 			continue;
-		own_coord_drop_inherited(&c->own, m->id);
-		co_member_remove(c, m);
+		if (own_coord_drop_inherited(&c->own, m->id))
+			co_member_remove(c, m);
 	}
 	HASH_ITER(hh, c->map.nodes, n, next) {
 		m = co_member_find(c, n->id);
@@ -256,6 +266,8 @@
 		own_coord_end_recovery(&c->own, c->map.rev, clk_ms());
 		send_maps(c);
 	} else {
+		/* It may have got marks that are not due. */
+		c->queue.roster_due = 1;
 		push_revision(c, base_rev);
 	}
 	c->placement_due = 1;
@@ -268,6 +280,10 @@
 
 	if (!c)
 		return;
+	if (e == ERR_TOO_LARGE) {
+		co_step_down(c, "write_too_large");
+		return;
+	}
 	/* Unless it succeeded, the state of the store is read again. */
 	if (e != ERR_OK || c->config.store->era != c->restore.era) {
 		log_warn("store_write_failed", "error=%s revision=%llu",
@@ -486,11 +502,16 @@
 		co_defer_joins(c);
 	}
 	if (r->from_copy)
-		fetch_map(c);
+		fetch_map(c, now_ms);
 	if (r->in_flight || now_ms < r->retry_at_ms || !co_write_abandon(c))
 		return;
 	if (r->from_copy && !own_coord_is_recovered(&c->own, now_ms))
 		return;
+	/* A successor whose record the store has lost may have moved slots. */
+	if (!r->from_copy && !own_coord_is_in_office(&c->own, now_ms)) {
+		co_step_down(c, "state_may_be_old");
+		return;
+	}
 	call = co_call_new(c, 0);
 	if (!call)
 		return;
--- a/membership/doc_feed.c
+++ b/membership/doc_feed.c
@@ -92,7 +92,7 @@
 	log_warn("document_watch_ended", "error=%s revision=%llu",
 		 err_name(why), (unsigned long long)f->revision);
 	f->watch = NULL;
-	schedule_read(f, 0);
+	schedule_read(f, FEED_RETRY_FIRST_MS);
 }
 
 static const struct store_watch_ops watch_ops = {
--- a/membership/membership_discovery.c
+++ b/membership/membership_discovery.c
@@ -198,6 +198,22 @@
 			0);
 }
 
+/*
+ * Returns 1 if a coordinator in a hold still has time to write its record again
+ * to a store that was restored from a copy.
+ */
+static int may_be_written_again(struct membership *m, const struct record *r,
+				int64_t now_ms)
+{
+	if (r->mod_revision && !record_is_restored(r)) {
+		m->restored_since_ms = 0;
+		return 0;
+	}
+	if (!m->restored_since_ms)
+		m->restored_since_ms = now_ms;
+	return now_ms - m->restored_since_ms < MEMBERSHIP_RESTORED_WAIT_MS;
+}
+
 static void replace_record(struct membership *m, const struct record *r,
 			   int handover, int64_t now_ms)
 {
@@ -293,6 +309,8 @@
 		schedule_election(m, now_ms, 1);
 		return;
 	}
+	if (may_be_written_again(m, &r, now_ms) && handover)
+		return;
 	/* The record still names the coordinator that is to be replaced. */
 	if (replace)
 		replace_record(m, &r, handover, now_ms);
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -38,6 +38,12 @@
  * whole store, hundreds of them read to no purpose.
  */
 #define MEMBERSHIP_TAKEOVER_RETRY_MS 5000
+/*
+ * A coordinator in a hold writes its state to a restored store once it has read
+ * it, at most CO_HOLD_CONFIRM_MS later. A member that takes over from it waits
+ * longer, since it would have the copy only.
+ */
+#define MEMBERSHIP_RESTORED_WAIT_MS 1500
 /* After this many unanswered asks, the source port is changed. */
 #define MEMBERSHIP_ASKS_BEFORE_NEW_PORT 2
 /* After this many unanswered asks, the control connection is closed. */
@@ -78,6 +84,8 @@
 	int64_t probe_at_ms;
 	unsigned probes; /* sent since asks are unanswered */
 	unsigned probe_replies;
+	/* When a record from a copy of the store was read first; 0: not. */
+	int64_t restored_since_ms;
 	int64_t record_read_at_ms; /* no read of the record before this */
 	int read_backoff_ms;
 	int64_t malformed_record_revision; /* of the last one logged */
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -36,7 +36,11 @@
 	 */
 	if (r->error == ERR_NO_GRANT &&
 	    own_member_observe_term(&m->own, r->term, now_ms)) {
+		own_member_wait(&m->own);
 		membership_note_coordinator_alive(m, now_ms);
+		m->connect_failures = 0;
+		if (!r->node_id)
+			membership_drop_conn(m, "join_again");
 		return;
 	}
 	if (r->error != ERR_OK) {
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -249,10 +249,9 @@
 }
 
 /*
- * Returns 1 if the hold may be given or renewed. A bounded hold requires that
- * more than half of the roster recently acted on a reply: a member that acted
- * on a reply of this coordinator followed no later coordinator when the reply
- * was sent.
+ * Returns 1 if more than half of the roster recently acted on a reply, which a
+ * bounded hold requires: a member that acted on a reply of this coordinator
+ * followed no later coordinator when the reply was sent.
  */
 static int has_quorum(const struct own_coord *c, int64_t now_ms)
 {
@@ -260,8 +259,6 @@
 	unsigned acted = 0;
 	struct own_peer *p, *tmp;
 
-	if (!c->times.hold_max_ms || !guard_on(GUARD_HOLD_QUORUM))
-		return 1;
 	HASH_ITER(hh, c->peers, p, tmp) {
 		if (p->acted_ms &&
 		    now_ms < p->acted_ms + c->times.hold_quorum_ms &&
@@ -271,6 +268,19 @@
 	return acted * 2 > total;
 }
 
+/* Returns 1 if the hold may be given or renewed. */
+static int may_commit(const struct own_coord *c, int64_t now_ms)
+{
+	return !c->times.hold_max_ms || !guard_on(GUARD_HOLD_QUORUM) ||
+	       has_quorum(c, now_ms);
+}
+
+int own_coord_is_in_office(const struct own_coord *c, int64_t now_ms)
+{
+	return own_coord_has_authority(c, now_ms) ||
+	       (c->phase == OWN_HOLDING && has_quorum(c, now_ms));
+}
+
 /* Returns 1 if the peer is in no hold of this term or an earlier one. */
 static int is_out_of_hold(const struct own_coord *c, const struct own_peer *p,
 			  int64_t now_ms)
@@ -290,18 +300,16 @@
 	struct own_peer *p, *tmp;
 
 	HASH_ITER(hh, c->peers, p, tmp) {
-		if (p->adding)
-			continue;
-		if (!is_out_of_hold(c, p, now_ms) || now_ms <= p->grant_end_ms)
+		if (now_ms <= p->grant_end_ms ||
+		    (!p->adding && !is_out_of_hold(c, p, now_ms)))
 			return 0;
 	}
 	return 1;
 }
 
 /*
- * Returns 1 if no node that is silent can be in a hold of an earlier term. The
- * majority without a record, which shows it otherwise, may be one of a roster
- * that lacks nodes.
+ * Returns 1 if no node that is silent can be in a hold of an earlier term. A
+ * majority without a record shows that only if the roster lacks no nodes.
  */
 static int silent_holds_ended(const struct own_coord *c, int64_t now_ms)
 {
@@ -311,13 +319,26 @@
 	    now_ms > c->promised_ms + with_drift(c->times.hold_quorum_ms +
 						 c->times.hold_max_ms))
 		return 1;
+	if (c->roster_confirmed && unrecorded_by_majority(c))
+		return 1;
+	/* A node that joined after the copy may be in a hold, too. */
+	if (c->saw_earlier_hold && !c->roster_confirmed)
+		return 0;
 	HASH_ITER(hh, c->peers, p, tmp) {
 		if (p->inherited && !p->promised)
 			return 0;
+		/* It has a map that shows which nodes there are. */
+		if (p->inherited && p->heard && !c->roster_confirmed)
+			return 0;
 	}
 	return 1;
 }
 
+void own_coord_confirm_roster(struct own_coord *c)
+{
+	c->roster_confirmed = 1;
+}
+
 void own_coord_begin_recovery(struct own_coord *c)
 {
 	c->recovering = 1;
@@ -328,25 +349,43 @@
 {
 	struct own_peer *p = own_coord_find(c, node_id);
 
-	if (!p)
+	if (!p) {
 		own_coord_add_inherited(c, node_id, incarnation, 0, 0);
-	else if (!p->heard && !p->adding)
+		/* What was shown without it is open again. */
+		if (c->phase == OWN_NORMAL)
+			c->phase = OWN_RESOLVING;
+		c->promised_ms = 0;
+	} else if (!p->heard && !p->adding)
 		p->incarnation = incarnation;
 }
 
-void own_coord_drop_inherited(struct own_coord *c, uint32_t node_id)
+int own_coord_drop_inherited(struct own_coord *c, uint32_t node_id)
 {
 	struct own_peer *p = own_coord_find(c, node_id);
 
-	if (!p || p->heard || p->adding)
-		return;
+	if (!p)
+		return 1;
+	if (p->heard || p->adding)
+		return 0;
 	c->inherited_count -= p->inherited != 0;
 	own_coord_remove(c, node_id);
+	return 1;
+}
+
+void own_coord_note_hold_left(struct own_coord *c, uint32_t node_id,
+			      int64_t now_ms)
+{
+	struct own_peer *p = own_coord_find(c, node_id);
+
+	/* What it allowed its target to hold ends within a grant from now. */
+	c->saw_earlier_hold = 1;
+	if (p && p->grant_end_ms < now_ms + with_drift(c->times.grant_ms))
+		p->grant_end_ms = now_ms + with_drift(c->times.grant_ms);
 }
 
 int own_coord_is_recovered(const struct own_coord *c, int64_t now_ms)
 {
-	if (c->phase != OWN_NORMAL ||
+	if (c->phase != OWN_NORMAL || !silent_holds_ended(c, now_ms) ||
 	    now_ms <= c->takeover_ms + with_drift(c->times.authority_ms))
 		return 0;
 	return has_ended_on_all(c, now_ms);
@@ -373,7 +412,7 @@
 	case OWN_PREPARING:
 		return OWN_HOLD_PREPARE;
 	case OWN_HOLDING:
-		return has_quorum(c, now_ms) ? OWN_HOLD_COMMIT : OWN_HOLD_KEEP;
+		return may_commit(c, now_ms) ? OWN_HOLD_COMMIT : OWN_HOLD_KEEP;
 	case OWN_RESOLVING:
 	case OWN_RELEASING:
 		break;
@@ -442,8 +481,11 @@
 		p->heard = 1;
 		p->unrecorded = ask->hold_term == 0;
 	}
-	if (ask->hold_term && ask->hold_term < c->term && !p->maybe_held)
-		p->maybe_held = HASH_COUNT(c->peers);
+	if (ask->hold_term && ask->hold_term < c->term) {
+		c->saw_earlier_hold = 1;
+		if (!p->maybe_held)
+			p->maybe_held = HASH_COUNT(c->peers);
+	}
 	if (c->phase == OWN_PREPARING && ask->hold_term == c->term &&
 	    ask->hold_seq == c->hold_seq)
 		p->recorded = 1;
@@ -514,8 +556,8 @@
 
 	switch (c->phase) {
 	case OWN_RESOLVING:
-		if (!unrecorded_by_majority(c) &&
-		    !(c->recovering && silent_holds_ended(c, now_ms)))
+		if (c->recovering ? !silent_holds_ended(c, now_ms)
+				  : !unrecorded_by_majority(c))
 			return 0;
 		c->phase = OWN_NORMAL;
 		return 1;
@@ -602,6 +644,9 @@
 
 	if (!guard_on(GUARD_HOLD_MARKS))
 		return 0;
+	/* A restored store is given the roster in any phase. */
+	if ((c->phase == OWN_PREPARING || c->phase == OWN_HOLDING) && !mark)
+		mark = HASH_COUNT(c->peers);
 	if (c->phase == OWN_RELEASING && p->commit_sent && !mark)
 		mark = HASH_COUNT(c->peers);
 	if (c->phase == OWN_RESOLVING && p->inherited && !p->leaving &&
--- a/ownership/member.c
+++ b/ownership/member.c
@@ -130,6 +130,15 @@
 	return 1;
 }
 
+void own_member_wait(struct own_member *m)
+{
+	m->held = 0;
+	m->hold_term = 0;
+	m->hold_seq = 0;
+	m->standby_rank = 0;
+	m->unanswered = 0;
+}
+
 int own_member_in_hold(const struct own_member *m, int64_t now_ms)
 {
 	return m->held && now_ms < m->hold_end_ms;
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -182,6 +182,12 @@
  */
 int own_member_handle_reply(struct own_member *m, int64_t now_ms,
 			    const struct own_reply *r);
+/*
+ * Notes that a coordinator lets the member wait for its grant: the member
+ * leaves any hold, is no standby, and does not count unanswered asks. What it
+ * lets its target hold ends within a grant.
+ */
+void own_member_wait(struct own_member *m);
 /*
  * Tells the member that a coordinator of this term exists. Returns 1 if the
  * term is at least the highest seen, so that its messages are to be acted on.
@@ -306,6 +312,9 @@
 	uint32_t hold_seq; /* number of the last hold prepared in this term */
 	/* See own_coord_begin_recovery. */
 	int recovering;
+	int roster_confirmed; /* see own_coord_confirm_roster */
+	int saw_earlier_hold; /* a member has recorded a hold of an earlier term
+			       */
 	struct own_peer *peers;
 };
 
@@ -416,7 +425,25 @@
  */
 void own_coord_correct_inherited(struct own_coord *c, uint32_t node_id,
 				 uint64_t incarnation);
-void own_coord_drop_inherited(struct own_coord *c, uint32_t node_id);
+/*
+ * During a recovery: the inherited nodes are those of the newest map that a
+ * member has, so that all that may be in a hold are among them.
+ */
+void own_coord_confirm_roster(struct own_coord *c);
+/* Returns 0 if the node stays. */
+int own_coord_drop_inherited(struct own_coord *c, uint32_t node_id);
+/*
+ * During a recovery: the node was in a hold, and is told to leave it in the
+ * reply to its Join (own_member_wait).
+ */
+void own_coord_note_hold_left(struct own_coord *c, uint32_t node_id,
+			      int64_t now_ms);
+/*
+ * Returns 1 if no successor can have been elected and have moved slots: the
+ * coordinator has authority, or more than half of the roster acted on its
+ * replies lately while the hold is in force.
+ */
+int own_coord_is_in_office(const struct own_coord *c, int64_t now_ms);
 /*
  * Returns 1 if all grants and holds of earlier terms are certain to have ended,
  * so that slots may be given to nodes by any map.
--- a/store/store.h
+++ b/store/store.h
@@ -33,6 +33,8 @@
  */
 
 #define STORE_MAX_VALUE_BYTES (1024 * 1024)
+/* The era of a store that counts its eras and was never restored. */
+#define STORE_FIRST_ERA 1
 
 struct store;
 
--- a/test/unit/test_own.c
+++ b/test/unit/test_own.c
@@ -537,6 +537,7 @@
 	for (uint32_t id = 1; id <= 3; id++)
 		own_coord_add_inherited(&f->c, id, id + 99, 5, 0);
 	own_coord_begin_recovery(&f->c);
+	own_coord_confirm_roster(&f->c);
 }
 
 /* Keeps the authority, and lets the first count members ask, up to end_ms. */
