--- a/membership/doc_feed.c
+++ b/membership/doc_feed.c
@@ -4,6 +4,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define FEED_RETRY_FIRST_MS 100
 #define FEED_RETRY_MAX_MS 1000
@@ -18,11 +19,11 @@
 	ev_timer timer; /* the next read */
 	int reading;	/* a read is in flight */
 	int retry_ms;
-	uint64_t revision;    /* of the newest valid version */
-	int64_t mod_revision; /* of the value read last */
-	uint64_t era;	      /* of mod_revision */
-	int64_t read_ms;      /* when the last read was sent */
-	int64_t answered_ms;  /* of doc_feed_age_ms; 0: never */
+	uint64_t revision;   /* of the newest valid version */
+	uint64_t digest;     /* of the value read last */
+	int has_value;	     /* digest is set */
+	int64_t read_ms;     /* when the last read was sent */
+	int64_t answered_ms; /* of doc_feed_age_ms; 0: never */
 };
 
 static void schedule_read(struct doc_feed *f, int ms)
@@ -53,17 +54,19 @@
 }
 
 static void apply_value(struct doc_feed *f, const uint8_t *value, size_t len,
-			int64_t mod_revision, uint64_t era)
+			int64_t mod_revision)
 {
+	uint64_t digest = XXH3_64bits(value, len);
 	struct doc_sections sections;
 	struct buf problems;
 	struct doc doc;
 	enum err e;
 
-	if (era == f->era && mod_revision <= f->mod_revision)
+	/* Reading a value takes far longer than its digest. */
+	if (f->has_value && digest == f->digest)
 		return;
-	f->era = era;
-	f->mod_revision = mod_revision;
+	f->has_value = 1;
+	f->digest = digest;
 	buf_init(&problems);
 	e = f->source->read(value, len, &doc, &sections, &problems);
 	if (e == ERR_OK)
@@ -82,7 +85,7 @@
 	f->answered_ms = clk_ms();
 	if (event->value && strcmp(event->key, f->source->key) == 0)
 		apply_value(f, event->value, event->value_len,
-			    event->mod_revision, f->store->era);
+			    event->mod_revision);
 }
 
 static void on_watch_ended(enum err why, void *priv)
@@ -119,7 +122,7 @@
 
 		if (strcmp(kv->key, f->source->key) == 0)
 			apply_value(f, kv->value, kv->value_len,
-				    kv->mod_revision, r->era);
+				    kv->mod_revision);
 	}
 	if (!f->watch)
 		f->watch = f->store->ops->watch(f->store, f->source->key,
