--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -122,6 +122,8 @@
         self.work = tempfile.mkdtemp(prefix="mpin-review-")
         self.services = services
         self.config = config
+        # Number of the zone that each machine is in.
+        self.places = list(range(len(services)))
         self.version = 11
         self.heartbeat_s = heartbeat_s
         net = random.randrange(1, 250)
@@ -148,8 +150,9 @@
         """Fills in deploy/mpind.toml as the platform does."""
         ip, port = self.ips[i], self.ports
         fields = {
-            "nodeName": f"sidecar-{i}", "region": f"r{i % 3}",
-            "zone": f"z{i % 6}", "service": self.services[i], "ip": ip,
+            "nodeName": f"sidecar-{i}",
+            "region": f"r{self.places[i] % 3}",
+            "zone": f"z{self.places[i] % 6}", "service": self.services[i], "ip": ip,
             "listen.outbound": f"{ip}:{port['outbound']}",
             "listen.ready": f"{ip}:{port['ready']}",
             "listen.control": f"{ip}:{port['control']}",
@@ -198,13 +201,14 @@
                                  json.dumps(self.config).encode())
         self.record("config_acknowledged", version=self.config["version"])
 
-    async def start(self):
+    async def start(self, count=None):
+        """Starts the store and the first count machines, by default all."""
         for path in (MPIND, KVSTORE):
             if not os.access(path, os.X_OK):
                 raise CannotRun(f"{path} is not built")
         self.start_store()
         await self.wait("the store", self.store_answers, 10)
-        for i in range(len(self.services)):
+        for i in range(count or len(self.services)):
             self.start_daemon(i)
         await self.put_config()
 
@@ -372,7 +376,7 @@
         return json.dumps({
             "service": f.services[self.i],
             "address": f"{f.ips[self.i]}:{f.ports['app']}",
-            "zone": f"z{self.i % 6}", "version": "v1", "slots": 18,
+            "zone": f"z{f.places[self.i] % 6}", "version": "v1", "slots": 18,
             "state": self.state, "coldRemaining": "0ms",
             "sequence": self.sequence, "born": self.born,
             "holds": [list(r) for r in self.holds()] if self.sharded else [],
