coord: assign a slot anew if the node it was released for is lost

Cause: slots were being released for a node when it was lost. Once released they were given to it, though the map did not know it any more; the change was discarded and made again by the next pass.

A pass now forgets a successor that is lost or gone. test_coord lost_successor failed before, with ERR_MALFORMED from map_check.

--- a/membership/coord_place.c
+++ b/membership/coord_place.c
@@ -148,6 +148,19 @@
 	s->new_owner = 0;
 }
 
+/*
+ * A node that was lost while a slot was being released for it cannot get the
+ * slot. The release goes on, and the slot is assigned again after it.
+ */
+static void clear_lost_successor(struct coord *c, uint32_t slot)
+{
+	struct co_slot *s = &c->slots[slot];
+	const struct co_member *m = co_member_find(c, s->new_owner);
+
+	if (!m || m->lost)
+		s->new_owner = 0;
+}
+
 static void add_slot(struct coord *c, struct place_input *in, uint32_t slot,
 		     int is_pin)
 {
@@ -155,6 +168,7 @@
 	const struct co_slot *s = &c->slots[slot];
 
 	clear_release_of_lost_owner(c, slot);
+	clear_lost_successor(c, slot);
 	memset(p, 0, sizeof(*p));
 	p->slot = slot;
 	p->owner = c->map.slots[slot].owner;
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -439,6 +439,49 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against slots that stay without an owner because the node that they
+ * were released for was lost: a change that names it does not apply to the map,
+ * and all later changes wait behind it (seen in restored-coordinator-lives, 240
+ * slots for 8.5 s, until the end of the run).
+ */
+static void test_lost_successor(void)
+{
+	Wire__Target targets[2];
+	struct fixture f;
+	int64_t now_ms = 5000;
+
+	setup(&f);
+	for (uint32_t id = 1; id <= 2; id++)
+		announce_target(&f, id, &targets[id - 1], "cal", 0);
+	f.c.own.phase = OWN_NORMAL;
+	for (; !f.c.queue.slot_count && now_ms < 15000; now_ms += 100)
+		co_place_tick(&f.c, now_ms);
+	apply_queued_changes(&f);
+	for (uint32_t slot = 0; slot < f.c.map.slot_count; slot++) {
+		if (f.c.map.slots[slot].owner != 1)
+			continue;
+		f.c.slots[slot].releasing = slot % 2;
+		f.c.slots[slot].released = !(slot % 2);
+		f.c.slots[slot].new_owner = 3;
+	}
+	co_member_find(&f.c, 3)->lost = 1;
+	co_build_removals(&f.c);
+	apply_queued_changes(&f);
+	g_assert_null(map_find_node(&f.c.map, 3));
+	co_member_remove(&f.c, co_member_find(&f.c, 3));
+	f.c.placement_due = 1;
+	co_place_tick(&f.c, now_ms);
+	g_assert_cmpuint(f.c.queue.slot_count, >, 0);
+	/* Fails if the change does not apply. */
+	apply_queued_changes(&f);
+	for (uint32_t slot = 0; slot < f.c.map.slot_count; slot++)
+		g_assert_cmpuint(f.c.slots[slot].new_owner, !=, 3);
+	for (uint32_t id = 1; id <= 2; id++)
+		co_member_find(&f.c, id)->info->target = NULL;
+	teardown(&f);
+}
+
 /* Guards against a handover text that is lost or goes to a later owner. */
 static void test_handover(void)
 {
@@ -771,6 +814,7 @@
 	g_test_add_func("/coord/forget", test_forget);
 	g_test_add_func("/coord/roster_mark", test_roster_mark);
 	g_test_add_func("/coord/first_assignment", test_first_assignment);
+	g_test_add_func("/coord/lost_successor", test_lost_successor);
 	g_test_add_func("/coord/handover", test_handover);
 	g_test_add_func("/coord/sync", test_sync);
 	g_test_add_func("/coord/document_of_member", test_document_of_member);
