test: platform asks a slow target for keys that it holds

platform failed once in a run of all scripts: no event=target_slow. The trace of that run: all four rounds of requests ended within 0.1 s, and s1, the slow target, held 512-1023, 1536-2047 and so on, the odd blocks of 512 keys (its line "holds"). The sixteen keys were the multiples of 4096, all in even blocks, so that none of them was s1's. Which target gets the even blocks depends on the order of joining and on moves.

The keys are now 4608 apart, from even and odd blocks in turn, so that each target is asked in every run. Nothing else is changed.

--- a/test/run/platform.sh
+++ b/test/run/platform.sh
@@ -5,10 +5,11 @@
 . test/run/lib-platform.sh
 
 # request_all_keys_at_once I: requests sixteen keys over the whole range from
-# daemon I.
+# daemon I. Two targets get blocks of 512 keys in turn, so the keys are from even
+# and odd blocks.
 request_all_keys_at_once() {
 	local key pids=
-	for key in $(seq 0 4096 65535); do
+	for key in $(seq 0 4608 65535) 65535; do
 		request_status "$1" /k/x -H "X-Shard-Key: $key" >/dev/null &
 		pids="$pids $!"
 	done
