--- a/common/cnt.c
+++ b/common/cnt.c
@@ -91,20 +91,27 @@
 	s->gauge = 1;
 }
 
-void cnt_sample(struct cnt *c, const char *name, const char *labels,
-		uint64_t value)
+struct hist *cnt_hist(struct cnt *c, const char *name, const char *labels)
 {
 	struct cnt_series *s = find_or_add(c, name, labels);
 
 	if (!s)
-		return;
+		return NULL;
 	if (!s->hist) {
 		s->hist = malloc(sizeof(*s->hist));
-		if (!s->hist)
-			return;
-		hist_init(s->hist);
+		if (s->hist)
+			hist_init(s->hist);
 	}
-	hist_add(s->hist, value);
+	return s->hist;
+}
+
+void cnt_sample(struct cnt *c, const char *name, const char *labels,
+		uint64_t value)
+{
+	struct hist *h = cnt_hist(c, name, labels);
+
+	if (h)
+		hist_add(h, value);
 }
 
 uint64_t cnt_get(const struct cnt *c, const char *name, const char *labels)
--- a/common/cnt.h
+++ b/common/cnt.h
@@ -50,6 +50,11 @@
 /* Adds one sample to a histogram; the name ends in the unit, e.g. _us. */
 void cnt_sample(struct cnt *c, const char *name, const char *labels,
 		uint64_t value);
+/*
+ * Returns the histogram that cnt_sample adds to, for callers that add often, or
+ * NULL without memory. It is valid until cnt_finish.
+ */
+struct hist *cnt_hist(struct cnt *c, const char *name, const char *labels);
 /* Returns the value of a counter or gauge, 0 if it does not exist. */
 uint64_t cnt_get(const struct cnt *c, const char *name, const char *labels);
 /* Appends all series to out, sorted by name and labels. */
--- a/daemon/holds.c
+++ b/daemon/holds.c
@@ -1,5 +1,6 @@
 #include "daemon/node.h"
 #include "common/clk.h"
+#include "common/step.h"
 #include "common/guard.h"
 #include "common/log.h"
 
@@ -61,6 +62,7 @@
 {
 	(void)loop;
 	(void)events;
+	step_enter("hold_release");
 	node_report_hold_releases(w->data, clk_ms());
 }
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -138,6 +138,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("signal");
 	if (w->signum == SIGHUP &&
 	    d->settings->interface == SETTINGS_INTERFACE_PLATFORM) {
 		update_settings_mtime(d);
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -342,6 +342,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("node_tick");
 	node_target_tick(n, now_ms);
 	node_departures_advance(n);
 	log_traffic(n, now_ms);
@@ -471,7 +472,9 @@
 	cnt_init(&n->cnt);
 	ev_timer_init(&n->timer, on_tick, NODE_TICK_S, NODE_TICK_S);
 	n->timer.data = n;
-	e = start_store(n, info);
+	e = step_meter_init(&n->steps, loop, &n->cnt);
+	if (e == ERR_OK)
+		e = start_store(n, info);
 	if (e == ERR_OK) {
 		node_departures_advance(n);
 		e = start_coordination(n, info);
@@ -518,6 +521,7 @@
 	dgram_finish(&n->dgram);
 	if (n->target)
 		wire__target__free_unpacked(n->target, NULL);
+	step_meter_finish(&n->steps);
 	cnt_finish(&n->cnt);
 }
 
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -2,6 +2,7 @@
 #define DAEMON_NODE_H
 
 #include "common/cnt.h"
+#include "common/step.h"
 #include "config/settings.h"
 #include "daemon/interface.h"
 #include "membership/coord.h"
@@ -124,6 +125,7 @@
 	const struct settings *settings;
 	uint64_t incarnation;
 	struct cnt cnt;
+	struct step_meter steps;
 	const struct interface *interface;
 	struct store *store;
 	struct doc_feed *feed; /* reads the platform's document; may be NULL */
--- a/membership/coord.c
+++ b/membership/coord.c
@@ -1,5 +1,6 @@
 #include "membership/coord_priv.h"
 #include "common/clk.h"
+#include "common/step.h"
 #include "common/log.h"
 
 #include <glib.h>
@@ -345,6 +346,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("coord_tick");
 	confirm_record(c, now_ms);
 	if (c->phase != CO_ACTIVE)
 		return;
@@ -364,6 +366,7 @@
 {
 	(void)loop;
 	(void)events;
+	step_enter("coord_reap");
 	co_conns_reap(w->data);
 }
 
--- a/membership/doc_feed.c
+++ b/membership/doc_feed.c
@@ -1,5 +1,6 @@
 #include "membership/doc_feed.h"
 #include "common/clk.h"
+#include "common/step.h"
 #include "common/log.h"
 
 #include <stdlib.h>
@@ -136,6 +137,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("doc_feed_timer");
 	if (f->reading)
 		return;
 	f->reading = 1;
--- a/membership/membership.c
+++ b/membership/membership.c
@@ -1,5 +1,6 @@
 #include "membership/membership_priv.h"
 #include "common/clk.h"
+#include "common/step.h"
 #include "common/guard.h"
 #include "common/log.h"
 #include "routing/ingress.h"
@@ -108,6 +109,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("member_tick");
 	membership_discovery_tick(m, now_ms);
 	send_load(m, now_ms);
 }
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -1,5 +1,6 @@
 #include "routing/gate_priv.h"
 #include "common/clk.h"
+#include "common/step.h"
 #include "routing/hdr.h"
 #include "protocol/wire.h"
 
@@ -27,6 +28,7 @@
 {
 	(void)loop;
 	(void)events;
+	step_enter("gate_release_timer");
 	gate_report_drained_slots(w->data);
 }
 
@@ -228,6 +230,7 @@
 	struct admission_item *item;
 
 	(void)events;
+	step_enter("gate_queue_timer");
 	while ((item = admission_expire(&g->admission, clk_ms())))
 		gate_call_fail(call_from_item(item), OUTCOME_NOT_RUN,
 			       item->deadline_ms <= clk_ms() ? ERR_DEADLINE
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -1,5 +1,6 @@
 #include "routing/ingress_priv.h"
 #include "common/clk.h"
+#include "common/step.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +14,7 @@
 {
 	(void)loop;
 	(void)events;
+	step_enter("ingress_timer");
 	in_start_attempt(w->data);
 }
 
--- a/routing/peer.c
+++ b/routing/peer.c
@@ -1,5 +1,6 @@
 #include "routing/peer_priv.h"
 #include "common/clk.h"
+#include "common/step.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -45,6 +46,7 @@
 	int busy = 0;
 
 	(void)events;
+	step_enter("peer_tick");
 	HASH_ITER(hh, p->nodes, n, next) {
 		peer_node_tick(p, n, now);
 		busy |= peer_node_needs_ticks(n);
@@ -69,6 +71,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("peer_sweep");
 	HASH_ITER(hh, p->nodes, n, next) {
 		peer_node_free_if_unused(p, n, clk_ms());
 	}
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -1,5 +1,6 @@
 #include "transport/httpc.h"
 #include "common/guard.h"
+#include "common/step.h"
 #include "protocol/frame.h"
 
 #include <stdio.h>
@@ -36,6 +37,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("httpc_timer");
 	curl_multi_socket_action(c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	process_finished(c);
 }
@@ -92,6 +94,7 @@
 	int running;
 
 	(void)loop;
+	step_enter("httpc_io");
 	if ((events & EV_READ) && s->request && is_started(c, s->request) &&
 	    reads_too_much(s->request, w->fd)) {
 		end_request(s->request, ERR_TOO_LARGE);
@@ -391,6 +394,7 @@
 		read_status(r);
 		r->error = curl_result_to_err(r, code);
 		release_handle(r);
+		step_enter("httpc_done");
 		r->ops->done(r, r->priv);
 	}
 }
--- a/transport/httpd.c
+++ b/transport/httpd.c
@@ -1,4 +1,5 @@
 #include "transport/httpd_priv.h"
+#include "common/step.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -158,6 +159,7 @@
 		recv(c->fd, c->server->scratch, HTTPD_READ_BYTES, MSG_DONTWAIT);
 
 	(void)events;
+	step_enter("httpd_read");
 	if (n < 0 &&
 	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
 		return;
@@ -305,6 +307,7 @@
 {
 	(void)loop;
 	(void)events;
+	step_enter("httpd_due");
 	run_due(w->data);
 }
 
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -1,4 +1,5 @@
 #include "transport/httpd_priv.h"
+#include "common/step.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -103,6 +104,7 @@
 	struct httpd_request *r = c->receiving;
 	struct httpd *d = c->server;
 
+	step_enter("httpd_request");
 	append_request(c, r);
 	if (!r->keep_alive)
 		c->closing = 1;
--- a/transport/tcp.c
+++ b/transport/tcp.c
@@ -1,4 +1,5 @@
 #include "transport/tcp.h"
+#include "common/step.h"
 #include "transport/addr.h"
 #include "common/clk.h"
 
@@ -96,6 +97,7 @@
 			break;
 		pos += used;
 		c->in_callback = 1;
+		step_enter(frame_name(f.type));
 		c->ops->frame(c, &f, c->priv);
 		c->in_callback = 0;
 		frame_finish(&f);
@@ -118,6 +120,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("frame_read");
 	if (!space) {
 		close_and_report(c, ERR_NOMEM);
 		return;
--- a/transport/udp.c
+++ b/transport/udp.c
@@ -1,4 +1,5 @@
 #include "transport/udp.h"
+#include "common/step.h"
 #include "transport/addr.h"
 
 #include <arpa/inet.h>
@@ -13,6 +14,7 @@
 
 	(void)loop;
 	(void)events;
+	step_enter("datagrams");
 	for (;;) {
 		uint8_t data[UDP_MAX_BYTES];
 		struct sockaddr_in from;
