--- a/config/doc.h
+++ b/config/doc.h
@@ -81,6 +81,8 @@
 	struct doc_destination *destinations;
 	size_t destination_count;
 	uint32_t weight_sum; /* of all destinations */
+	int of_service;	     /* made by a service's own prefix */
+	unsigned refs;	     /* documents that share it */
 };
 
 /* Assigns a range of shards: only these nodes may own them. */
@@ -129,6 +131,10 @@
 	char node[DOC_NAME_BYTES];
 };
 
+/*
+ * A document does not change once it was read. Versions that follow each other
+ * share their routes, and their services and stops while these are the same.
+ */
 struct doc {
 	uint64_t revision; /* set by the caller of the function that parses */
 	struct doc_service *services; /* sorted by name */
@@ -137,10 +143,11 @@
 	 * Routes of the document, and one for each service that has a prefix;
 	 * sorted for doc_find_route.
 	 */
-	struct doc_route *routes;
+	struct doc_route **routes;
 	size_t route_count;
 	struct doc_stop *stops;
 	size_t stop_count;
+	unsigned *refs; /* documents that share services and stops */
 };
 
 /*
@@ -152,14 +159,18 @@
  */
 enum err doc_parse(struct doc *d, const char *text, size_t len,
 		   struct buf *problems);
+/* Makes out a copy that shares all with d. */
+enum err doc_copy(const struct doc *d, struct doc *out);
 /* Frees the document's contents and empties it. */
 void doc_finish(struct doc *d);
 
+/* Sections do not change either; copies share name and text. */
 struct doc_section {
 	char *name;
 	char *text; /* canonical JSON; NULL if only the digest is known */
 	size_t len;
 	uint64_t digest; /* XXH3 of text */
+	unsigned *refs;	 /* lists that share it */
 };
 
 /* The sections of a document. */
@@ -215,9 +226,37 @@
 /* Returns the section with this name, NULL if there is none. */
 const struct doc_section *doc_sections_get(const struct doc_sections *s,
 					   const char *name);
+/* Adds or replaces the section by one of another list, which shares it. */
+enum err doc_sections_share(struct doc_sections *s,
+			    const struct doc_section *section);
+/* Makes out a copy that shares all sections with s. */
+enum err doc_sections_copy(const struct doc_sections *s,
+			   struct doc_sections *out);
 /* Frees the sections and empties s. */
 void doc_sections_finish(struct doc_sections *s);
 
+/*
+ * A list of changes is a list of sections: one with a text is added or
+ * replaced, one without is removed.
+ */
+
+/* Adds the removal of the section to a list of changes. */
+enum err doc_changes_remove(struct doc_sections *changes, const char *name);
+/* Writes the changes that lead from one list of sections to another to out. */
+enum err doc_changes_between(const struct doc_sections *from,
+			     const struct doc_sections *to,
+			     struct doc_sections *out);
+/*
+ * Reads the changes and makes out and out_sections the document that results,
+ * validated as a whole; d and sections stay as they are. Reading takes as long
+ * as the changes are, and the rest a small time for each route. Removals of
+ * sections that are not there do nothing. Results and problems as
+ * doc_parse_sections; on an error, out and out_sections are empty.
+ */
+enum err doc_update(const struct doc *d, const struct doc_sections *sections,
+		    const struct doc_sections *changes, struct doc *out,
+		    struct doc_sections *out_sections, struct buf *problems);
+
 /*
  * Appends the differences as lines "+ PATH: value", "- PATH: value" or
  * "~ PATH: old -> new", sorted by path; nothing if the documents are equal.
--- a/config/doc_internal.h
+++ b/config/doc_internal.h
@@ -79,11 +79,32 @@
 void doc_read_route(struct doc_check *c, const struct doc *d,
 		    struct doc_route *r, const char *name, const json_t *value,
 		    const char *path);
+/* Returns an empty route, NULL without memory. */
+struct doc_route *doc_route_new(void);
+/* Drops a reference. */
+void doc_route_unref(struct doc_route *r);
 /*
  * Adds the route that a service's own prefix makes, if it has one. d->routes
  * must have room for it.
  */
 enum err doc_add_service_route(struct doc *d, const struct doc_service *s);
+/* Reports the route's destinations that are not in the document. */
+void doc_check_destinations(struct doc_check *c, const struct doc *d,
+			    const struct doc_route *r, const char *path);
+/* Compares two routes (struct doc_route *) in the order of struct doc. */
+int doc_compare_routes(const void *a, const void *b);
+void doc_report_equal_routes(struct doc_check *c, const struct doc_route *a,
+			     const struct doc_route *b);
+/* Makes out share the services and stops of d. */
+void doc_share(const struct doc *d, struct doc *out);
+/* Reads services and stops, and all but the routes, as doc_read_root. */
+void doc_read_shared(struct doc_check *c, struct doc *d, const json_t *root);
+/*
+ * Returns the document made of the sections, NULL without memory. Problems of
+ * sections are reported in c only.
+ */
+json_t *doc_join_sections(struct doc_check *c,
+			  const struct doc_sections *sections);
 /* Sorts the routes for look-up and reports two with equal host and prefix. */
 void doc_sort_routes(struct doc_check *c, struct doc *d);
 void doc_routes_finish(struct doc *d);
--- a/config/doc_parse.c
+++ b/config/doc_parse.c
@@ -291,17 +291,23 @@
 				DOC_MAX_ROUTES);
 		return;
 	}
-	d->routes = calloc(count + d->service_count + 1, sizeof(*d->routes));
+	d->routes = calloc(count + d->service_count + 1,
+			   sizeof(struct doc_route *));
 	if (!d->routes) {
 		doc_add_problem(c, ERR_NOMEM, "routes", "no memory");
 		return;
 	}
 	json_object_foreach((json_t *)value, name, item) {
+		struct doc_route *r = doc_route_new();
 		char path[DOC_PATH_BYTES];
 
 		doc_path_key(path, "routes", name);
-		doc_read_route(c, d, &d->routes[d->route_count++], name, item,
-			       path);
+		if (!r) {
+			doc_add_problem(c, ERR_NOMEM, path, "no memory");
+			return;
+		}
+		d->routes[d->route_count++] = r;
+		doc_read_route(c, d, r, name, item, path);
 	}
 	for (size_t i = 0; i < d->service_count; i++) {
 		if (doc_add_service_route(d, &d->services[i]) != ERR_OK)
@@ -393,12 +399,18 @@
 	free(names);
 }
 
-void doc_read_root(struct doc_check *c, struct doc *d, const json_t *root)
+void doc_read_shared(struct doc_check *c, struct doc *d, const json_t *root)
 {
 	const char *key;
 	json_t *value;
 
 	memset(d, 0, sizeof(*d));
+	d->refs = malloc(sizeof(*d->refs));
+	if (!d->refs) {
+		doc_add_problem(c, ERR_NOMEM, "document", "no memory");
+		return;
+	}
+	*d->refs = 1;
 	if (!json_is_object(root)) {
 		doc_add_problem(
 			c, ERR_TYPE, "document",
@@ -427,7 +439,13 @@
 		qsort(d->services, d->service_count, sizeof(*d->services),
 		      compare_services);
 	doc_check_prefixes(c, d);
-	read_routes(c, d, json_object_get(root, "routes"));
+}
+
+void doc_read_root(struct doc_check *c, struct doc *d, const json_t *root)
+{
+	doc_read_shared(c, d, root);
+	if (json_is_object(root))
+		read_routes(c, d, json_object_get(root, "routes"));
 }
 
 void doc_describe(struct buf *out)
@@ -456,13 +474,48 @@
 	return c.first_error;
 }
 
-void doc_finish(struct doc *d)
+static void shared_unref(struct doc *d)
 {
+	if (!d->refs || --*d->refs)
+		return;
 	for (size_t i = 0; i < d->service_count; i++)
 		doc_service_finish(&d->services[i]);
-	doc_routes_finish(d);
 	free(d->services);
 	free(d->stops);
+	free(d->refs);
+}
+
+void doc_share(const struct doc *d, struct doc *out)
+{
+	out->services = d->services;
+	out->service_count = d->service_count;
+	out->stops = d->stops;
+	out->stop_count = d->stop_count;
+	out->refs = d->refs;
+	if (d->refs)
+		++*d->refs;
+}
+
+enum err doc_copy(const struct doc *d, struct doc *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->routes = calloc(d->route_count + 1, sizeof(struct doc_route *));
+	if (!out->routes)
+		return ERR_NOMEM;
+	doc_share(d, out);
+	out->revision = d->revision;
+	out->route_count = d->route_count;
+	for (size_t i = 0; i < d->route_count; i++) {
+		out->routes[i] = d->routes[i];
+		out->routes[i]->refs++;
+	}
+	return ERR_OK;
+}
+
+void doc_finish(struct doc *d)
+{
+	doc_routes_finish(d);
+	shared_unref(d);
 	memset(d, 0, sizeof(*d));
 }
 
--- a/config/doc_route.c
+++ b/config/doc_route.c
@@ -154,8 +154,8 @@
 			"0)");
 }
 
-static void check_destinations(struct doc_check *c, const struct doc *d,
-			       const struct doc_route *r, const char *path)
+void doc_check_destinations(struct doc_check *c, const struct doc *d,
+			    const struct doc_route *r, const char *path)
 {
 	for (size_t i = 0; i < r->destination_count; i++) {
 		if (!*r->destinations[i].service ||
@@ -201,7 +201,24 @@
 			doc_add_problem(c, ERR_UNKNOWN_KEY, item_path,
 					"unknown key");
 	}
-	check_destinations(c, d, r, path);
+	doc_check_destinations(c, d, r, path);
+}
+
+struct doc_route *doc_route_new(void)
+{
+	struct doc_route *r = calloc(1, sizeof(*r));
+
+	if (r)
+		r->refs = 1;
+	return r;
+}
+
+void doc_route_unref(struct doc_route *r)
+{
+	if (--r->refs)
+		return;
+	free(r->destinations);
+	free(r);
 }
 
 enum err doc_add_service_route(struct doc *d, const struct doc_service *s)
@@ -210,12 +227,17 @@
 
 	if (!*s->prefix)
 		return ERR_OK;
-	r = &d->routes[d->route_count];
+	r = doc_route_new();
+	if (!r)
+		return ERR_NOMEM;
 	opt_set_defaults(route_options, OPTION_COUNT, r);
 	r->destinations = calloc(1, sizeof(*r->destinations));
-	if (!r->destinations)
+	if (!r->destinations) {
+		doc_route_unref(r);
 		return ERR_NOMEM;
-	d->route_count++;
+	}
+	r->of_service = 1;
+	d->routes[d->route_count++] = r;
 	memcpy(r->prefix, s->prefix, sizeof(s->prefix));
 	memcpy(r->name, s->name, sizeof(s->name));
 	memcpy(r->destinations[0].service, s->name, sizeof(s->name));
@@ -241,10 +263,10 @@
  * Compares by host, then puts the longer prefix first, so that the first match
  * is the longest.
  */
-static int compare_routes(const void *a, const void *b)
+int doc_compare_routes(const void *a, const void *b)
 {
-	const struct doc_route *x = a;
-	const struct doc_route *y = b;
+	const struct doc_route *x = *(struct doc_route *const *)a;
+	const struct doc_route *y = *(struct doc_route *const *)b;
 	int order = strcasecmp(x->host, y->host);
 
 	if (order)
@@ -254,24 +276,31 @@
 	return strcmp(x->prefix, y->prefix);
 }
 
+void doc_report_equal_routes(struct doc_check *c, const struct doc_route *a,
+			     const struct doc_route *b)
+{
+	doc_add_problem(c, ERR_RANGE, "routes",
+			"%s and %s have the same host and prefix", a->name,
+			b->name);
+}
+
 void doc_sort_routes(struct doc_check *c, struct doc *d)
 {
 	if (!d->route_count)
 		return;
-	qsort(d->routes, d->route_count, sizeof(*d->routes), compare_routes);
+	qsort(d->routes, d->route_count, sizeof(struct doc_route *),
+	      doc_compare_routes);
 	for (size_t i = 1; i < d->route_count; i++) {
-		if (compare_routes(&d->routes[i - 1], &d->routes[i]))
-			continue;
-		doc_add_problem(c, ERR_RANGE, "routes",
-				"%s and %s have the same host and prefix",
-				d->routes[i - 1].name, d->routes[i].name);
+		if (!doc_compare_routes(&d->routes[i - 1], &d->routes[i]))
+			doc_report_equal_routes(c, d->routes[i - 1],
+						d->routes[i]);
 	}
 }
 
 void doc_routes_finish(struct doc *d)
 {
 	for (size_t i = 0; i < d->route_count; i++)
-		free(d->routes[i].destinations);
+		doc_route_unref(d->routes[i]);
 	free(d->routes);
 }
 
@@ -286,7 +315,7 @@
 
 	while (low < high) {
 		size_t mid = (low + high) / 2;
-		const char *h = d->routes[mid].host;
+		const char *h = d->routes[mid]->host;
 		int order = strncasecmp(h, host, len);
 
 		if (!order)
@@ -305,7 +334,7 @@
 {
 	for (size_t i = find_first_of_host(d, host, len); i < d->route_count;
 	     i++) {
-		const struct doc_route *r = &d->routes[i];
+		const struct doc_route *r = d->routes[i];
 
 		if (strncasecmp(r->host, host, len) != 0 || r->host[len])
 			break;
--- a/config/doc_sections.c
+++ b/config/doc_sections.c
@@ -33,8 +33,8 @@
 
 static void section_finish(struct doc_section *item)
 {
-	free(item->name);
-	free(item->text);
+	if (!--*item->refs)
+		free(item->refs);
 }
 
 static void remove_section(struct doc_sections *s, size_t i)
@@ -45,46 +45,57 @@
 	s->count--;
 }
 
-/*
- * Adds or replaces a section. Takes ownership of text, which may be NULL, also
- * on an error.
- */
-static enum err put_section(struct doc_sections *s, const char *name,
-			    char *text, size_t len, uint64_t digest)
+/* Adds or replaces a section. Takes over the reference. */
+static enum err put_section(struct doc_sections *s,
+			    const struct doc_section *section)
 {
-	size_t i = find_position(s, name);
+	size_t i = find_position(s, section->name);
 	struct doc_section *items;
-	char *copy;
 
-	if (i < s->count && !strcmp(s->items[i].name, name)) {
-		free(s->items[i].text);
-		s->items[i].text = text;
-		s->items[i].len = len;
-		s->items[i].digest = digest;
+	if (i < s->count && !strcmp(s->items[i].name, section->name)) {
+		section_finish(&s->items[i]);
+		s->items[i] = *section;
 		return ERR_OK;
 	}
-	copy = strdup(name);
-	items = copy ? realloc(s->items, (s->count + 1) * sizeof(*items))
-		     : NULL;
-	if (!items) {
-		free(copy);
-		free(text);
+	items = realloc(s->items, (s->count + 1) * sizeof(*items));
+	if (!items)
 		return ERR_NOMEM;
-	}
 	s->items = items;
 	memmove(&items[i + 1], &items[i], (s->count - i) * sizeof(*items));
-	items[i] = (struct doc_section){
-		.name = copy, .text = text, .len = len, .digest = digest
-	};
+	items[i] = *section;
 	s->count++;
 	return ERR_OK;
 }
 
+/* text may be NULL. Reference count, name and text are one block. */
+static enum err add_new_section(struct doc_sections *s, const char *name,
+				const char *text, size_t len, uint64_t digest)
+{
+	size_t name_size = strlen(name) + 1;
+	struct doc_section section = { .len = len, .digest = digest };
+	enum err e;
+
+	section.refs = malloc(sizeof(*section.refs) + name_size +
+			      (text ? len + 1 : 0));
+	if (!section.refs)
+		return ERR_NOMEM;
+	*section.refs = 1;
+	section.name = (char *)(section.refs + 1);
+	memcpy(section.name, name, name_size);
+	if (text) {
+		section.text = section.name + name_size;
+		memcpy(section.text, text, len);
+		section.text[len] = 0;
+	}
+	e = put_section(s, &section);
+	if (e != ERR_OK)
+		section_finish(&section);
+	return e;
+}
+
 enum err doc_sections_set(struct doc_sections *s, const char *name,
 			  const char *text, size_t len)
 {
-	char *copy;
-
 	if (!text) {
 		size_t i = find_position(s, name);
 
@@ -93,18 +104,45 @@
 		remove_section(s, i);
 		return ERR_OK;
 	}
-	copy = malloc(len + 1);
-	if (!copy)
-		return ERR_NOMEM;
-	memcpy(copy, text, len);
-	copy[len] = 0;
-	return put_section(s, name, copy, len, XXH3_64bits(text, len));
+	return add_new_section(s, name, text, len, XXH3_64bits(text, len));
 }
 
 enum err doc_sections_add_digest(struct doc_sections *s, const char *name,
 				 uint64_t digest)
 {
-	return put_section(s, name, NULL, 0, digest);
+	return add_new_section(s, name, NULL, 0, digest);
+}
+
+enum err doc_changes_remove(struct doc_sections *changes, const char *name)
+{
+	return add_new_section(changes, name, NULL, 0, 0);
+}
+
+enum err doc_sections_share(struct doc_sections *s,
+			    const struct doc_section *section)
+{
+	enum err e;
+
+	++*section->refs;
+	e = put_section(s, section);
+	if (e != ERR_OK)
+		--*section->refs;
+	return e;
+}
+
+enum err doc_sections_copy(const struct doc_sections *s,
+			   struct doc_sections *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->items = malloc((s->count + 1) * sizeof(*out->items));
+	if (!out->items)
+		return ERR_NOMEM;
+	out->count = s->count;
+	for (size_t i = 0; i < s->count; i++) {
+		out->items[i] = s->items[i];
+		++*out->items[i].refs;
+	}
+	return ERR_OK;
 }
 
 void doc_sections_finish(struct doc_sections *s)
@@ -258,12 +296,8 @@
 		doc_add_problem(c, ERR_MALFORMED, where, "cannot be added");
 }
 
-/*
- * Returns the document made of the sections, NULL without memory. Problems of
- * sections are reported in c only, so the caller checks c->first_error too.
- */
-static json_t *join_sections(struct doc_check *c,
-			     const struct doc_sections *sections)
+json_t *doc_join_sections(struct doc_check *c,
+			  const struct doc_sections *sections)
 {
 	struct joined_objects j = { json_object(), json_object(),
 				    json_object() };
@@ -287,7 +321,7 @@
 enum err doc_join(const struct doc_sections *sections, struct buf *out)
 {
 	struct doc_check c = { 0 };
-	json_t *root = join_sections(&c, sections);
+	json_t *root = doc_join_sections(&c, sections);
 	char *text = NULL;
 
 	if (root && c.first_error == ERR_OK) {
@@ -304,7 +338,7 @@
 			    struct buf *problems)
 {
 	struct doc_check c = { .problems = problems };
-	json_t *root = join_sections(&c, sections);
+	json_t *root = doc_join_sections(&c, sections);
 
 	memset(d, 0, sizeof(*d));
 	if (root)
--- a/test/unit/fake.h
+++ b/test/unit/fake.h
@@ -93,6 +93,7 @@
 	struct doc doc;
 	struct doc_service service;
 	struct doc_route doc_route;
+	struct doc_route *routes; /* the only one */
 	struct doc_destination part;
 	uint32_t self; /* id of this node */
 	/* What may_serve returns for slots of this node, and may_route. */
@@ -250,7 +251,8 @@
 	f->doc_route.destinations = &f->part;
 	f->doc_route.destination_count = 1;
 	f->doc_route.weight_sum = 1;
-	f->doc.routes = &f->doc_route;
+	f->routes = &f->doc_route;
+	f->doc.routes = &f->routes;
 	f->doc.route_count = 1;
 	f->doc.revision = 1;
 }
