doc_feed: read what has changed in a configuration, a few routes at a time

A node with 0.1 of a core did nothing else for one to two seconds per change, so that it noticed SIGTERM late and was killed with requests open.

Cause: each version was parsed, translated, validated and sorted as a whole in one step of the loop, and by a coordinator a second time.

A coordinator shares its member's document and sends it to nobody who reads it anyway.

--- a/config/doc.h
+++ b/config/doc.h
@@ -173,24 +173,62 @@
 	unsigned *refs;	 /* lists that share it */
 };
 
+/* Returns 1 if it is the section of a route. */
+int doc_section_is_route(const struct doc_section *s);
+
 /* The sections of a document. */
 struct doc_sections {
 	struct doc_section *items; /* sorted by name */
 	size_t count;
 };
 
-/* Reads a document that an operator keeps in the store in another format. */
+/* All of a document but its routes, and how to read these. */
+struct doc_rest {
+	uint64_t revision;	      /* as d->revision of doc_source.read */
+	struct doc_sections sections; /* services and stops */
+	json_t *columns;
+	uint64_t digest; /* routes with equal texts are equal while it is */
+};
+
+/*
+ * Reads a document that an operator keeps in the store in another format, as a
+ * whole or its routes one by one. Problems as doc_parse.
+ */
 struct doc_source {
 	const char *key; /* of the document in the store */
 	/*
-	 * Translates and validates the value at key. Problems as doc_parse. On
-	 * ERR_OK the caller finishes both d and out. d->revision is the number
-	 * that the operator gave this version, which rises with each one.
+	 * Translates and validates the value at key. On ERR_OK the caller
+	 * finishes both d and out. d->revision is the number that the operator
+	 * gave this version, which rises with each one.
 	 */
 	enum err (*read)(const uint8_t *value, size_t len, struct doc *d,
 			 struct doc_sections *out, struct buf *problems);
+	/* Where the list of routes is, as json_rows_cut takes it. */
+	const char *object;
+	const char *list;
+	/* Translates what json_rows_cut left; doc_rest_finish frees out. */
+	enum err (*read_rest)(const struct buf *rest, struct doc_rest *out,
+			      struct buf *problems);
+	/* Translates a route and adds it to sections; sets name to its name. */
+	enum err (*read_row)(const struct doc_rest *rest, const char *text,
+			     size_t len, struct doc_sections *sections,
+			     char name[DOC_NAME_BYTES], struct buf *problems);
 };
 
+void doc_rest_finish(struct doc_rest *r);
+/*
+ * Splits the services of a document, an object, into sections with the stops.
+ * The values are validated when a document is made of the sections.
+ */
+enum err doc_split_services(json_t *services, struct doc_sections *out);
+/*
+ * Adds the section of a route and sets section to its name. ERR_RANGE: the
+ * route's name is too long.
+ */
+enum err doc_add_route_section(struct doc_sections *sections, const char *name,
+			       const json_t *value,
+			       char section[DOC_NAME_BYTES]);
+
 /*
  * Validates the document that was loaded as root and splits it into sections.
  * The caller keeps its reference to root. Problems as doc_parse. On ERR_OK the
@@ -247,15 +285,42 @@
 			     const struct doc_sections *to,
 			     struct doc_sections *out);
 /*
- * Reads the changes and makes out and out_sections the document that results,
- * validated as a whole; d and sections stay as they are. Reading takes as long
- * as the changes are, and the rest a small time for each route. Removals of
- * sections that are not there do nothing. Results and problems as
- * doc_parse_sections; on an error, out and out_sections are empty.
+ * Makes a document from the one before it and changes. Only the changed
+ * sections are read, a few at a time; the rest takes a small time for each
+ * route. The result is validated as a whole, as by doc_parse_sections. Removals
+ * of sections that are not there do nothing.
+ */
+struct doc_update {
+	struct doc base;
+	struct doc_sections base_sections;
+	struct doc_sections changes;
+	size_t next; /* change to be read */
+	int shared;  /* services or stops change */
+	struct doc out;
+	struct doc_sections out_sections;
+	struct buf problems; /* as of doc_parse */
+	enum err error;	     /* code of the first problem */
+};
+
+/*
+ * Begins an update, which shares d and sections, and takes over the changes.
+ * doc_update_finish is called in each case.
+ */
+void doc_update_init(struct doc_update *u, const struct doc *d,
+		     const struct doc_sections *sections,
+		     struct doc_sections *changes);
+/*
+ * Reads up to count of the changed sections. Returns 1 if there are more, 0 if
+ * doc_update_end is to be called.
+ */
+int doc_update_step(struct doc_update *u, size_t count);
+/*
+ * Ends the update. On ERR_OK the caller finishes out and sections; on an error
+ * both are empty.
  */
-enum err doc_update(const struct doc *d, const struct doc_sections *sections,
-		    const struct doc_sections *changes, struct doc *out,
-		    struct doc_sections *out_sections, struct buf *problems);
+enum err doc_update_end(struct doc_update *u, struct doc *out,
+			struct doc_sections *sections);
+void doc_update_finish(struct doc_update *u);
 
 /*
  * Appends the differences as lines "+ PATH: value", "- PATH: value" or
--- a/config/doc_sections.c
+++ b/config/doc_sections.c
@@ -206,6 +206,37 @@
 	return doc_sections_set(out, DOC_STOPS_NAME, "[]", 2);
 }
 
+void doc_rest_finish(struct doc_rest *r)
+{
+	doc_sections_finish(&r->sections);
+	json_decref(r->columns);
+	memset(r, 0, sizeof(*r));
+}
+
+enum err doc_split_services(json_t *services, struct doc_sections *out)
+{
+	const char *name;
+	json_t *value;
+
+	json_object_foreach(services, name, value) {
+		if (strlen(name) > DOC_MAX_SERVICE_NAME)
+			return ERR_RANGE;
+	}
+	if (add_object_sections(services, DOC_SERVICE_PREFIX, out) != ERR_OK)
+		return ERR_NOMEM;
+	return doc_sections_set(out, DOC_STOPS_NAME, "[]", 2);
+}
+
+enum err doc_add_route_section(struct doc_sections *sections, const char *name,
+			       const json_t *value,
+			       char section[DOC_NAME_BYTES])
+{
+	if (strlen(name) > DOC_MAX_ROUTE_NAME)
+		return ERR_RANGE;
+	snprintf(section, DOC_NAME_BYTES, "%s%s", DOC_ROUTE_PREFIX, name);
+	return set_json_section(sections, section, value);
+}
+
 enum err doc_split(const char *text, size_t len, struct doc_sections *out,
 		   struct buf *problems)
 {
--- a/config/doc_update.c
+++ b/config/doc_update.c
@@ -8,7 +8,7 @@
  * not changed is shared with the document before.
  */
 
-static int is_route(const struct doc_section *s)
+int doc_section_is_route(const struct doc_section *s)
 {
 	return !strncmp(s->name, DOC_ROUTE_PREFIX, strlen(DOC_ROUTE_PREFIX));
 }
@@ -90,7 +90,7 @@
 static int changes_shared_parts(const struct doc_sections *changes)
 {
 	for (size_t i = 0; i < changes->count; i++) {
-		if (!is_route(&changes->items[i]))
+		if (!doc_section_is_route(&changes->items[i]))
 			return 1;
 	}
 	return 0;
@@ -105,7 +105,7 @@
 	json_t *root = NULL;
 
 	for (size_t i = 0; e == ERR_OK && i < sections->count; i++) {
-		if (!is_route(&sections->items[i]))
+		if (!doc_section_is_route(&sections->items[i]))
 			e = doc_sections_share(&shared, &sections->items[i]);
 	}
 	if (e == ERR_OK)
@@ -141,26 +141,35 @@
 	json_decref(value);
 }
 
-/* Reads the changed routes into d, sorted. */
-static void read_changed_routes(struct doc_check *c, struct doc *d,
-				const struct doc_sections *changes,
-				int services_changed)
+/* Moves the route added last to its place among those before it. */
+static void sort_last_route(struct doc *d)
 {
-	d->routes = calloc(changes->count + d->service_count + 1,
-			   sizeof(struct doc_route *));
-	if (!d->routes) {
-		doc_add_problem(c, ERR_NOMEM, "routes", "no memory");
-		return;
-	}
-	for (size_t i = 0; i < changes->count; i++) {
-		if (is_route(&changes->items[i]) && changes->items[i].text)
-			add_changed_route(c, d, &changes->items[i]);
+	size_t low = 0, high = d->route_count - 1;
+	struct doc_route *r = d->routes[high];
+
+	while (low < high) {
+		size_t mid = (low + high) / 2;
+
+		if (doc_compare_routes(&d->routes[mid], &r) <= 0)
+			low = mid + 1;
+		else
+			high = mid;
 	}
-	for (size_t i = 0; services_changed && i < d->service_count; i++) {
+	memmove(&d->routes[low + 1], &d->routes[low],
+		(d->route_count - 1 - low) * sizeof(struct doc_route *));
+	d->routes[low] = r;
+}
+
+static void add_service_routes(struct doc_check *c, struct doc *d)
+{
+	for (size_t i = 0; i < d->service_count; i++) {
+		size_t before = d->route_count;
+
 		if (doc_add_service_route(d, &d->services[i]) != ERR_OK)
 			doc_add_problem(c, ERR_NOMEM, "routes", "no memory");
+		else if (d->route_count > before)
+			sort_last_route(d);
 	}
-	doc_sort_routes(c, d);
 }
 
 /* Returns 1 if the document keeps this route of the one before. */
@@ -218,27 +227,98 @@
 				DOC_MAX_ROUTES);
 }
 
-enum err doc_update(const struct doc *d, const struct doc_sections *sections,
-		    const struct doc_sections *changes, struct doc *out,
-		    struct doc_sections *out_sections, struct buf *problems)
+void doc_update_init(struct doc_update *u, const struct doc *d,
+		     const struct doc_sections *sections,
+		     struct doc_sections *changes)
 {
-	struct doc_check c = { .problems = problems };
-	int shared = changes_shared_parts(changes) || !d->refs;
+	struct doc_check c;
 
-	memset(out, 0, sizeof(*out));
-	c.first_error = merge_sections(sections, changes, out_sections);
-	if (c.first_error == ERR_OK) {
-		if (shared)
-			read_shared(&c, out, out_sections);
-		else
-			doc_share(d, out);
-		read_changed_routes(&c, out, changes, shared);
-		if (out->routes)
-			merge_routes(&c, out, d, changes, shared);
+	memset(u, 0, sizeof(*u));
+	u->changes = *changes;
+	memset(changes, 0, sizeof(*changes));
+	buf_init(&u->problems);
+	c = (struct doc_check){ .problems = &u->problems };
+	u->shared = changes_shared_parts(&u->changes) || !d->refs;
+	u->error = doc_copy(d, &u->base);
+	if (u->error == ERR_OK)
+		u->error = doc_sections_copy(sections, &u->base_sections);
+	if (u->error == ERR_OK)
+		u->error =
+			merge_sections(sections, &u->changes, &u->out_sections);
+	if (u->error != ERR_OK)
+		return;
+	if (u->shared)
+		read_shared(&c, &u->out, &u->out_sections);
+	else
+		doc_share(&u->base, &u->out);
+	u->out.routes = calloc(u->changes.count + u->out.service_count + 1,
+			       sizeof(struct doc_route *));
+	if (!u->out.routes)
+		c.first_error = ERR_NOMEM;
+	u->error = c.first_error;
+}
+
+int doc_update_step(struct doc_update *u, size_t count)
+{
+	struct doc_check c = { .problems = &u->problems,
+			       .first_error = u->error };
+
+	/* All problems are found, but without services each is one. */
+	if (!u->out.routes)
+		return 0;
+	for (; count && u->next < u->changes.count; u->next++) {
+		const struct doc_section *s = &u->changes.items[u->next];
+		size_t before = u->out.route_count;
+
+		if (!doc_section_is_route(s) || !s->text)
+			continue;
+		add_changed_route(&c, &u->out, s);
+		if (u->out.route_count > before)
+			sort_last_route(&u->out);
+		count--;
 	}
-	if (c.first_error != ERR_OK) {
-		doc_finish(out);
-		doc_sections_finish(out_sections);
+	u->error = c.first_error;
+	return u->next < u->changes.count;
+}
+
+enum err doc_update_end(struct doc_update *u, struct doc *out,
+			struct doc_sections *sections)
+{
+	struct doc_check c = { .problems = &u->problems };
+
+	while (doc_update_step(u, u->changes.count))
+		;
+	c.first_error = u->error;
+	memset(out, 0, sizeof(*out));
+	memset(sections, 0, sizeof(*sections));
+	if (u->out.routes) {
+		if (u->shared)
+			add_service_routes(&c, &u->out);
+		for (size_t i = 1; i < u->out.route_count; i++) {
+			if (!doc_compare_routes(&u->out.routes[i - 1],
+						&u->out.routes[i]))
+				doc_report_equal_routes(&c,
+							u->out.routes[i - 1],
+							u->out.routes[i]);
+		}
+		merge_routes(&c, &u->out, &u->base, &u->changes, u->shared);
 	}
-	return c.first_error;
+	u->error = c.first_error;
+	if (u->error != ERR_OK)
+		return u->error;
+	*out = u->out;
+	*sections = u->out_sections;
+	memset(&u->out, 0, sizeof(u->out));
+	memset(&u->out_sections, 0, sizeof(u->out_sections));
+	return ERR_OK;
+}
+
+void doc_update_finish(struct doc_update *u)
+{
+	doc_finish(&u->base);
+	doc_finish(&u->out);
+	doc_sections_finish(&u->base_sections);
+	doc_sections_finish(&u->out_sections);
+	doc_sections_finish(&u->changes);
+	buf_finish(&u->problems);
 }
--- a/daemon/holds.c
+++ b/daemon/holds.c
@@ -1,8 +1,8 @@
 #include "daemon/node.h"
 #include "common/clk.h"
-#include "common/step.h"
 #include "common/guard.h"
 #include "common/log.h"
+#include "common/step.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -379,9 +379,10 @@
 	return n->feed ? doc_feed_age_ms(n->feed) : INT64_MAX;
 }
 
-static const struct doc_sections *get_member_document(uint64_t *rev, void *priv)
+static const struct doc_sections *get_member_document(const struct doc **doc,
+						      uint64_t *rev, void *priv)
 {
-	return membership_document(((struct node *)priv)->membership, rev);
+	return membership_document(((struct node *)priv)->membership, doc, rev);
 }
 
 static enum err start_document_feed(struct node *n, struct err_info *info)
--- a/membership/coord.c
+++ b/membership/coord.c
@@ -1,7 +1,7 @@
 #include "membership/coord_priv.h"
 #include "common/clk.h"
-#include "common/step.h"
 #include "common/log.h"
+#include "common/step.h"
 
 #include <glib.h>
 #include <stdio.h>
--- a/membership/coord.h
+++ b/membership/coord.h
@@ -41,11 +41,14 @@
 	struct cnt *cnt;      /* metrics */
 	uint64_t incarnation; /* identifies this run of the daemon */
 	/*
-	 * Returns the document in force on this node, and its revision in
-	 * rev; returns NULL if there is none. If this callback is NULL, the
-	 * coordinator reads the document that mpinctl keeps in the store.
+	 * Returns the sections of the document in force on this node, and sets
+	 * doc to it and rev to its revision; returns NULL if there is none.
+	 * Every node of the fleet then reads the document by itself. If this
+	 * callback is NULL, the coordinator reads the document that mpinctl
+	 * keeps in the store, and sends it to the members.
 	 */
-	const struct doc_sections *(*document)(uint64_t *rev, void *priv);
+	const struct doc_sections *(*document)(const struct doc **doc,
+					       uint64_t *rev, void *priv);
 	/*
 	 * Returns the milliseconds since the store confirmed that document;
 	 * INT64_MAX: never. NULL if and only if document is.
--- a/membership/coord_doc.c
+++ b/membership/coord_doc.c
@@ -61,35 +61,29 @@
 	return ERR_OK;
 }
 
-static int has_same_section(const struct doc_sections *s,
-			    const struct doc_section *x)
-{
-	const struct doc_section *other = doc_sections_get(s, x->name);
-
-	return other && other->digest == x->digest && other->len == x->len;
-}
-
 static void push_changes(struct coord *c, uint64_t base_rev,
 			 const struct doc_sections *from)
 {
+	struct doc_sections changes;
 	Wire__DocPush p;
-	enum err e = doc_push_init(&p, from->count + c->sections.count);
+	enum err e = doc_changes_between(from, &c->sections, &changes);
 
+	if (c->config.document && changes.count > CO_DOC_PUSH_SECTIONS) {
+		doc_sections_finish(&changes);
+		return;
+	}
+	if (doc_push_init(&p, changes.count) != ERR_OK)
+		e = ERR_NOMEM;
 	p.term = c->record.term;
 	p.base_rev = base_rev;
 	p.rev = c->doc_rev;
-	for (size_t i = 0; e == ERR_OK && i < c->sections.count; i++) {
-		if (!has_same_section(from, &c->sections.items[i]))
-			e = doc_push_add(&p, &c->sections.items[i], 0);
-	}
-	for (size_t i = 0; e == ERR_OK && i < from->count; i++) {
-		if (!doc_sections_get(&c->sections, from->items[i].name))
-			e = doc_push_add(&p, &from->items[i], 1);
-	}
+	for (size_t i = 0; e == ERR_OK && i < changes.count; i++)
+		e = doc_push_add(&p, &changes.items[i], !changes.items[i].text);
 	/* Members that get no push fetch the document when they ask. */
 	if (e == ERR_OK)
 		co_push_doc(c, base_rev, &p);
 	doc_push_finish(&p);
+	doc_sections_finish(&changes);
 }
 
 /* Encodes the whole document for co_doc_send_full. */
@@ -132,33 +126,19 @@
 }
 
 /*
- * Takes ownership of the sections, also if they are invalid. The store is not
+ * Puts the document in force and takes over doc and sections. The store is not
  * known to have the document until co_doc_note_stored.
  */
-static enum err replace_doc(struct coord *c, const struct doc_head *head,
-			    struct doc_sections *sections)
+static void put_in_force(struct coord *c, const struct doc_head *head,
+			 const struct doc *doc,
+			 const struct doc_sections *sections)
 {
 	struct doc_sections old = c->sections;
 	uint64_t old_rev = c->doc_rev;
-	struct buf problems;
-	struct doc doc;
-	enum err e;
 
-	buf_init(&problems);
-	e = doc_parse_sections(&doc, sections, &problems);
-	if (e != ERR_OK) {
-		log_error("document_invalid",
-			  "error=%s revision=%llu problems=%s", err_name(e),
-			  (unsigned long long)head->revision,
-			  LOG_Q(buf_text(&problems)));
-		doc_sections_finish(sections);
-		buf_finish(&problems);
-		return e;
-	}
-	buf_finish(&problems);
 	if (c->has_doc)
 		doc_finish(&c->doc);
-	c->doc = doc;
+	c->doc = *doc;
 	c->doc.revision = head->revision;
 	c->has_doc = 1;
 	c->sections = *sections;
@@ -173,30 +153,77 @@
 		 (unsigned long long)c->config.store->era);
 	push_changes(c, old_rev, &old);
 	doc_sections_finish(&old);
-	return ERR_OK;
+}
+
+/*
+ * Reads the document of the sections, of which those in force need not be read
+ * again. Takes ownership of the sections; out and out_sections are empty on an
+ * error.
+ */
+static enum err read_sections(const struct coord *c, uint64_t revision,
+			      struct doc_sections *sections, struct doc *out,
+			      struct doc_sections *out_sections)
+{
+	struct doc_sections changes;
+	struct doc_update u;
+	enum err e = doc_changes_between(&c->sections, sections, &changes);
+
+	doc_sections_finish(sections);
+	if (e != ERR_OK) {
+		doc_sections_finish(&changes);
+		return e;
+	}
+	doc_update_init(&u, &c->doc, &c->sections, &changes);
+	e = doc_update_end(&u, out, out_sections);
+	if (e == ERR_OK)
+		out->revision = revision;
+	else
+		log_error("document_invalid",
+			  "error=%s revision=%llu problems=%s", err_name(e),
+			  (unsigned long long)revision,
+			  LOG_Q(buf_text(&u.problems)));
+	doc_update_finish(&u);
+	return e;
+}
+
+/* Takes ownership of the sections, also if they are invalid. */
+static enum err replace_doc(struct coord *c, const struct doc_head *head,
+			    struct doc_sections *sections)
+{
+	struct doc_sections result;
+	struct doc doc;
+	enum err e = read_sections(c, head->revision, sections, &doc, &result);
+
+	if (e == ERR_OK)
+		put_in_force(c, head, &doc, &result);
+	return e;
 }
 
 /* Uses the document of this node where config.document provides it. */
 static void copy_member_document(struct coord *c)
 {
-	struct doc_sections copy = { 0 };
 	struct doc_head head = { 0 };
+	struct doc_sections sections;
 	const struct doc_sections *s;
-	enum err e = ERR_OK;
+	const struct doc *d;
+	struct doc doc;
+	enum err e;
 
-	s = c->config.document(&head.revision, c->config.document_priv);
+	s = c->config.document(&d, &head.revision, c->config.document_priv);
 	if (!s || head.revision <= c->doc_rev)
 		return;
-	for (size_t i = 0; e == ERR_OK && i < s->count; i++)
-		e = doc_sections_set(&copy, s->items[i].name, s->items[i].text,
-				     s->items[i].len);
+	e = doc_copy(d, &doc);
+	if (e == ERR_OK) {
+		e = doc_sections_copy(s, &sections);
+		if (e != ERR_OK)
+			doc_finish(&doc);
+	}
 	if (e != ERR_OK) {
 		log_error("document_copy_failed", "error=%s", err_name(e));
-		doc_sections_finish(&copy);
 		return;
 	}
-	if (replace_doc(c, &head, &copy) == ERR_OK)
-		c->placement_due = 1;
+	put_in_force(c, &head, &doc, &sections);
+	c->placement_due = 1;
 }
 
 /* Returns the member with a newer document that was heard last, or NULL. */
@@ -288,7 +315,7 @@
 
 	if (is_newest_stored(c))
 		return;
-	e = doc_push_read(p, NULL, &sections);
+	e = doc_push_read(p, &sections);
 	if (e != ERR_OK) {
 		log_error("document_invalid", "error=%s revision=%llu",
 			  err_name(e), (unsigned long long)p->rev);
@@ -308,9 +335,9 @@
 
 void co_on_doc_push(struct coord *c, const Wire__DocPush *p)
 {
-	struct doc_sections sections;
-	struct buf problems;
+	struct doc_sections sections, result;
 	struct doc doc;
+	enum err e;
 
 	if (p->base_rev || p->rev <= c->doc_rev)
 		return;
@@ -318,19 +345,16 @@
 		take_from_member(c, p);
 		return;
 	}
-	buf_init(&problems);
-	if (doc_push_read(p, NULL, &sections) == ERR_OK &&
-	    doc_parse_sections(&doc, &sections, &problems) == ERR_OK) {
-		doc.revision = p->rev;
-		c->config.offer_document(&doc, &sections,
-					 c->config.document_priv);
-	} else {
-		log_error("document_invalid", "revision=%llu problems=%s",
-			  (unsigned long long)p->rev,
-			  LOG_Q(buf_text(&problems)));
+	e = doc_push_read(p, &sections);
+	if (e != ERR_OK) {
+		log_error("document_not_read", "revision=%llu error=%s",
+			  (unsigned long long)p->rev, err_name(e));
 		doc_sections_finish(&sections);
+		return;
 	}
-	buf_finish(&problems);
+	if (read_sections(c, p->rev, &sections, &doc, &result) == ERR_OK)
+		c->config.offer_document(&doc, &result,
+					 c->config.document_priv);
 }
 
 /*
--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -367,8 +367,11 @@
 	HASH_ITER(hh, c->members, m, tmp) {
 		if (m->join != CO_JOIN_DONE || !m->conn)
 			continue;
-		if (m->doc_sent_rev != base_rev) {
-			co_doc_send_full(c, m);
+		if (m->doc_sent_rev != base_rev &&
+		    (!c->config.document || m->doc_rev != base_rev)) {
+			/* A node that reads it by itself asks if it cannot. */
+			if (!c->config.document)
+				co_doc_send_full(c, m);
 			continue;
 		}
 		co_send_encoded(m, &frame);
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -26,6 +26,12 @@
  */
 #define CO_DOC_FETCH_AFTER_MS 200
 #define CO_DOC_FETCH_RETRY_MS 1000
+/*
+ * Where every node reads the document by itself, a push is for those that the
+ * store turns away. One of more sections than this is not made, since packing
+ * thousands takes 10 ms; these nodes fetch the document.
+ */
+#define CO_DOC_PUSH_SECTIONS 512
 #define CO_LIVE_TTL_S 10
 #define CO_LIVE_RENEW_MS 3000
 #define CO_RETRY_MS 200
--- a/membership/coord_sync.c
+++ b/membership/coord_sync.c
@@ -115,7 +115,7 @@
 {
 	if (m->doc_rev == c->doc_rev)
 		m->doc_sent_rev = c->doc_rev;
-	else
+	else if (!c->config.document)
 		co_doc_send_full(c, m);
 	if (co_is_recovering(c))
 		return;
--- a/membership/doc_push.c
+++ b/membership/doc_push.c
@@ -44,24 +44,37 @@
 	free(p->sections);
 }
 
-enum err doc_push_read(const Wire__DocPush *p, const struct doc_sections *base,
-		       struct doc_sections *out)
+enum err doc_push_read(const Wire__DocPush *p, struct doc_sections *changes)
 {
 	enum err e = ERR_OK;
 
-	memset(out, 0, sizeof(*out));
-	for (size_t i = 0; base && e == ERR_OK && i < base->count; i++) {
-		const struct doc_section *s = &base->items[i];
-
-		e = doc_sections_set(out, s->name, s->text, s->len);
-	}
+	memset(changes, 0, sizeof(*changes));
 	for (size_t i = 0; e == ERR_OK && i < p->n_sections; i++) {
 		const Wire__DocSection *s = p->sections[i];
 
-		e = doc_sections_set(out, s->name,
-				     s->removed ? NULL
-						: (const char *)s->text.data,
-				     s->text.len);
+		if (!s->removed)
+			e = doc_sections_set(changes, s->name,
+					     (const char *)s->text.data,
+					     s->text.len);
+		else if (p->base_rev)
+			e = doc_changes_remove(changes, s->name);
 	}
 	return e;
 }
+
+enum err doc_push_read_changes(const Wire__DocPush *p,
+			       const struct doc_sections *base,
+			       struct doc_sections *changes)
+{
+	struct doc_sections all;
+	enum err e;
+
+	if (p->base_rev)
+		return doc_push_read(p, changes);
+	e = doc_push_read(p, &all);
+	memset(changes, 0, sizeof(*changes));
+	if (e == ERR_OK)
+		e = doc_changes_between(base, &all, changes);
+	doc_sections_finish(&all);
+	return e;
+}
--- a/membership/doc_push.h
+++ b/membership/doc_push.h
@@ -22,11 +22,17 @@
 void doc_push_finish(Wire__DocPush *p);
 
 /*
- * Writes the sections that result from the push to out, which the caller frees
- * in any case. base has those that the push builds on, and may be NULL if it
- * has the whole document.
+ * Writes the sections of the push to out, which the caller finishes in any
+ * case: the changes to the document that it builds on, or the whole document if
+ * it builds on none.
  */
-enum err doc_push_read(const Wire__DocPush *p, const struct doc_sections *base,
-		       struct doc_sections *out);
+enum err doc_push_read(const Wire__DocPush *p, struct doc_sections *out);
+/*
+ * Writes the changes that lead from base, which is what the push builds on or
+ * any document if it builds on none, to the document of the push.
+ */
+enum err doc_push_read_changes(const Wire__DocPush *p,
+			       const struct doc_sections *base,
+			       struct doc_sections *changes);
 
 #endif
--- a/membership/membership.c
+++ b/membership/membership.c
@@ -1,8 +1,8 @@
 #include "membership/membership_priv.h"
 #include "common/clk.h"
-#include "common/step.h"
 #include "common/guard.h"
 #include "common/log.h"
+#include "common/step.h"
 #include "routing/ingress.h"
 #include "protocol/wire.h"
 
@@ -126,6 +126,7 @@
 	own_member_init(&m->own, config->incarnation);
 	map_init(&m->map);
 	membership_discovery_init(m);
+	doc_job_init(&m->push_job, config->loop, membership_on_push_read, m);
 	ev_timer_init(&m->timer, on_tick, 0., MEMBERSHIP_TICK_S);
 	m->timer.data = m;
 	ev_timer_start(config->loop, &m->timer);
@@ -138,6 +139,7 @@
 	if (!m)
 		return;
 	ev_timer_stop(m->config.loop, &m->timer);
+	doc_job_cancel(&m->push_job);
 	membership_drop_conn(m, "stopping");
 	free(m->old_conn);
 	map_finish(&m->map);
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -113,10 +113,11 @@
 void membership_set_document(struct membership *m, struct doc *doc,
 			     struct doc_sections *sections);
 /*
- * Returns the sections of the document in force, and its revision in rev;
- * returns NULL if there is none.
+ * Returns the sections of the document in force, and sets doc to it and rev to
+ * its revision; returns NULL if there is none.
  */
 const struct doc_sections *membership_document(const struct membership *m,
+					       const struct doc **doc,
 					       uint64_t *rev);
 /*
  * Returns the milliseconds since the document in force was known to be the
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -1,6 +1,7 @@
 #ifndef MEMBERSHIP_MEMBERSHIP_PRIV_H
 #define MEMBERSHIP_MEMBERSHIP_PRIV_H
 
+#include "membership/doc_job.h"
 #include "membership/membership.h"
 
 /* Shared by the files membership*.c only. */
@@ -58,6 +59,8 @@
 	int has_doc;
 	struct doc_sections sections;
 	uint64_t doc_rev;
+	struct doc_job push_job; /* reads the document of a push */
+	uint64_t push_rev;	 /* of that document */
 	/* A coordinator has confirmed that doc_rev was the newest then. */
 	int64_t doc_confirmed_ms;
 
@@ -161,4 +164,9 @@
 /* Asks the coordinator for the whole map and document; why is logged. */
 void membership_send_fetch(struct membership *m, const char *why);
 
+/* done() of push_job. */
+void membership_on_push_read(enum err e, struct doc *d,
+			     struct doc_sections *sections,
+			     const struct buf *problems, void *priv);
+
 #endif
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -74,31 +74,44 @@
 
 static void on_doc_push(struct membership *m, const Wire__DocPush *p)
 {
-	struct doc_sections sections;
-	struct buf problems;
-	struct doc doc;
+	struct doc_sections changes;
+	enum err e;
 
 	/* An older document never replaces a newer one. */
 	if (p->rev <= m->doc_rev && guard_on(GUARD_REVISION))
 		return;
+	if (m->push_job.active && p->rev <= m->push_rev)
+		return;
 	if (p->base_rev && p->base_rev != m->doc_rev) {
 		membership_send_fetch(m, "document_base");
 		return;
 	}
-	buf_init(&problems);
-	if (doc_push_read(p, p->base_rev ? &m->sections : NULL, &sections) !=
-		    ERR_OK ||
-	    doc_parse_sections(&doc, &sections, &problems) != ERR_OK) {
+	e = doc_push_read_changes(p, &m->sections, &changes);
+	if (e != ERR_OK) {
+		log_error("document_not_read", "revision=%llu error=%s",
+			  (unsigned long long)p->rev, err_name(e));
+		doc_sections_finish(&changes);
+		return;
+	}
+	m->push_rev = p->rev;
+	doc_job_start(&m->push_job, &m->doc, &m->sections, &changes);
+}
+
+void membership_on_push_read(enum err e, struct doc *d,
+			     struct doc_sections *sections,
+			     const struct buf *problems, void *priv)
+{
+	struct membership *m = priv;
+
+	if (e != ERR_OK) {
 		log_error("document_invalid", "revision=%llu problems=%s",
-			  (unsigned long long)p->rev,
-			  LOG_Q(buf_text(&problems)));
-		doc_sections_finish(&sections);
-		buf_finish(&problems);
+			  (unsigned long long)m->push_rev,
+			  LOG_Q(problems->len ? (const char *)problems->data
+					      : ""));
 		return;
 	}
-	buf_finish(&problems);
-	doc.revision = p->rev;
-	membership_set_document(m, &doc, &sections);
+	d->revision = m->push_rev;
+	membership_set_document(m, d, sections);
 }
 
 /* An older document never replaces a newer one. */
@@ -125,8 +138,10 @@
 }
 
 const struct doc_sections *membership_document(const struct membership *m,
+					       const struct doc **doc,
 					       uint64_t *rev)
 {
+	*doc = &m->doc;
 	*rev = m->doc_rev;
 	return m->has_doc ? &m->sections : NULL;
 }
--- a/test/unit/test_doc_update.c
+++ b/test/unit/test_doc_update.c
@@ -113,6 +113,23 @@
 	}
 }
 
+/* Reads the changes three at a time. Takes them over. */
+static enum err update(const struct doc *d, const struct doc_sections *sections,
+		       struct doc_sections *changes, struct doc *out,
+		       struct doc_sections *out_sections)
+{
+	struct doc_update u;
+	enum err e;
+
+	doc_update_init(&u, d, sections, changes);
+	while (doc_update_step(&u, 3))
+		;
+	e = doc_update_end(&u, out, out_sections);
+	g_assert_cmpint(e == ERR_OK, ==, u.problems.len == 0);
+	doc_update_finish(&u);
+	return e;
+}
+
 /*
  * Guards against an update that leaves out a check, a change or the order of
  * the routes, and against one that changes the document before it.
@@ -133,20 +150,17 @@
 			add_change(rand, &changes);
 		apply_each(&sections, &changes, &all);
 		expected = doc_parse_sections(&whole, &all, NULL);
-		got = doc_update(&d, &sections, &changes, &next, &next_sections,
-				 NULL);
+		got = update(&d, &sections, &changes, &next, &next_sections);
 		g_assert_cmpint(got == ERR_OK, ==, expected == ERR_OK);
 		if (got != ERR_OK) {
 			invalid++;
 			doc_sections_finish(&all);
-			doc_sections_finish(&changes);
 			continue;
 		}
 		valid++;
 		assert_same_sections(&next_sections, &all);
 		assert_same_services(&next, &whole);
 		assert_same_routes(&next, &whole);
-		doc_sections_finish(&changes);
 		g_assert_cmpint(doc_changes_between(&sections, &all, &changes),
 				==, ERR_OK);
 		apply_each(&sections, &changes, &back);
