node: count the grace period from before a signal came, and end earlier

The steps are short now, but the end of a stop must not rest on that.

The lines stopping and stop_cut_off tell both times.

--- a/common/step.c
+++ b/common/step.c
@@ -51,6 +51,33 @@
 	m->unlogged = 0;
 }
 
+static void note_step_time(struct step_meter *m, int64_t now_ns)
+{
+	int64_t took_ns = now_ns - m->step_start_ns;
+
+	if (now_ns - m->period_start_ns > (int64_t)STEP_PERIOD_MS * 1000000) {
+		m->longest_step_ns[1] = m->longest_step_ns[0];
+		m->longest_step_ns[0] = 0;
+		m->period_start_ns = now_ns;
+	}
+	if (took_ns > m->longest_step_ns[0])
+		m->longest_step_ns[0] = took_ns;
+}
+
+int64_t step_meter_previous_ms(const struct step_meter *m)
+{
+	return m->previous_start_ns / 1000000;
+}
+
+int64_t step_meter_longest_ms(const struct step_meter *m)
+{
+	int64_t longest_ns = m->longest_step_ns[0];
+
+	if (m->longest_step_ns[1] > longest_ns)
+		longest_ns = m->longest_step_ns[1];
+	return longest_ns / 1000000;
+}
+
 static void on_before_wait(struct ev_loop *loop, ev_prepare *w, int events)
 {
 	struct step_meter *m = w->data;
@@ -62,6 +89,7 @@
 	(void)events;
 	end_part(m, now_ns);
 	hist_add(m->steps, (uint64_t)cpu_us);
+	note_step_time(m, now_ns);
 	if (cpu_us > STEP_LONG_US)
 		log_long_step(m, cpu_us, now_ns);
 	m->cpu_ns = cpu_ns;
@@ -73,6 +101,7 @@
 
 	(void)loop;
 	(void)events;
+	m->previous_start_ns = m->step_start_ns;
 	m->step_start_ns = clk_ns();
 	m->part_start_ns = m->step_start_ns;
 	m->longest_ns = 0;
@@ -90,6 +119,8 @@
 		return ERR_NOMEM;
 	m->cpu_ns = processor_ns();
 	m->step_start_ns = clk_ns();
+	m->previous_start_ns = m->step_start_ns;
+	m->period_start_ns = m->step_start_ns;
 	m->part_start_ns = m->step_start_ns;
 	m->part = "start";
 	m->longest_part = m->part;
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -271,17 +271,21 @@
 {
 	unsigned open = ingress_open_requests(n->ingress);
 	unsigned in_flight = gate_in_flight(n->gate);
-	int late = n->settings->notice_ms &&
-		   now_ms - n->stop_ms >=
-			   n->settings->grace_ms - NODE_GRACE_MARGIN_MS;
+	int64_t end_ms = n->stop_ms + n->settings->grace_ms -
+			 NODE_GRACE_MARGIN_MS -
+			 step_meter_longest_ms(&n->steps);
+	int late = n->settings->notice_ms && now_ms >= end_ms;
 
 	int callers = !n->settings->notice_ms &&
 		      ingress_open_connections(n->ingress) &&
 		      now_ms - n->finishing_ms < NODE_IDLE_CALLERS_MS;
 
 	if (late && (open || in_flight))
-		log_warn("stop_cut_off", "open=%u in_flight=%u", open,
-			 in_flight);
+		log_warn(
+			"stop_cut_off",
+			"open=%u in_flight=%u age_ms=%lld longest_step_ms=%lld",
+			open, in_flight, (long long)(now_ms - n->stop_ms),
+			(long long)step_meter_longest_ms(&n->steps));
 	if (late || (!open && !in_flight && !callers &&
 		     (!peers_unacknowledged_bytes(n->peers) ||
 		      now_ms - n->finishing_ms > NODE_UNSENT_TIMEOUT_MS)))
@@ -531,9 +535,11 @@
 	if (n->phase != NODE_RUNNING)
 		return;
 	n->phase = NODE_LEAVING;
-	n->stop_ms = clk_ms();
+	/* The signal may have come during a long step before this one. */
+	n->stop_ms = step_meter_previous_ms(&n->steps);
 	n->restarting = restart;
-	log_info("stopping", "restart=%d open=%u in_flight=%u", restart,
-		 ingress_open_requests(n->ingress), gate_in_flight(n->gate));
+	log_info("stopping", "restart=%d open=%u in_flight=%u noticed_ms=%lld",
+		 restart, ingress_open_requests(n->ingress),
+		 gate_in_flight(n->gate), (long long)(clk_ms() - n->stop_ms));
 	membership_leave(n->membership, restart);
 }
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -56,9 +56,10 @@
  */
 #define NODE_DOCUMENT_STALE_MS 1400
 /*
- * A stop with a notice period (stop.notice_ms) ends this long before the end of
- * the grace period (stop.grace_ms), when the process would be killed. The last
- * answers are sent in this time.
+ * A stop with a notice period (stop.notice_ms) ends this long, and the time of
+ * the longest step of the event loop seen lately, before the end of the grace
+ * period (stop.grace_ms), when the process would be killed. The last answers
+ * are sent in this time.
  */
 #define NODE_GRACE_MARGIN_MS 250
 /*
@@ -184,7 +185,7 @@
 	ev_timer release_timer;	  /* node_report_hold_releases in this turn */
 
 	enum node_phase phase;
-	int64_t stop_ms;      /* when the planned stop began */
+	int64_t stop_ms;      /* not after the signal to stop came */
 	int64_t finishing_ms; /* when NODE_FINISHING began */
 	int leave_confirmed;  /* the coordinator has let this node stop */
 	int restarting;	      /* the planned stop is for a restart */
--- a/test/unit/test_step.c
+++ b/test/unit/test_step.c
@@ -2,6 +2,8 @@
 #include "common/clk.h"
 #include "test/unit/fake.h"
 
+#include <signal.h>
+
 /* Takes processor time, not only time. */
 static void work(int ms)
 {
@@ -89,6 +91,65 @@
 	cnt_finish(&cnt);
 }
 
+/* Sends itself a signal and goes on for a while. */
+static void on_signal_work(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	raise(SIGUSR1);
+	work(120);
+	*(int64_t *)w->data = clk_ms();
+}
+
+struct stop {
+	struct step_meter m;
+	unsigned signals;
+	int64_t counted_from_ms;
+	int64_t longest_ms;
+};
+
+static void on_stop_signal(struct ev_loop *loop, ev_signal *w, int events)
+{
+	struct stop *s = w->data;
+
+	(void)loop;
+	(void)events;
+	s->counted_from_ms = step_meter_previous_ms(&s->m);
+	s->longest_ms = step_meter_longest_ms(&s->m);
+	s->signals++;
+}
+
+/*
+ * Guards against a stop whose grace period is counted from when the loop gets
+ * to the signal, or whose end is planned as if no step took long: the process
+ * would be killed with requests open (review/4).
+ */
+static void test_signal_in_long_step(void)
+{
+	struct ev_loop *loop = ev_loop_new(0);
+	int64_t worked_until_ms = 0;
+	struct stop s = { 0 };
+	struct cnt cnt;
+	ev_signal sig;
+	ev_timer t;
+
+	cnt_init(&cnt);
+	g_assert_cmpint(step_meter_init(&s.m, loop, &cnt), ==, ERR_OK);
+	ev_signal_init(&sig, on_stop_signal, SIGUSR1);
+	sig.data = &s;
+	ev_signal_start(loop, &sig);
+	ev_timer_init(&t, on_signal_work, 0.001, 0.);
+	t.data = &worked_until_ms;
+	ev_timer_start(loop, &t);
+	fake_wait(loop, &s.signals, 1);
+	g_assert_cmpint(s.counted_from_ms, <=, worked_until_ms - 120);
+	g_assert_cmpint(s.longest_ms, >=, 120);
+	ev_signal_stop(loop, &sig);
+	step_meter_finish(&s.m);
+	ev_loop_destroy(loop);
+	cnt_finish(&cnt);
+}
+
 /* Guards against a meter that keeps a loop without other watchers running. */
 static void test_loop_ends(void)
 {
@@ -108,6 +169,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/step/long_step", test_long_step);
+	g_test_add_func("/step/signal_in_long_step", test_signal_in_long_step);
 	g_test_add_func("/step/loop_ends", test_loop_ends);
 	return g_test_run();
 }
