--- a/daemon/node.c
+++ b/daemon/node.c
@@ -267,15 +267,25 @@
 		start_finishing(n);
 }
 
+/* Returns when a stop with a notice period ends at the latest. */
+static int64_t latest_end_ms(const struct node *n)
+{
+	int64_t grace_ms = n->settings->grace_ms;
+	int64_t margin_ms =
+		NODE_GRACE_MARGIN_MS + step_meter_longest_ms(&n->steps);
+
+	if (margin_ms > grace_ms / NODE_GRACE_MARGIN_PARTS)
+		margin_ms = grace_ms / NODE_GRACE_MARGIN_PARTS;
+	if (margin_ms < NODE_GRACE_MARGIN_MS)
+		margin_ms = NODE_GRACE_MARGIN_MS;
+	return n->stop_ms + grace_ms - margin_ms;
+}
+
 static void tick_finishing(struct node *n, int64_t now_ms)
 {
 	unsigned open = ingress_open_requests(n->ingress);
 	unsigned in_flight = gate_in_flight(n->gate);
-	int64_t end_ms = n->stop_ms + n->settings->grace_ms -
-			 NODE_GRACE_MARGIN_MS -
-			 step_meter_longest_ms(&n->steps);
-	int late = n->settings->notice_ms && now_ms >= end_ms;
-
+	int late = n->settings->notice_ms && now_ms >= latest_end_ms(n);
 	int callers = !n->settings->notice_ms &&
 		      ingress_open_connections(n->ingress) &&
 		      now_ms - n->finishing_ms < NODE_IDLE_CALLERS_MS;
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -59,9 +59,11 @@
  * A stop with a notice period (stop.notice_ms) ends this long, and the time of
  * the longest step of the event loop seen lately, before the end of the grace
  * period (stop.grace_ms), when the process would be killed. The last answers
- * are sent in this time.
+ * are sent in this time. It is at most this part of the grace period: a step
+ * can have been long because the process was paused.
  */
 #define NODE_GRACE_MARGIN_MS 250
+#define NODE_GRACE_MARGIN_PARTS 6
 /*
  * A stopping node waits no longer than this until its last replies have arrived
  * at the other daemons; one that no longer reads would block the stop.
