httpd: accept the connections that wait when listening ends

Closing it makes the system reset what was not accepted.

They are accepted first now, and get the answers of a stopping node. test_httpd quiesce failed before (no answer).

--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -549,6 +549,23 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a connection that is reset, and its request lost, because it
+ * was not accepted yet when the server stopped listening.
+ */
+static void test_quiesce(void)
+{
+	struct fixture f;
+
+	setup(&f, NULL);
+	f.answer_at_once = 1;
+	httpd_quiesce(&f.d);
+	fake_write(f.fd, GET("/a"));
+	wait_answers(&f, 1);
+	g_assert_false(f.closed);
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -567,6 +584,7 @@
 	g_test_add_func("/httpd/bounds", test_bounds);
 	g_test_add_func("/httpd/slow_head", test_slow_head);
 	g_test_add_func("/httpd/finish", test_finish);
+	g_test_add_func("/httpd/quiesce", test_quiesce);
 	g_test_add_func("/httpd/stream", test_stream);
 	return g_test_run();
 }
--- a/transport/httpd.c
+++ b/transport/httpd.c
@@ -463,10 +463,23 @@
 	return d->port;
 }
 
+/* The system resets connections that wait in the backlog of a closed socket. */
+static void accept_waiting(struct httpd *d)
+{
+	unsigned before;
+
+	do {
+		before = d->conn_count;
+		on_acceptable(d->loop, &d->accept_io, EV_READ);
+	} while (d->conn_count == before + HTTPD_ACCEPT_BATCH);
+}
+
 void httpd_quiesce(struct httpd *d)
 {
 	if (d->fd < 0)
 		return;
+	if (!d->stopping)
+		accept_waiting(d);
 	ev_io_stop(d->loop, &d->accept_io);
 	close(d->fd);
 	d->fd = -1;
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -171,7 +171,10 @@
  * connections; completed() is called for each dispatched request.
  */
 void httpd_finish(struct httpd *d);
-/* Stops listening; open connections are served further. */
+/*
+ * Stops listening; open connections are served further, also those that were
+ * not accepted yet.
+ */
 void httpd_quiesce(struct httpd *d);
 
 /* Returns the header's value, or NULL if the header is absent. */
