httpc: bound the collected answers without a gap

An answer beyond the limit was refused only if it was above the average, so that a smaller one passed the limit by a read.

--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -244,15 +244,19 @@
 }
 
 /*
- * Returns 1 if the answers of all requests exceed their limit and this one is
- * among the larger: an answer without end must not cost the others theirs.
+ * Returns 1 if the answers of all requests would exceed their limit, or come so
+ * close to it that each may still add one read, and this one is among the
+ * larger: an answer without end must not cost the others theirs.
  */
 static int takes_too_much(const struct httpc_request *r, size_t len)
 {
 	size_t all = r->client->collected_bytes + len;
+	size_t count = r->client->request_count;
 
-	return all > HTTPC_MAX_COLLECTED_BYTES &&
-	       (r->answer.len + len) * r->client->request_count >= all;
+	if (all > HTTPC_MAX_COLLECTED_BYTES)
+		return 1;
+	return all + count * HTTPC_READ_BYTES > HTTPC_MAX_COLLECTED_BYTES &&
+	       (r->answer.len + len) * count >= all;
 }
 
 /* A header or a byte of a body was read. */
