--- a/config/doc_update.c
+++ b/config/doc_update.c
@@ -10,7 +10,8 @@
 
 int doc_section_is_route(const struct doc_section *s)
 {
-	return !strncmp(s->name, DOC_ROUTE_PREFIX, strlen(DOC_ROUTE_PREFIX));
+	return s->name &&
+	       !strncmp(s->name, DOC_ROUTE_PREFIX, strlen(DOC_ROUTE_PREFIX));
 }
 
 static const char *route_name(const struct doc_section *s)
@@ -34,8 +35,7 @@
 	size_t i = 0, k = 0;
 
 	memset(out, 0, sizeof(*out));
-	out->items =
-		malloc((s->count + changes->count + 1) * sizeof(*out->items));
+	out->items = calloc(s->count + changes->count + 1, sizeof(*out->items));
 	if (!out->items)
 		return ERR_NOMEM;
 	while (i < s->count || k < changes->count) {
@@ -49,7 +49,7 @@
 		k += order >= 0;
 		if (order < 0)
 			append_shared(out, old);
-		else if (new->text)
+		else if (new &&new->text)
 			append_shared(out, new);
 	}
 	return ERR_OK;
--- a/config/json_rows.c
+++ b/config/json_rows.c
@@ -181,7 +181,7 @@
 
 		expect(s, ':');
 		peek(s);
-		if (!s->at || memchr(key.at, '\\', key.len)) {
+		if (!s->at || !key.at || memchr(key.at, '\\', key.len)) {
 			fail(s);
 			return;
 		}
--- a/store/etcd_json.h
+++ b/store/etcd_json.h
@@ -57,10 +57,10 @@
 enum err etcd_json_int64(const json_t *object, const char *name, int64_t *out);
 /*
  * Decodes base64 text. The result has a zero byte after its end that is not
- * counted in *len; the caller frees it with g_free(). Returns NULL if the text
- * is malformed.
+ * counted in *out_len; the caller frees it with g_free(). Returns NULL if the
+ * text is malformed.
  */
-uint8_t *etcd_json_decode(const char *text, size_t text_len, size_t *len);
+uint8_t *etcd_json_decode(const char *text, size_t len, size_t *out_len);
 /* Does the same with a field; an absent one gives no bytes. */
 uint8_t *etcd_json_bytes(const json_t *object, const char *name, size_t *len);
 /* Return a new base64 text and a new decimal text. */
