daemon: the first announcement waits for the record of departures

The call now waits for the answer of the store, as a leave call does, and is handled then; after 0.9 s it gets 503.

--- a/common/step.c
+++ b/common/step.c
@@ -88,6 +88,9 @@
 	(void)loop;
 	(void)events;
 	end_part(m, now_ns);
+	/* The wait's own processor time is counted in as well. */
+	if (cpu_us > (now_ns - m->step_start_ns) / 1000)
+		cpu_us = (now_ns - m->step_start_ns) / 1000;
 	hist_add(m->steps, (uint64_t)cpu_us);
 	note_step_time(m, now_ns);
 	if (cpu_us > STEP_LONG_US)
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -234,7 +234,7 @@
 
 static void on_completed(struct httpd_request *r, void *priv)
 {
-	node_forget_leave_call(priv, r);
+	node_forget_target_call(priv, r);
 }
 
 static const struct httpd_ops admin_ops = {
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -88,7 +88,7 @@
 	node_handle_target_leave(n, id, born_ms);
 	/* Targets without an id make no announcement once they have left. */
 	if (id[0])
-		node_answer_leave_call(n, r);
+		node_defer_target_call(n, r, 1);
 	else
 		httpd_answer_text(r, 200, "text/plain", "leaving\n");
 }
@@ -102,7 +102,10 @@
 	case TARGET_CALL_NONE:
 		return 0;
 	case TARGET_CALL_ANNOUNCE:
-		handle_announce(n, r, id);
+		if (node_departures_unknown(n))
+			node_defer_target_call(n, r, 0);
+		else
+			handle_announce(n, r, id);
 		return 1;
 	case TARGET_CALL_LEAVE:
 		handle_leave(n, r, id);
@@ -147,7 +150,7 @@
 
 static void on_control_completed(struct httpd_request *r, void *priv)
 {
-	node_forget_leave_call(priv, r);
+	node_forget_target_call(priv, r);
 }
 
 static const struct httpd_ops control_ops = {
--- a/daemon/departures.c
+++ b/daemon/departures.c
@@ -22,60 +22,75 @@
 		 n->settings->name);
 }
 
-/* ---- leave calls ---- */
+/* ---- calls of the target ---- */
 
-static void answer_leave_call(struct departures *d, struct leave_call *call,
-			      unsigned status, const char *text)
+int node_departures_unknown(const struct node *n)
 {
+	return n->interface->read_leave &&
+	       !departure_is_loaded(&n->departures.state);
+}
+
+static struct httpd_request *take_call(struct departures *d,
+				       struct waiting_call *call)
+{
+	struct httpd_request *r = call->request;
+
 	DL_DELETE(d->calls, call);
-	call->request->priv = NULL;
-	httpd_answer_text(call->request, status, "text/plain", text);
+	r->priv = NULL;
 	free(call);
+	return r;
 }
 
-static void answer_stored_calls(struct departures *d)
+/* Answers the calls that need not wait any more. */
+static void answer_calls(struct node *n)
 {
-	while (d->calls && departure_is_stored(&d->state))
-		answer_leave_call(d, d->calls, 200, "leaving\n");
+	struct departures *d = &n->departures;
+	struct waiting_call *call, *next;
+
+	DL_FOREACH_SAFE(d->calls, call, next) {
+		if (call->leaves && departure_is_stored(&d->state))
+			httpd_answer_text(take_call(d, call), 200, "text/plain",
+					  "leaving\n");
+		else if (!call->leaves && !node_departures_unknown(n))
+			node_handle_target_call(n, take_call(d, call));
+	}
 }
 
 static void answer_late_calls(struct departures *d, int64_t now_ms)
 {
 	while (d->calls &&
 	       now_ms - d->calls->received_ms >= NODE_LEAVE_ACK_MS) {
-		log_warn("leave_not_stored", "waited_ms=%lld born_ms=%lld",
+		log_warn("target_call_not_stored",
+			 "leaves=%d waited_ms=%lld born_ms=%lld",
+			 d->calls->leaves,
 			 (long long)(now_ms - d->calls->received_ms),
 			 (long long)d->state.record.born_ms);
-		answer_leave_call(d, d->calls, 503,
-				  "the store does not have it yet\n");
+		httpd_answer_text(take_call(d, d->calls), 503, "text/plain",
+				  "the store does not answer\n");
 	}
 }
 
-void node_answer_leave_call(struct node *n, struct httpd_request *r)
+void node_defer_target_call(struct node *n, struct httpd_request *r, int leaves)
 {
 	struct departures *d = &n->departures;
-	struct leave_call *call = calloc(1, sizeof(*call));
+	struct waiting_call *call = calloc(1, sizeof(*call));
 
 	if (!call) {
 		httpd_answer_text(r, 503, "text/plain", "out of memory\n");
 		return;
 	}
 	call->request = r;
+	call->leaves = leaves;
 	call->received_ms = clk_ms();
 	r->priv = call;
 	DL_APPEND(d->calls, call);
 	node_departures_advance(n);
 }
 
-void node_forget_leave_call(struct node *n, struct httpd_request *r)
+void node_forget_target_call(struct node *n, struct httpd_request *r)
 {
-	struct leave_call *call = r->priv;
-
-	if (!call)
-		return;
-	DL_DELETE(n->departures.calls, call);
-	free(call);
-	r->priv = NULL;
+	if (r->priv)
+		take_call(&n->departures, r->priv);
 }
 
 /* ---- the store ---- */
@@ -179,7 +194,7 @@
 	struct departures *d = &n->departures;
 	int64_t now_ms = clk_ms();
 
-	answer_stored_calls(d);
+	answer_calls(n);
 	answer_late_calls(d, now_ms);
 	if (!n->interface->read_leave || d->busy || now_ms < d->retry_at_ms)
 		return;
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -88,8 +88,9 @@
 #define NODE_LEAVE_SETTLE_MS 1000
 
 /*
- * A leave call is acknowledged once the store has it. Without an answer for so
- * long, it is answered 503: targets take no answer after a second.
+ * A leave call is acknowledged once the store has it, and the first
+ * announcement once the store has told which runs have left. Without an answer
+ * for so long, they are answered 503: targets take no answer after a second.
  */
 #define NODE_LEAVE_ACK_MS 900
 #define NODE_DEPARTURE_RETRY_FIRST_MS 100
@@ -98,12 +99,16 @@
 struct node;
 struct doc_feed;
 
-/* A leave call that waits for the store. */
-struct leave_call {
+/*
+ * A call of the target that waits for the store: a leave call for its record,
+ * or an announcement for the first reading.
+ */
+struct waiting_call {
 	struct httpd_request *request;
+	int leaves;
 	int64_t received_ms;
-	struct leave_call *prev;
-	struct leave_call *next;
+	struct waiting_call *prev;
+	struct waiting_call *next;
 };
 
 /* Which runs of the target have left, and the store's copy of that. */
@@ -114,7 +119,7 @@
 	int busy;	     /* a store call is in flight */
 	int64_t retry_at_ms; /* no store call before */
 	int retry_ms;
-	struct leave_call *calls;
+	struct waiting_call *calls;
 };
 
 enum node_phase {
@@ -264,10 +269,20 @@
  * waited for it; called periodically and after a change.
  */
 void node_departures_advance(struct node *n);
-/* Answers the leave call now or later: 200 once the store has the departure. */
-void node_answer_leave_call(struct node *n, struct httpd_request *r);
+/*
+ * Returns 1 if announcements are to wait, since it is not known which runs of
+ * the target have left.
+ */
+int node_departures_unknown(const struct node *n);
+/*
+ * Answers a call of the target now or later: a leave call with 200 once the
+ * store has the departure, an announcement by node_handle_target_call once
+ * node_departures_unknown returns 0; with 503 after NODE_LEAVE_ACK_MS.
+ */
+void node_defer_target_call(struct node *n, struct httpd_request *r,
+			    int leaves);
 /* Forgets a request, which is about to be freed. */
-void node_forget_leave_call(struct node *n, struct httpd_request *r);
+void node_forget_target_call(struct node *n, struct httpd_request *r);
 
 /* ---- holds.c: the keys that the target holds ---- */
 
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -101,12 +101,6 @@
 		return ERR_STALE;
 	}
 	n->announced_ms = clk_ms();
-	/* The run may have left before this daemon was started. */
-	if (a->id[0] && !departure_is_loaded(&n->departures.state)) {
-		log_info("announcement_early", "id=%s born_ms=%lld",
-			 LOG_Q(a->id), (long long)a->born_ms);
-		return ERR_NO_GRANT;
-	}
 	apply_target_run(n, a);
 	if (!a->id[0] && n->announced_ms - n->left_ms >= NODE_LEAVE_SETTLE_MS)
 		n->target_left = 0;
