--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -93,153 +93,6 @@
 	return ERR_OK;
 }
 
-/* Returns 1 if the target states that the request did not and will not run. */
-static int states_not_run(const struct dialect *d,
-			  const Wire__ForwardReply *reply, const char *refused)
-{
-	for (const unsigned *s = d->refused_statuses; *s; s++) {
-		if (reply->status == *s)
-			return 1;
-	}
-	return reply->status >= 400 && refused && strcmp(refused, "1") == 0;
-}
-
-/*
- * Splits a line "Name: value\n" in place and returns the next line. *value is
- * NULL if there is no colon.
- */
-static char *split_line(char *line, char **name, char **value)
-{
-	char *end = strchr(line, '\n');
-	char *colon;
-
-	*end = 0;
-	*name = line;
-	*value = NULL;
-	colon = strchr(line, ':');
-	if (!colon)
-		return end + 1;
-	*colon = 0;
-	*value = colon + 1 + strspn(colon + 1, " \t");
-	return end + 1;
-}
-
-/* The headers of an answer. Strings point into the HTTP client's buffer. */
-struct answer {
-	Wire__Header *headers;
-	Wire__Header **forwarded; /* those that go to the requester */
-	size_t count;		  /* of forwarded */
-	const char *refused;
-	const char *retry_after;
-	const char *seal;
-	const char *request_id;
-	struct gate_target_headers target;
-	int has_encoding; /* Content-Encoding, which was not asked for */
-};
-
-static size_t count_lines(const char *text)
-{
-	size_t n = 0;
-
-	for (; *text; text++)
-		n += *text == '\n';
-	return n;
-}
-
-static int header_is(const char *name, const char *want)
-{
-	return want && strcasecmp(name, want) == 0;
-}
-
-static void read_dialect_header(const struct dialect *d, struct answer *a,
-				const char *name, const char *value)
-{
-	if (header_is(name, d->refused))
-		a->refused = value;
-	else if (header_is(name, d->seal))
-		a->seal = value;
-	else if (header_is(name, d->request_id))
-		a->request_id = value;
-	else if (header_is(name, d->rate_limit))
-		a->target.rate_limit = value;
-	else if (header_is(name, d->leaving))
-		a->target.leaving = value;
-	else if (header_is(name, "Retry-After"))
-		a->retry_after = value;
-	else if (header_is(name, "Content-Encoding"))
-		a->has_encoding = 1;
-}
-
-static void add_header(struct answer *a, char *name, char *value)
-{
-	Wire__Header *h = &a->headers[a->count];
-
-	wire__header__init(h);
-	h->name = name;
-	h->value = value;
-	a->forwarded[a->count++] = h;
-}
-
-/* Drops the headers that are listed in the Connection headers. */
-static void drop_connection_headers(struct answer *a,
-				    const struct buf *connection)
-{
-	size_t kept = 0;
-
-	if (!connection->len)
-		return;
-	for (size_t i = 0; i < a->count; i++)
-		if (hdr_is_forwardable(a->forwarded[i]->name,
-				       (const char *)connection->data))
-			a->forwarded[kept++] = a->forwarded[i];
-	a->count = kept;
-}
-
-/*
- * Returns 1 if a header of the answer goes to the requester. Content-Length
- * does for HEAD, where it is the length of the body that GET would return.
- */
-static int is_forwarded(const struct gate_call *c, const char *name)
-{
-	if (strcasecmp(name, "Content-Length") == 0)
-		return strcmp(c->f->method, "HEAD") == 0;
-	return hdr_is_forwardable(name, NULL);
-}
-
-static enum err read_headers(struct gate_call *c, struct answer *a)
-{
-	char *text = (char *)(uintptr_t)buf_text(&c->http.answer_headers);
-	size_t lines = count_lines(text);
-	struct buf connection;
-
-	a->headers = calloc(lines + 1, sizeof(*a->headers));
-	a->forwarded = calloc(lines + 1, sizeof(Wire__Header *));
-	if (!a->headers || !a->forwarded)
-		return ERR_NOMEM;
-	buf_init(&connection);
-	while (*text) {
-		char *name, *value;
-
-		text = split_line(text, &name, &value);
-		if (!value || !hdr_is_token(name) || !hdr_value_is_valid(value))
-			continue;
-		read_dialect_header(c->g->dialect, a, name, value);
-		if (strcasecmp(name, "Connection") == 0)
-			buf_addf(&connection, "%s,", value);
-		else if (is_forwarded(c, name))
-			add_header(a, name, value);
-	}
-	drop_connection_headers(a, &connection);
-	buf_finish(&connection);
-	return ERR_OK;
-}
-
-static void answer_finish(struct answer *a)
-{
-	free(a->headers);
-	free(a->forwarded);
-}
-
 static uint32_t seconds_to_ms(const char *seconds)
 {
 	unsigned long n = strtoul(seconds, NULL, 10);
@@ -247,38 +100,6 @@
 	return n < 3600 ? (uint32_t)n * 1000 : 3600 * 1000;
 }
 
-/*
- * Returns 1 if the answer belongs to this call. When a target answers twice or
- * late, the answer carries another request's id. Some dialects also require a
- * success to carry a seal and an id, and no content encoding.
- */
-static int is_answer_to_call(const struct gate_call *c, const struct answer *a,
-			     uint32_t status)
-{
-	const struct dialect *d = c->g->dialect;
-
-	if (d->request_id && a->request_id &&
-	    strcmp(a->request_id, c->f->request_id) != 0)
-		return 0;
-	if (!d->seal)
-		return 1;
-	return status < 300 ? a->seal && a->request_id && !a->has_encoding : 1;
-}
-
-/*
- * Returns 1 if the refusal belongs to this call: it has the request's id, or
- * none and the connection carried no other request. A faulty target may write
- * an earlier refusal once more.
- */
-static int is_refusal_of_call(const struct gate_call *c, const struct answer *a)
-{
-	if (!c->g->dialect->request_id)
-		return 1;
-	if (!a->request_id)
-		return !c->http.reused_connection;
-	return strcmp(a->request_id, c->f->request_id) == 0;
-}
-
 static void suspend_connection_reuse(struct gate *g)
 {
 	int64_t now_ms = clk_ms();
@@ -294,16 +115,15 @@
  * Sets outcome and error of an answered call. A refusal means not-run only if
  * the request was sent once: if it was repeated, the first send may have run.
  */
-static void classify_answer(const struct gate_call *c, const struct answer *a,
+static void classify_answer(const struct gate_call *c,
+			    const struct gate_answer *a,
 			    Wire__ForwardReply *reply)
 {
-	const struct dialect *d = c->g->dialect;
-
-	int refused = states_not_run(d, reply, a->refused);
+	int refused = gate_answer_is_refusal(c, a, reply->status);
 
 	reply->outcome = OUTCOME_ANSWERED;
-	if (refused ? !is_refusal_of_call(c, a)
-		    : !is_answer_to_call(c, a, reply->status)) {
+	if (refused ? !gate_answer_is_refusal_of_call(c, a)
+		    : !gate_answer_is_to_call(c, a, reply->status)) {
 		reply->outcome = OUTCOME_UNKNOWN;
 		reply->error = ERR_MALFORMED;
 		suspend_connection_reuse(c->g);
@@ -413,11 +233,11 @@
 static void end_answered_call(struct gate_call *c)
 {
 	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
-	struct answer a = { 0 };
+	struct gate_answer a;
 
 	reply.status = (uint32_t)c->http.status;
-	if (read_headers(c, &a) != ERR_OK) {
-		answer_finish(&a);
+	if (gate_answer_read(&a, c) != ERR_OK) {
+		gate_answer_finish(&a);
 		gate_call_fail(c, OUTCOME_UNKNOWN, ERR_NOMEM);
 		return;
 	}
@@ -436,7 +256,7 @@
 		reply.status = 0;
 	}
 	gate_call_end(c, &reply);
-	answer_finish(&a);
+	gate_answer_finish(&a);
 }
 
 /*
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -153,6 +153,45 @@
 /* Forgets what the answers of an earlier run of the target said. */
 void gate_reset_target_state(struct gate *g);
 
+/* gate_answer.c */
+
+/* The headers of an answer. Strings point into the HTTP client's buffer. */
+struct gate_answer {
+	Wire__Header *headers;
+	Wire__Header **forwarded; /* those that go to the requester */
+	size_t count;		  /* of forwarded */
+	const char *refused;
+	const char *retry_after;
+	const char *seal;
+	const char *request_id;
+	struct gate_target_headers target;
+	int has_encoding; /* Content-Encoding, which was not asked for */
+};
+
+/*
+ * Reads the headers of the answer to a call into memory of the caller. Returns
+ * ERR_OK or ERR_NOMEM; gate_answer_finish is due in both cases.
+ */
+enum err gate_answer_read(struct gate_answer *a, struct gate_call *c);
+void gate_answer_finish(struct gate_answer *a);
+/* Returns 1 if the target states that the request did not and will not run. */
+int gate_answer_is_refusal(const struct gate_call *c,
+			   const struct gate_answer *a, uint32_t status);
+/*
+ * Returns 1 if the answer belongs to this call. When a target answers twice or
+ * late, the answer carries another request's id. Some dialects also require a
+ * success to carry a seal and an id, and no content encoding.
+ */
+int gate_answer_is_to_call(const struct gate_call *c,
+			   const struct gate_answer *a, uint32_t status);
+/*
+ * Returns 1 if the refusal belongs to this call: it has the request's id, or
+ * none and the connection carried no other request. A faulty target may write
+ * an earlier refusal once more.
+ */
+int gate_answer_is_refusal_of_call(const struct gate_call *c,
+				   const struct gate_answer *a);
+
 /* gate_slot.c */
 
 /* Returns NULL if there is no such slot. */
