gate: a name, a line and a counter for answers that are not one answer

What callers get is not changed yet.

The checks that the gate had (other id, no seal, refusal of another request) are now named as well.

--- a/routing/gate_answer.c
+++ b/routing/gate_answer.c
@@ -141,25 +141,31 @@
 	free(a->forwarded);
 }
 
-int gate_answer_is_to_call(const struct gate_call *c,
-			   const struct gate_answer *a, uint32_t status)
+static const char *find_refusal_fault(const struct gate_call *c,
+				      const struct gate_answer *a)
+{
+	if (!c->g->dialect->request_id)
+		return NULL;
+	if (!a->request_id)
+		return c->http.reused_connection ? "refusal_without_id" : NULL;
+	return strcmp(a->request_id, c->f->request_id) ? "other_id" : NULL;
+}
+
+const char *gate_answer_find_fault(const struct gate_call *c,
+				   const struct gate_answer *a, uint32_t status)
 {
 	const struct dialect *d = c->g->dialect;
 
+	if (gate_answer_is_refusal(c, a, status))
+		return find_refusal_fault(c, a);
 	if (d->request_id && a->request_id &&
 	    strcmp(a->request_id, c->f->request_id) != 0)
-		return 0;
-	if (!d->seal)
-		return 1;
-	return status < 300 ? a->seal && a->request_id && !a->has_encoding : 1;
-}
-
-int gate_answer_is_refusal_of_call(const struct gate_call *c,
-				   const struct gate_answer *a)
-{
-	if (!c->g->dialect->request_id)
-		return 1;
+		return "other_id";
+	if (!d->seal || status >= 300)
+		return NULL;
 	if (!a->request_id)
-		return !c->http.reused_connection;
-	return strcmp(a->request_id, c->f->request_id) == 0;
+		return "no_id";
+	if (!a->seal)
+		return "no_seal";
+	return a->has_encoding ? "encoded" : NULL;
 }
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -115,21 +115,20 @@
  * Sets outcome and error of an answered call. A refusal means not-run only if
  * the request was sent once: if it was repeated, the first send may have run.
  */
-static void classify_answer(const struct gate_call *c,
-			    const struct gate_answer *a,
+static void classify_answer(struct gate_call *c, const struct gate_answer *a,
 			    Wire__ForwardReply *reply)
 {
-	int refused = gate_answer_is_refusal(c, a, reply->status);
-
 	reply->outcome = OUTCOME_ANSWERED;
-	if (refused ? !gate_answer_is_refusal_of_call(c, a)
-		    : !gate_answer_is_to_call(c, a, reply->status)) {
+	c->fault = gate_answer_find_fault(c, a, reply->status);
+	if (c->fault) {
 		reply->outcome = OUTCOME_UNKNOWN;
 		reply->error = ERR_MALFORMED;
 		suspend_connection_reuse(c->g);
 		return;
 	}
-	if (!refused)
+	if (c->http.fault != HTTPC_FAULT_NONE)
+		c->fault = httpc_fault_name(c->http.fault);
+	if (!gate_answer_is_refusal(c, a, reply->status))
 		return;
 	reply->error = ERR_TARGET_REFUSED;
 	reply->outcome = c->http.sends > 1 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
@@ -211,12 +210,14 @@
 {
 	const struct gate *g = c->g;
 
-	if (status && status < 500 && reply->outcome == OUTCOME_ANSWERED)
+	if (status && status < 500 && reply->outcome == OUTCOME_ANSWERED &&
+	    !c->fault)
 		return;
 	log_request(LOG_INFO, "target_end",
 		    "id=%s attempt=%016llx service=%s key=%s target=%s "
 		    "outcome=%s error=%s status=%u ran_ms=%lld left_ms=%lld "
-		    "waited_ms=%lld running=%u queued=%u places=%u sends=%u",
+		    "waited_ms=%lld running=%u queued=%u places=%u sends=%u "
+		    "fault=%s connection_ms=%lld connection_answers=%u",
 		    LOG_Q(c->f->request_id), (unsigned long long)c->f->attempt,
 		    LOG_Q(c->f->service), LOG_Q(c->f->key),
 		    g->target ? LOG_Q(g->target->id) : "-",
@@ -227,7 +228,20 @@
 		    (long long)(c->deadline_ms - clk_ms()),
 		    (long long)(c->item.started_ms - c->item.arrived_ms),
 		    g->in_flight, g->admission.queued, g->admission.limit,
-		    c->http.sends);
+		    c->http.sends, c->fault ? c->fault : "none",
+		    (long long)c->http.connection_age_ms,
+		    c->http.connection_answers);
+}
+
+/* Counts the answers that are not those of their calls. */
+static void count_fault(const struct gate_call *c)
+{
+	char labels[LABEL_BYTES];
+
+	if (!c->fault)
+		return;
+	snprintf(labels, sizeof(labels), "fault=\"%s\"", c->fault);
+	cnt_add(c->g->cnt, "gate_answer_faults", labels, 1);
 }
 
 static void end_answered_call(struct gate_call *c)
@@ -242,6 +256,7 @@
 		return;
 	}
 	classify_answer(c, &a, &reply);
+	count_fault(c);
 	/* An answer to another request may be old. */
 	if (reply.error != ERR_MALFORMED)
 		gate_note_target_state(c, &a.target);
@@ -285,6 +300,9 @@
 		gate_call_fail(c, OUTCOME_NOT_RUN, get_unsent_error(c));
 		return;
 	}
+	if (c->http.fault != HTTPC_FAULT_NONE)
+		c->fault = httpc_fault_name(c->http.fault);
+	count_fault(c);
 	health_failed(&c->g->health, clk_ms());
 	count_failure(c->g, c->http.error);
 	reply.outcome = OUTCOME_UNKNOWN;
@@ -414,6 +432,8 @@
 		.timeout_ms = (int)(c->deadline_ms - clk_ms()),
 		.connect_timeout_ms = GATE_CONNECT_TIMEOUT_MS,
 		.unframed_ok = c->g->dialect->unframed_answers,
+		.id_name = c->g->dialect->request_id,
+		.id = c->f->request_id,
 		/* What answered the earlier attempt has the same id. */
 		.new_connection = separate || c->f->sent_before,
 		.close_after = separate,
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -49,6 +49,7 @@
 	int64_t not_after_ns;	    /* the target must not start it later */
 	int64_t sent_ns;	    /* 0: not sent to the target */
 	uint32_t in_flight_at_send; /* calls in flight then, itself included */
+	const char *fault; /* why the answer is not this call's; NULL: none */
 
 	struct gate_call *prev;
 	struct gate_call *next;
@@ -178,19 +179,16 @@
 int gate_answer_is_refusal(const struct gate_call *c,
 			   const struct gate_answer *a, uint32_t status);
 /*
- * Returns 1 if the answer belongs to this call. When a target answers twice or
- * late, the answer carries another request's id. Some dialects also require a
- * success to carry a seal and an id, and no content encoding.
- */
-int gate_answer_is_to_call(const struct gate_call *c,
-			   const struct gate_answer *a, uint32_t status);
-/*
- * Returns 1 if the refusal belongs to this call: it has the request's id, or
- * none and the connection carried no other request. A faulty target may write
+ * Returns NULL if the answer belongs to this call, else why it does not, as a
+ * name for logs and metrics. When a target answers twice or late, the answer
+ * carries another request's id. Some dialects also require a success to carry a
+ * seal and an id, and no content encoding. A refusal needs the request's id, or
+ * none on a connection that carried no other request: a faulty target may write
  * an earlier refusal once more.
  */
-int gate_answer_is_refusal_of_call(const struct gate_call *c,
-				   const struct gate_answer *a);
+const char *gate_answer_find_fault(const struct gate_call *c,
+				   const struct gate_answer *a,
+				   uint32_t status);
 
 /* gate_slot.c */
 
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -1,4 +1,5 @@
 #include "transport/httpc.h"
+#include "common/clk.h"
 #include "common/guard.h"
 #include "common/step.h"
 #include "protocol/frame.h"
@@ -11,6 +12,9 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uthash.h>
 #include <utlist.h>
 
 /*
@@ -33,6 +37,13 @@
 	struct httpc_request *request; /* the last that used the socket */
 };
 
+struct httpc_connection {
+	int fd;
+	int64_t opened_ms;
+	unsigned answers;
+	UT_hash_handle hh;
+};
+
 static void process_finished(struct httpc *c);
 static void end_request(struct httpc_request *r, enum err error);
 
@@ -169,6 +180,65 @@
 	end_event(c);
 }
 
+static struct httpc_connection *find_connection(struct httpc *c, int fd)
+{
+	struct httpc_connection *found;
+
+	HASH_FIND_INT(c->connections, &fd, found);
+	return found;
+}
+
+/* Opens a socket for libcurl, and notes it. */
+static curl_socket_t open_socket(void *priv, curlsocktype purpose,
+				 struct curl_sockaddr *address)
+{
+	struct httpc *c = priv;
+	struct httpc_connection *n = calloc(1, sizeof(*n));
+
+	(void)purpose;
+	if (!n)
+		return CURL_SOCKET_BAD;
+	n->fd = socket(address->family, address->socktype, address->protocol);
+	if (n->fd < 0) {
+		free(n);
+		return CURL_SOCKET_BAD;
+	}
+	n->opened_ms = clk_ms();
+	HASH_ADD_INT(c->connections, fd, n);
+	return n->fd;
+}
+
+static int close_socket(void *priv, curl_socket_t fd)
+{
+	struct httpc *c = priv;
+	struct httpc_connection *n = find_connection(c, fd);
+	struct httpc_request *r;
+
+	if (n) {
+		DL_FOREACH(c->requests, r) {
+			if (r->connection != n)
+				continue;
+			r->connection = NULL;
+			r->connection_closed = 1;
+		}
+		HASH_DEL(c->connections, n);
+		free(n);
+	}
+	return close(fd);
+}
+
+static void set_connection(struct httpc_request *r, int fd)
+{
+	if (r->connection && r->connection->fd == fd)
+		return;
+	r->connection = find_connection(r->client, fd);
+	if (!r->connection)
+		return;
+	r->connection_closed = 0;
+	r->connection_answers = r->connection->answers;
+	r->connection_age_ms = clk_ms() - r->connection->opened_ms;
+}
+
 static int set_socket(CURL *easy, curl_socket_t fd, int what, void *priv,
 		      void *socket_priv)
 {
@@ -195,6 +265,8 @@
 		curl_multi_assign(c->multi, fd, w);
 	}
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &w->request);
+	if (is_started(c, w->request))
+		set_connection(w->request, fd);
 	if (what & CURL_POLL_IN)
 		events |= EV_READ;
 	if (what & CURL_POLL_OUT)
@@ -323,6 +395,7 @@
 		r->abort_error = ERR_TOO_LARGE;
 		return 0;
 	}
+	r->fault = httpc_head_add(&r->head, line, len);
 	/* The final answer follows a 1xx answer, whose headers are dropped. */
 	if (has_prefix(line, text, "HTTP/")) {
 		buf_reset(&r->answer_headers);
@@ -364,7 +437,35 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-static enum err curl_result_to_err(const struct httpc_request *r, CURLcode code)
+/*
+ * Returns 1 if bytes that belong to no request came right behind the answer.
+ * libcurl closes the connection for those that it has read.
+ */
+static int has_surplus(const struct httpc_request *r)
+{
+	if (r->connection)
+		return count_pending_bytes(r->connection->fd) > 0;
+	return r->connection_closed && !r->head.closes && !r->close_after;
+}
+
+/* Looks for a second answer behind the head of a whole answer. */
+static enum httpc_fault find_late_fault(const struct httpc_request *r)
+{
+	enum httpc_body_end end;
+
+	if (r->head.status != (unsigned)r->status)
+		return HTTPC_FAULT_STATUS_LINE;
+	if (r->ops->data)
+		return HTTPC_FAULT_NONE;
+	end = httpc_head_find_in_body(r->answer.data, r->answer.len, r->id_name,
+				      r->id);
+	if (end == HTTPC_BODY_HAS_ANSWER ||
+	    (end == HTTPC_BODY_IN_HEAD && has_surplus(r)))
+		return HTTPC_FAULT_BODY;
+	return HTTPC_FAULT_NONE;
+}
+
+static enum err curl_result_to_err(struct httpc_request *r, CURLcode code)
 {
 	if (r->abort_error != ERR_OK)
 		return r->abort_error;
@@ -381,6 +482,7 @@
 		return ERR_TOO_LARGE;
 	case CURLE_WEIRD_SERVER_REPLY:
 	case CURLE_UNSUPPORTED_PROTOCOL:
+		r->fault = HTTPC_FAULT_STATUS_LINE;
 		return ERR_MALFORMED;
 	default:
 		return r->status ? ERR_INCOMPLETE : ERR_CLOSED;
@@ -393,9 +495,18 @@
 	    r->status != 204 && r->status != 304 &&
 	    strcmp(r->method, "HEAD") != 0)
 		return ERR_INCOMPLETE;
+	if (r->fault == HTTPC_FAULT_NONE)
+		r->fault = find_late_fault(r);
 	return ERR_OK;
 }
 
+/* The connection has carried one answer more, unless it is closed. */
+static void note_connection(struct httpc_request *r)
+{
+	if (r->connection)
+		r->connection->answers++;
+}
+
 static void release_handle(struct httpc_request *r)
 {
 	DL_DELETE(r->client->requests, r);
@@ -466,6 +577,7 @@
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &r);
 		read_status(r);
 		r->error = curl_result_to_err(r, code);
+		note_connection(r);
 		release_handle(r);
 		step_enter("httpc_done");
 		r->ops->done(r, r->priv);
@@ -592,6 +704,10 @@
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, r);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, r->client);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, r->client);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, r);
 	set_method(r);
@@ -607,6 +723,11 @@
 	r->send_started = 0;
 	r->reused_connection = 0;
 	r->status = 0;
+	r->fault = HTTPC_FAULT_NONE;
+	r->connection = NULL;
+	r->connection_closed = 0;
+	r->connection_age_ms = -1;
+	r->connection_answers = 0;
 	r->framed = 0;
 	r->headers_done = 0;
 	r->head_bytes = 0;
@@ -616,6 +737,8 @@
 	r->header_list = NULL;
 	buf_init(&r->answer);
 	buf_init(&r->answer_headers);
+	buf_init(&r->head_lines);
+	httpc_head_init(&r->head, r->id_name, &r->head_lines);
 	r->easy = curl_easy_init();
 	if (!r->easy)
 		return ERR_NOMEM;
@@ -674,4 +797,5 @@
 {
 	buf_finish(&r->answer);
 	buf_finish(&r->answer_headers);
+	buf_finish(&r->head_lines);
 }
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -3,6 +3,7 @@
 
 #include "common/buf.h"
 #include "common/err.h"
+#include "transport/httpc_head.h"
 
 #include <curl/curl.h>
 #include <ev.h>
@@ -20,6 +21,9 @@
  * An answer is framed if it states its length or is sent in chunks. The end of
  * an unframed answer is the end of its connection, so that an answer that was
  * cut off cannot be told from a whole one.
+ *
+ * Each head is also read by httpc_head, whose faults are noted in the request
+ * and have no other effect.
  */
 
 #define HTTPC_MAX_HEADER_BYTES (64 * 1024)
@@ -32,8 +36,11 @@
  */
 #define HTTPC_MAX_COLLECTED_BYTES (24 * 1024 * 1024)
 
+struct httpc_connection;
+
 struct httpc {
 	struct ev_loop *loop;
+	struct httpc_connection *connections; /* open ones, a hash by socket */
 	size_t collected_bytes; /* in the answers of all requests */
 	int comes_back; /* libcurl has more to do for a request at once */
 	CURLM *multi;
@@ -92,6 +99,12 @@
 	int max_idle_seconds;
 	int close_after; /* close the connection after this request */
 	int unframed_ok; /* accept an unframed answer as whole */
+	/*
+	 * The header in which each answer repeats the request's id, and the id;
+	 * NULL if answers do not. Both must stay valid until the request ends.
+	 */
+	const char *id_name;
+	const char *id;
 
 	/*
 	 * Result, valid in done(). error is ERR_OK if the whole answer was
@@ -112,6 +125,10 @@
 	/* 1 if an earlier request may have used the connection. */
 	int reused_connection;
 	int status;		   /* HTTP status, 0 if none was received */
+	enum httpc_fault fault;	   /* why bytes were not taken as one answer */
+	int64_t connection_age_ms; /* -1 if it is not known */
+	/* Answers that the connection carried before this request. */
+	unsigned connection_answers;
 	struct buf answer;	   /* collected body */
 	struct buf answer_headers; /* "Name: value\n" lines */
 
@@ -122,8 +139,12 @@
 	enum err abort_error;
 	int framed; /* the answer states its length or is sent in chunks */
 	int headers_done;
-	size_t head_bytes;	 /* of all heads and trailers */
-	int fd;			 /* of the last event; -1: none */
+	struct httpc_head head;
+	struct buf head_lines;		     /* what head has read */
+	struct httpc_connection *connection; /* NULL: none, or closed */
+	int connection_closed;		     /* after the request was sent */
+	size_t head_bytes;		     /* of all heads and trailers */
+	int fd;				     /* of the last event; -1: none */
 	unsigned unparsed_steps; /* since the last header or body byte */
 	int64_t unparsed_from;	 /* bytes read then; -1: not known yet */
 	unsigned sends; /* how often libcurl was about to send the request */
