httpc: one strict reading of an answer's head

Cause: three readers, each lenient in its own way, decided what one answer is. libcurl took the status of the first line, and 200 where it could not read one; the header callback began the head anew at any line with "HTTP/"; the gate took the later of two equal headers. The text of a status line in the middle of a line was a header's value to all of them.

httpc_head now decides status, headers and framing, and the others follow: its first fault ends the request with malformed and closes the connection, a status that libcurl reads otherwise too. The text of a status line within a value counts as a second answer if the header with the request's id follows it (or a framing header, where answers have no id), if the answer has no id, or if the request was sent before, so that an earlier answer has its id. After such an answer, each request to that target has its own connection for 10 s, as after a late one.

--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -126,8 +126,6 @@
 		suspend_connection_reuse(c->g);
 		return;
 	}
-	if (c->http.fault != HTTPC_FAULT_NONE)
-		c->fault = httpc_fault_name(c->http.fault);
 	if (!gate_answer_is_refusal(c, a, reply->status))
 		return;
 	reply->error = ERR_TARGET_REFUSED;
@@ -210,8 +208,7 @@
 {
 	const struct gate *g = c->g;
 
-	if (status && status < 500 && reply->outcome == OUTCOME_ANSWERED &&
-	    !c->fault)
+	if (status && status < 500 && reply->outcome == OUTCOME_ANSWERED)
 		return;
 	log_request(LOG_INFO, "target_end",
 		    "id=%s attempt=%016llx service=%s key=%s target=%s "
@@ -300,8 +297,10 @@
 		gate_call_fail(c, OUTCOME_NOT_RUN, get_unsent_error(c));
 		return;
 	}
-	if (c->http.fault != HTTPC_FAULT_NONE)
+	if (c->http.fault != HTTPC_FAULT_NONE) {
 		c->fault = httpc_fault_name(c->http.fault);
+		suspend_connection_reuse(c->g);
+	}
 	count_fault(c);
 	health_failed(&c->g->health, clk_ms());
 	count_failure(c->g, c->http.error);
@@ -434,6 +433,7 @@
 		.unframed_ok = c->g->dialect->unframed_answers,
 		.id_name = c->g->dialect->request_id,
 		.id = c->f->request_id,
+		.sent_before = c->f->sent_before,
 		/* What answered the earlier attempt has the same id. */
 		.new_connection = separate || c->f->sent_before,
 		.close_after = separate,
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -41,6 +41,11 @@
 	int fd;
 	int64_t opened_ms;
 	unsigned answers;
+	/*
+	 * Bytes of these answers; -1 if one was sent in chunks, whose framing
+	 * is not counted.
+	 */
+	int64_t answer_bytes;
 	UT_hash_handle hh;
 };
 
@@ -82,10 +87,10 @@
 }
 
 /*
- * Returns the bytes that have been read from the socket since it was opened, or
- * -1 if the system does not tell.
+ * Returns the bytes that the socket has received since it was opened, or -1 if
+ * the system does not tell.
  */
-static int64_t count_read_bytes(int fd)
+static int64_t count_received_bytes(int fd)
 {
 	struct tcp_info info;
 	socklen_t len = sizeof(info);
@@ -95,8 +100,15 @@
 	    len < offsetof(struct tcp_info, tcpi_bytes_received) +
 			    sizeof(info.tcpi_bytes_received))
 		return -1;
-	return (int64_t)info.tcpi_bytes_received -
-	       (int64_t)count_pending_bytes(fd);
+	return (int64_t)info.tcpi_bytes_received;
+}
+
+/* The same for the bytes that have been read from it. */
+static int64_t count_read_bytes(int fd)
+{
+	int64_t received = count_received_bytes(fd);
+
+	return received < 0 ? -1 : received - (int64_t)count_pending_bytes(fd);
 }
 
 /*
@@ -208,6 +220,19 @@
 	return n->fd;
 }
 
+/*
+ * Returns the bytes that were received since the last answer of an earlier
+ * request, or -1 if they are not known.
+ */
+static int64_t count_bytes_of_request(const struct httpc_connection *n)
+{
+	int64_t received = count_received_bytes(n->fd);
+
+	if (received < 0 || n->answer_bytes < 0)
+		return -1;
+	return received - n->answer_bytes;
+}
+
 static int close_socket(void *priv, curl_socket_t fd)
 {
 	struct httpc *c = priv;
@@ -218,6 +243,7 @@
 		DL_FOREACH(c->requests, r) {
 			if (r->connection != n)
 				continue;
+			r->received_bytes = count_bytes_of_request(n);
 			r->connection = NULL;
 			r->connection_closed = 1;
 		}
@@ -356,38 +382,10 @@
 	return len;
 }
 
-static int has_prefix(const char *line, size_t len, const char *prefix)
-{
-	size_t n = strlen(prefix);
-
-	return len >= n && strncasecmp(line, prefix, n) == 0;
-}
-
-static int is_chunked(const char *line, size_t len)
-{
-	static const char name[] = "Transfer-Encoding:";
-	static const char last[] = "chunked";
-	size_t n = sizeof(last) - 1;
-
-	if (!has_prefix(line, len, name))
-		return 0;
-	len -= sizeof(name) - 1;
-	line += sizeof(name) - 1;
-	return len >= n && strncasecmp(line + len - n, last, n) == 0;
-}
-
-static size_t trimmed_length(const char *line, size_t len)
-{
-	while (len && strchr(" \t\r\n", line[len - 1]))
-		len--;
-	return len;
-}
-
 static size_t on_header(char *line, size_t size, size_t count, void *priv)
 {
 	struct httpc_request *r = priv;
 	size_t len = size * count;
-	size_t text = trimmed_length(line, len);
 
 	note_progress(r);
 	r->head_bytes += len;
@@ -395,24 +393,11 @@
 		r->abort_error = ERR_TOO_LARGE;
 		return 0;
 	}
-	r->fault = httpc_head_add(&r->head, line, len);
-	/* The final answer follows a 1xx answer, whose headers are dropped. */
-	if (has_prefix(line, text, "HTTP/")) {
-		buf_reset(&r->answer_headers);
-		r->framed = 0;
-		r->headers_done = 0;
-		return len;
-	}
-	if (!text)
-		r->headers_done = 1;
-	/* Trailers, which follow the empty line, are not headers. */
-	if (r->headers_done)
-		return len;
-	if (has_prefix(line, text, "Content-Length:") || is_chunked(line, text))
-		r->framed = 1;
-	if (buf_add(&r->answer_headers, line, text) != ERR_OK ||
-	    buf_add(&r->answer_headers, "\n", 1) != ERR_OK)
+	if (httpc_head_add(&r->head, line, len) != HTTPC_FAULT_NONE) {
+		r->fault = r->head.fault;
+		r->abort_error = ERR_MALFORMED;
 		return 0;
+	}
 	return len;
 }
 
@@ -437,34 +422,6 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-/*
- * Returns 1 if bytes that belong to no request came right behind the answer.
- * libcurl closes the connection for those that it has read.
- */
-static int has_surplus(const struct httpc_request *r)
-{
-	if (r->connection)
-		return count_pending_bytes(r->connection->fd) > 0;
-	return r->connection_closed && !r->head.closes && !r->close_after;
-}
-
-/* Looks for a second answer behind the head of a whole answer. */
-static enum httpc_fault find_late_fault(const struct httpc_request *r)
-{
-	enum httpc_body_end end;
-
-	if (r->head.status != (unsigned)r->status)
-		return HTTPC_FAULT_STATUS_LINE;
-	if (r->ops->data)
-		return HTTPC_FAULT_NONE;
-	end = httpc_head_find_in_body(r->answer.data, r->answer.len, r->id_name,
-				      r->id);
-	if (end == HTTPC_BODY_HAS_ANSWER ||
-	    (end == HTTPC_BODY_IN_HEAD && has_surplus(r)))
-		return HTTPC_FAULT_BODY;
-	return HTTPC_FAULT_NONE;
-}
-
 static enum err curl_result_to_err(struct httpc_request *r, CURLcode code)
 {
 	if (r->abort_error != ERR_OK)
@@ -488,23 +445,31 @@
 		return r->status ? ERR_INCOMPLETE : ERR_CLOSED;
 	}
 	/* libcurl takes the end of the connection for the end of the head. */
-	if (r->status < 200 || !r->headers_done)
+	if (r->status < 200 || !r->head.complete)
 		return ERR_INCOMPLETE;
 	/* An unframed answer that was cut off looks like a whole one. */
-	if (!r->framed && !r->unframed_ok && guard_on(GUARD_FRAMING) &&
-	    r->status != 204 && r->status != 304 &&
+	if (!httpc_head_is_framed(&r->head) && !r->unframed_ok &&
+	    guard_on(GUARD_FRAMING) && r->status != 204 && r->status != 304 &&
 	    strcmp(r->method, "HEAD") != 0)
 		return ERR_INCOMPLETE;
-	if (r->fault == HTTPC_FAULT_NONE)
-		r->fault = find_late_fault(r);
-	return ERR_OK;
+	if (r->head.status != (unsigned)r->status)
+		r->fault = HTTPC_FAULT_STATUS_LINE;
+	return r->fault == HTTPC_FAULT_NONE ? ERR_OK : ERR_MALFORMED;
 }
 
 /* The connection has carried one answer more, unless it is closed. */
 static void note_connection(struct httpc_request *r)
 {
-	if (r->connection)
-		r->connection->answers++;
+	struct httpc_connection *n = r->connection;
+
+	if (!n)
+		return;
+	n->answers++;
+	/* Of a streamed body, the length is gone. */
+	if (!r->head.has_length || r->ops->data)
+		n->answer_bytes = -1;
+	else if (n->answer_bytes >= 0)
+		n->answer_bytes += (int64_t)(r->head_bytes + r->answer.len);
 }
 
 static void release_handle(struct httpc_request *r)
@@ -726,10 +691,9 @@
 	r->fault = HTTPC_FAULT_NONE;
 	r->connection = NULL;
 	r->connection_closed = 0;
+	r->received_bytes = -1;
 	r->connection_age_ms = -1;
 	r->connection_answers = 0;
-	r->framed = 0;
-	r->headers_done = 0;
 	r->head_bytes = 0;
 	note_progress(r);
 	r->fd = -1;
@@ -737,8 +701,8 @@
 	r->header_list = NULL;
 	buf_init(&r->answer);
 	buf_init(&r->answer_headers);
-	buf_init(&r->head_lines);
-	httpc_head_init(&r->head, r->id_name, &r->head_lines);
+	httpc_head_init(&r->head, r->id_name, &r->answer_headers);
+	r->head.refuses_inner_line = r->sent_before;
 	r->easy = curl_easy_init();
 	if (!r->easy)
 		return ERR_NOMEM;
@@ -797,5 +761,4 @@
 {
 	buf_finish(&r->answer);
 	buf_finish(&r->answer_headers);
-	buf_finish(&r->head_lines);
 }
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -22,8 +22,8 @@
  * an unframed answer is the end of its connection, so that an answer that was
  * cut off cannot be told from a whole one.
  *
- * Each head is also read by httpc_head, whose faults are noted in the request
- * and have no other effect.
+ * What the head of one answer is, httpc_head decides. Its faults are noted in
+ * the request.
  */
 
 #define HTTPC_MAX_HEADER_BYTES (64 * 1024)
@@ -105,6 +105,7 @@
 	 */
 	const char *id_name;
 	const char *id;
+	int sent_before; /* with this id, so that earlier answers have it too */
 
 	/*
 	 * Result, valid in done(). error is ERR_OK if the whole answer was
@@ -137,14 +138,12 @@
 	CURL *easy;
 	struct curl_slist *header_list;
 	enum err abort_error;
-	int framed; /* the answer states its length or is sent in chunks */
-	int headers_done;
 	struct httpc_head head;
-	struct buf head_lines;		     /* what head has read */
 	struct httpc_connection *connection; /* NULL: none, or closed */
 	int connection_closed;		     /* after the request was sent */
-	size_t head_bytes;		     /* of all heads and trailers */
-	int fd;				     /* of the last event; -1: none */
+	int64_t received_bytes;	 /* until it was closed; -1: not known */
+	size_t head_bytes;	 /* of all heads and trailers */
+	int fd;			 /* of the last event; -1: none */
 	unsigned unparsed_steps; /* since the last header or body byte */
 	int64_t unparsed_from;	 /* bytes read then; -1: not known yet */
 	unsigned sends; /* how often libcurl was about to send the request */
--- a/transport/httpc_head.c
+++ b/transport/httpc_head.c
@@ -60,6 +60,9 @@
 	for (size_t i = 0; i < len; i++) {
 		unsigned char c = (unsigned char)s[i];
 
+		/* Nearly all characters of a name. */
+		if (((c | 0x20) >= 'a' && (c | 0x20) <= 'z') || c == '-')
+			continue;
 		if (c <= ' ' || c >= 127 || strchr("\"(),/:;<=>?@[\\]{}", c))
 			return 0;
 	}
@@ -350,6 +353,9 @@
 {
 	if (!h->in_head)
 		return HTTPC_FAULT_STATUS_LINE;
+	if (!h->complete && h->status >= 200 && h->has_inner_line &&
+	    (h->refuses_inner_line || (h->id_name && !h->id_len)))
+		return HTTPC_FAULT_SECOND_HEAD;
 	/* The final head follows that of a 1xx answer. */
 	if (!h->complete && h->status < 200)
 		h->in_head = 0;
--- a/transport/httpc_head.h
+++ b/transport/httpc_head.h
@@ -14,7 +14,9 @@
  * start of a line, where it is not valid, or within a header's value or the
  * reason phrase, where it is valid text. Such text counts as a second answer if
  * a header follows it that no answer lacks: the one that repeats the request's
- * id or, where answers have none, one that frames the body.
+ * id or, where answers have none, one that frames the body. An answer without
+ * the id that it should repeat may not have such text at all, nor may one to a
+ * request that was sent before: an answer to the earlier send has its id too.
  */
 
 /* Why bytes are not taken as one answer. */
@@ -35,7 +37,8 @@
 
 struct httpc_head {
 	const char *id_name; /* header that repeats the request's id, or NULL */
-	struct buf *headers; /* "Name: value\n" lines of the final head */
+	int refuses_inner_line; /* whatever follows the text of a status line */
+	struct buf *headers;	/* "Name: value\n" lines of the final head */
 	enum httpc_fault fault; /* the first one */
 	unsigned status;	/* of the last head */
 	int complete;		/* the final head has ended */
@@ -53,7 +56,8 @@
 
 /*
  * Starts reading. The lines of the final head are appended to headers. Both
- * pointers stay valid until the last call.
+ * pointers stay valid until the last call. The caller may set
+ * refuses_inner_line before the first line.
  */
 void httpc_head_init(struct httpc_head *h, const char *id_name,
 		     struct buf *headers);
