httpc: a body that ends in the head of another answer

Cause: the length of the first answer was filled up with the second, and what was left over was dropped by libcurl without a word.

An answer is refused if its body contains a status line and, in the head that follows, this request's id, or if it ends in a head and bytes are there behind its end: pending in the socket, counted by the system, or read by libcurl, which closes the connection then. A body that only ends in such a text is passed on.

--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -422,6 +422,40 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/* Returns 1 if bytes that belong to no request came right behind the answer. */
+static int has_surplus(const struct httpc_request *r)
+{
+	int64_t received = r->connection ? count_bytes_of_request(r->connection)
+					 : r->received_bytes;
+	int64_t answer = (int64_t)(r->head_bytes + r->answer.len);
+
+	if (r->connection && count_pending_bytes(r->connection->fd))
+		return 1;
+	/* The close of the other side counts as one byte. */
+	if (received >= 0 && r->head.has_length)
+		return received > answer + 1;
+	/* libcurl closes the connection if it has read more than the answer. */
+	return r->connection_closed && httpc_head_is_framed(&r->head) &&
+	       !r->head.closes && !r->close_after;
+}
+
+/* Looks for a second answer behind the head of a whole answer. */
+static enum httpc_fault find_late_fault(const struct httpc_request *r)
+{
+	enum httpc_body_end end;
+
+	if (r->head.status != (unsigned)r->status)
+		return HTTPC_FAULT_STATUS_LINE;
+	if (r->ops->data)
+		return HTTPC_FAULT_NONE;
+	end = httpc_head_find_in_body(r->answer.data, r->answer.len, r->id_name,
+				      r->id);
+	if (end == HTTPC_BODY_HAS_ANSWER ||
+	    (end == HTTPC_BODY_IN_HEAD && has_surplus(r)))
+		return HTTPC_FAULT_BODY;
+	return HTTPC_FAULT_NONE;
+}
+
 static enum err curl_result_to_err(struct httpc_request *r, CURLcode code)
 {
 	if (r->abort_error != ERR_OK)
@@ -452,8 +486,7 @@
 	    guard_on(GUARD_FRAMING) && r->status != 204 && r->status != 304 &&
 	    strcmp(r->method, "HEAD") != 0)
 		return ERR_INCOMPLETE;
-	if (r->head.status != (unsigned)r->status)
-		r->fault = HTTPC_FAULT_STATUS_LINE;
+	r->fault = find_late_fault(r);
 	return r->fault == HTTPC_FAULT_NONE ? ERR_OK : ERR_MALFORMED;
 }
 
