test_joined: connections are reset, and more cases of cut bodies

The program left some 20,000 connections in TIME_WAIT, so that a second run within a minute found no free port. Its target now resets its connections and listens once for all lengths of a pair. New: bodies in two sends, those byte by byte that can be told, and unframed answers without an id by themselves.

--- a/test/unit/test_joined.c
+++ b/test/unit/test_joined.c
@@ -16,7 +16,7 @@
 
 #define ID "9c41d07be2a35f68"
 #define OTHER "4be07f12c9a8d653"
-/* Without a result after this time, the target closes the connection. */
+/* Without a result after this time, the target ends the connection. */
 #define QUIET_SECONDS 0.005
 #define LONG_REASON                                                    \
 	"Accepted after a number of attempts at the furnace that was " \
@@ -84,34 +84,47 @@
 
 static void setup(struct fixture *f, int native)
 {
-	Wire__Target a;
-
 	memset(f, 0, sizeof(*f));
 	f->native = native;
 	f->loop = ev_loop_new(EVFLAG_AUTO);
 	fake_view_init(&f->view);
 	fake_target_init(&f->target, f->loop);
 	cnt_init(&f->cnt);
-	g_assert_cmpint(gate_new(&f->gate, f->loop, &f->view.view, &f->cnt,
-				 native ? &dialect_native : &platform_dialect,
-				 &gate_ops, f),
-			==, ERR_OK);
-	gate_set_adaptive(f->gate, 0);
-	a = fake_announcement(&f->target, 2);
-	if (!native)
-		a.service = "desk";
-	gate_set_target(f->gate, &a);
 }
 
 static void teardown(struct fixture *f)
 {
-	gate_free(f->gate);
 	fake_target_finish(&f->target);
 	fake_view_finish(&f->view);
 	cnt_finish(&f->cnt);
 	ev_loop_destroy(f->loop);
 }
 
+/* Starts a gate that has no connections and no memory of earlier answers. */
+static void start_gate(struct fixture *f)
+{
+	Wire__Target a = fake_announcement(&f->target, 2);
+
+	g_assert_cmpint(
+		gate_new(&f->gate, f->loop, &f->view.view, &f->cnt,
+			 f->native ? &dialect_native : &platform_dialect,
+			 &gate_ops, f),
+		==, ERR_OK);
+	gate_set_adaptive(f->gate, 0);
+	if (!f->native)
+		a.service = "desk";
+	gate_set_target(f->gate, &a);
+	f->target.runs = 0;
+	f->target.connections = 0;
+}
+
+static void stop_gate(struct fixture *f)
+{
+	gate_free(f->gate);
+	for (int i = 0; i < FAKE_MAX_CONNECTIONS && f->target.open[i]; i++)
+		fake_close(f->target.open[i]);
+}
+
 static void reply_init(struct reply *r)
 {
 	memset(r, 0, sizeof(*r));
@@ -237,10 +250,29 @@
 		ev_run(f->loop, EVRUN_NOWAIT);
 }
 
-static void close_connection(struct fixture *f)
+/* Ends what the target sends; it goes on reading. */
+static void end_connection(struct fixture *f)
 {
 	if (f->target.open[0])
-		fake_close(f->target.open[0]);
+		shutdown(f->target.open[0]->fd, SHUT_WR);
+}
+
+/*
+ * The connection sends each piece at once, and is reset when the target closes
+ * it. Otherwise the thousands of connections of this program would wait for a
+ * minute each, and use up the ports of the loopback address.
+ */
+static void set_up_connection(int fd)
+{
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	const int on = 1;
+
+	g_assert_cmpint(
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)),
+		==, 0);
+	g_assert_cmpint(
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)), ==,
+		0);
 }
 
 static void write_joined(struct fixture *f, const struct reply *r,
@@ -266,11 +298,11 @@
 		break;
 	}
 	if (j->own->closes)
-		close_connection(f);
+		end_connection(f);
 	g_string_free(all, TRUE);
 }
 
-/* Waits for the result; a target without one closes the connection. */
+/* Waits for the result; a target without one ends the connection. */
 static void wait_for_result(struct fixture *f, const struct reply *r)
 {
 	unsigned over = 0;
@@ -284,7 +316,7 @@
 		ev_run(f->loop, EVRUN_ONCE);
 	ev_timer_stop(f->loop, &quiet);
 	if (!r->count)
-		close_connection(f);
+		end_connection(f);
 	fake_wait(f->loop, &r->count, 1);
 }
 
@@ -320,36 +352,33 @@
 }
 
 /* Returns the same after it tried this length, and prints it on request. */
-static int try_length(const struct joined *j, size_t n, int prints)
+static int try_length(struct fixture *f, const struct joined *j, size_t n,
+		      int prints)
 {
 	struct reply first, r;
-	struct fixture f;
 	int allowed;
-	int on = 1;
 
-	setup(&f, j->native);
-	f.target.answer = warm_up(&f);
-	f.target.later_from_run = 2;
-	f.target.mode_later = FAKE_SILENT;
-	submit(&f, &first, 1, j->idempotent);
-	fake_wait(f.loop, &first.count, 1);
+	start_gate(f);
+	f->target.answer = warm_up(f);
+	f->target.later_from_run = 2;
+	f->target.mode_later = FAKE_SILENT;
+	submit(f, &first, 1, j->idempotent);
+	fake_wait(f->loop, &first.count, 1);
 	g_assert_cmpint(first.outcome, ==, OUTCOME_ANSWERED);
-	submit(&f, &r, 2, j->idempotent);
-	fake_wait(f.loop, &f.target.runs, 2);
-	g_assert_cmpuint(f.target.connections, ==, 1);
-	g_assert_cmpint(setsockopt(f.target.last_fd, IPPROTO_TCP, TCP_NODELAY,
-				   &on, sizeof(on)),
-			==, 0);
-	write_joined(&f, &r, j, n);
-	wait_for_result(&f, &r);
+	submit(f, &r, 2, j->idempotent);
+	fake_wait(f->loop, &f->target.runs, 2);
+	g_assert_cmpuint(f->target.connections, ==, 1);
+	set_up_connection(f->target.last_fd);
+	write_joined(f, &r, j, n);
+	wait_for_result(f, &r);
 	allowed = is_allowed(j, n, &r);
 	if (!allowed && prints)
 		print_result(j, n, &r);
-	g_assert_cmpuint(f.target.runs, ==, 2);
+	g_assert_cmpuint(f->target.runs, ==, 2);
 	g_assert_cmpuint(r.count, ==, 1);
+	stop_gate(f);
 	reply_finish(&first);
 	reply_finish(&r);
-	teardown(&f);
 	return allowed;
 }
 
@@ -358,9 +387,11 @@
 {
 	GString *bad = g_string_new(NULL);
 	unsigned count = 0;
+	struct fixture f;
 
+	setup(&f, j->native);
 	for (size_t n = from; n <= to; n++) {
-		if (try_length(j, n, !count))
+		if (try_length(&f, j, n, !count))
 			continue;
 		g_string_append_printf(bad, " %zu", n);
 		count++;
@@ -373,6 +404,7 @@
 			       strlen(j->part->bytes), bad->str);
 		g_test_fail();
 	}
+	teardown(&f);
 	g_string_free(bad, TRUE);
 }
 
@@ -568,23 +600,58 @@
 	}
 }
 
+/* Guards against the same with an own answer that has no id, but a length. */
+static void test_heads_without_id(void)
+{
+	try_heads(&own_without_id[0], 1, PACE_ONE_SEND, 0);
+}
+
 /*
- * Guards against the same with an own answer that has no id. Only its framing
- * tells it from the part's headers.
+ * Guards against the same with an own answer that has neither. Only the text of
+ * its status line is a sign of it.
  */
-static void test_heads_without_id(void)
+static void test_heads_without_id_unframed(void)
 {
-	try_heads(own_without_id, G_N_ELEMENTS(own_without_id), PACE_ONE_SEND,
-		  0);
+	try_heads(&own_without_id[1], 1, PACE_ONE_SEND, 0);
 }
 
+static const struct answer long_bodies[] = {
+	{ .name = "earlier 200 with 40 bytes",
+	  .bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		   "\r\nX-Server-Seal: p\r\nContent-Length: 40\r\n\r\n"
+		   "a kiln of 1,200 degrees and no more time",
+	  .status = 200,
+	  .body = "a kiln of 1,200 degrees and no more time" },
+	{ .name = "earlier 200 with 160 bytes",
+	  .bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		   "\r\nX-Server-Seal: p\r\nContent-Length: 160\r\n\r\n"
+		   "a kiln of 1,200 degrees and no more time"
+		   "a kiln of 1,200 degrees and no more time"
+		   "a kiln of 1,200 degrees and no more time"
+		   "a kiln of 1,200 degrees and no more time",
+	  .status = 200,
+	  .body = "a kiln of 1,200 degrees and no more time"
+		  "a kiln of 1,200 degrees and no more time"
+		  "a kiln of 1,200 degrees and no more time"
+		  "a kiln of 1,200 degrees and no more time" },
+	{ .name = "earlier 200 in two chunks",
+	  .bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		   "\r\nX-Server-Seal: p\r\n"
+		   "Transfer-Encoding: chunked\r\n\r\n"
+		   "10\r\na kiln of 1,200 \r\n"
+		   "18\r\ndegrees and no more time\r\n0\r\n\r\n",
+	  .status = 200,
+	  .body = "a kiln of 1,200 degrees and no more time" },
+};
+
 /* Tries all lengths that end in the bodies of the parts. */
-static void try_bodies(const struct answer *from, size_t count)
+static void try_bodies(const struct answer *from, size_t count, enum pace pace)
 {
 	for (size_t i = 0; i < count; i++) {
 		for (size_t j = 0; j < G_N_ELEMENTS(own_answers); j++) {
 			struct joined both = { .part = &from[i],
-					       .own = &own_answers[j] };
+					       .own = &own_answers[j],
+					       .pace = pace };
 
 			try_body(&both);
 		}
@@ -593,42 +660,45 @@
 
 /*
  * Guards against an answer that has the head of a part, and a body that ends in
- * bytes of the next head. The part's body is longer and shorter than the own
- * answer; the own answer has bytes left behind each end of that body.
+ * bytes of the next head. The parts' bodies are shorter and longer than what
+ * follows; the own answer goes on behind the end of that body, or ends there.
  */
 static void test_bodies(void)
 {
-	static const struct answer long_bodies[] = {
-		{ .name = "earlier 200 with 40 bytes",
-		  .bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
-			   "\r\nX-Server-Seal: p\r\nContent-Length: 40\r\n\r\n"
-			   "a kiln of 1,200 degrees and no more time",
-		  .status = 200,
-		  .body = "a kiln of 1,200 degrees and no more time" },
-		{ .name = "earlier 200 with 160 bytes",
-		  .bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
-			   "\r\nX-Server-Seal: p\r\nContent-Length: 160\r\n\r\n"
-			   "a kiln of 1,200 degrees and no more time"
-			   "a kiln of 1,200 degrees and no more time"
-			   "a kiln of 1,200 degrees and no more time"
-			   "a kiln of 1,200 degrees and no more time",
-		  .status = 200,
-		  .body = "a kiln of 1,200 degrees and no more time"
-			  "a kiln of 1,200 degrees and no more time"
-			  "a kiln of 1,200 degrees and no more time"
-			  "a kiln of 1,200 degrees and no more time" },
-		{ .name = "earlier 200 in two chunks",
-		  .bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
-			   "\r\nX-Server-Seal: p\r\n"
-			   "Transfer-Encoding: chunked\r\n\r\n"
-			   "10\r\na kiln of 1,200 \r\n"
-			   "18\r\ndegrees and no more time\r\n0\r\n\r\n",
-		  .status = 200,
-		  .body = "a kiln of 1,200 degrees and no more time" },
-	};
+	try_bodies(long_bodies, G_N_ELEMENTS(long_bodies), PACE_ONE_SEND);
+	try_bodies(parts, G_N_ELEMENTS(parts), PACE_ONE_SEND);
+	try_bodies(long_bodies, G_N_ELEMENTS(long_bodies), PACE_TWO_SENDS);
+	try_bodies(parts, G_N_ELEMENTS(parts), PACE_TWO_SENDS);
+}
 
-	try_bodies(long_bodies, G_N_ELEMENTS(long_bodies));
-	try_bodies(parts, G_N_ELEMENTS(parts));
+/* Returns the length of the head up to the end of the line with the id. */
+static size_t id_end(const char *bytes)
+{
+	const char *id = strstr(bytes, ID);
+
+	g_assert_nonnull(id);
+	return (size_t)(strchr(id, '\n') + 1 - bytes);
+}
+
+/*
+ * Guards against the same where the client reads single bytes. The lengths that
+ * leave less of the body than the own answer up to its id are left out: their
+ * body is complete before the client can know that bytes follow, and it ends in
+ * a text that a proper body may end in as well.
+ */
+static void test_bodies_byte_by_byte(void)
+{
+	for (size_t j = 0; j < G_N_ELEMENTS(own_answers); j++) {
+		const struct answer *part = &long_bodies[1];
+		struct joined both = { .part = part,
+				       .own = &own_answers[j],
+				       .pace = PACE_BYTES };
+		size_t rest = id_end(own_answers[j].bytes);
+
+		if (rest <= strlen(part->body))
+			try_lengths(&both, head_len(part->bytes),
+				    strlen(part->bytes) - rest);
+	}
 }
 
 /* Guards against heads put together where answers have no id. */
@@ -717,6 +787,7 @@
 	struct fixture f;
 
 	setup(&f, 0);
+	start_gate(&f);
 	f.target.answer = all;
 	for (uint64_t i = 1; i <= PROPER_TIMES; i++) {
 		struct reply r;
@@ -736,6 +807,7 @@
 	g_test_message("%s: %u connections", a->name, f.target.connections);
 	g_assert_cmpuint(f.target.runs, ==, PROPER_TIMES);
 	g_assert_cmpuint(f.target.connections, ==, 1);
+	stop_gate(&f);
 	teardown(&f);
 	g_free(all);
 }
@@ -858,7 +930,11 @@
 	g_test_add_func("/joined/heads_two_sends", test_heads_two_sends);
 	g_test_add_func("/joined/heads_byte_by_byte", test_heads_byte_by_byte);
 	g_test_add_func("/joined/heads_without_id", test_heads_without_id);
+	g_test_add_func("/joined/heads_without_id_unframed",
+			test_heads_without_id_unframed);
 	g_test_add_func("/joined/bodies", test_bodies);
+	g_test_add_func("/joined/bodies_byte_by_byte",
+			test_bodies_byte_by_byte);
 	g_test_add_func("/joined/proper", test_proper);
 	g_test_add_func("/joined/native", test_native);
 	return g_test_run();
