--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -49,6 +49,7 @@
 	int64_t not_after_ns;	    /* the target must not start it later */
 	int64_t sent_ns;	    /* 0: not sent to the target */
 	uint32_t in_flight_at_send; /* calls in flight then, itself included */
+	const char *fault; /* why the answer is not this call's; NULL: none */
 
 	struct gate_call *prev;
 	struct gate_call *next;
@@ -153,6 +154,42 @@
 /* Forgets what the answers of an earlier run of the target said. */
 void gate_reset_target_state(struct gate *g);
 
+/* gate_answer.c */
+
+/* The headers of an answer. Strings point into the HTTP client's buffer. */
+struct gate_answer {
+	Wire__Header *headers;
+	Wire__Header **forwarded; /* those that go to the requester */
+	size_t count;		  /* of forwarded */
+	const char *refused;
+	const char *retry_after;
+	const char *seal;
+	const char *request_id;
+	struct gate_target_headers target;
+	int has_encoding; /* Content-Encoding, which was not asked for */
+};
+
+/*
+ * Reads the headers of the answer to a call into memory of the caller. Returns
+ * ERR_OK or ERR_NOMEM; gate_answer_finish is due in both cases.
+ */
+enum err gate_answer_read(struct gate_answer *a, struct gate_call *c);
+void gate_answer_finish(struct gate_answer *a);
+/* Returns 1 if the target states that the request did not and will not run. */
+int gate_answer_is_refusal(const struct gate_call *c,
+			   const struct gate_answer *a, uint32_t status);
+/*
+ * Returns NULL if the answer belongs to this call, else why it does not, as a
+ * name for logs and metrics. When a target answers twice or late, the answer
+ * carries another request's id. Some dialects also require a success to carry a
+ * seal and an id, and no content encoding. A refusal needs the request's id, or
+ * none on a connection that carried no other request: a faulty target may write
+ * an earlier refusal once more.
+ */
+const char *gate_answer_find_fault(const struct gate_call *c,
+				   const struct gate_answer *a,
+				   uint32_t status);
+
 /* gate_slot.c */
 
 /* Returns NULL if there is no such slot. */
