test_joined: own answers after a 1xx answer, parts that end early

The empty line of a 1xx answer ends the head of the part before it. New parts: an empty 200 whose id and length come first, and a 204; both need no more bytes once their head has ended.

--- a/test/unit/test_joined.c
+++ b/test/unit/test_joined.c
@@ -25,6 +25,7 @@
 struct answer {
 	const char *name;
 	const char *bytes;
+	size_t head_at; /* of the final head in bytes; 1xx answers precede it */
 	unsigned status;
 	const char *body; /* without the framing of chunks */
 	int closes;	  /* the end of the connection ends it */
@@ -199,7 +200,8 @@
 /* Returns the headers of the answer as a reply has them. */
 static GString *passed_headers(const struct answer *a)
 {
-	char *head = g_strndup(a->bytes, head_len(a->bytes));
+	const char *from = a->bytes + a->head_at;
+	char *head = g_strndup(from, head_len(from));
 	char **lines = g_strsplit(head, "\n", 0);
 	GString *out = g_string_new(NULL);
 
@@ -286,6 +288,8 @@
 		send_bytes(f, all->str, all->len);
 		break;
 	case PACE_TWO_SENDS:
+		/* 1xx answers come long before the final one. */
+		n += j->own->head_at;
 		send_bytes(f, all->str, n);
 		let_read(f);
 		send_bytes(f, all->str + n, all->len - n);
@@ -453,6 +457,16 @@
 		   "\r\nX-Server-Seal: p\r\nContent-Length: 0\r\n\r\n",
 	  .status = 200,
 	  .body = "" },
+	{ .name = "empty earlier 200, id and length first",
+	  .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Attempt-Id: " ID
+		   "\r\nX-Server-Seal: p\r\nX-Part: part\r\n\r\n",
+	  .status = 200,
+	  .body = "" },
+	{ .name = "earlier 204",
+	  .bytes = "HTTP/1.1 204 No Content\r\nX-Server-Seal: p\r\n"
+		   "X-Attempt-Id: " ID "\r\nX-Part: part\r\n\r\n",
+	  .status = 204,
+	  .body = "" },
 	{ .name = "500 to another request",
 	  .bytes = "HTTP/1.1 500 Cold\r\nX-Server-Seal: p\r\n"
 		   "Content-Length: 5\r\nX-Attempt-Id: " OTHER "\r\n\r\nashes",
@@ -550,6 +564,25 @@
 	  .closes = 1 },
 };
 
+/* A 1xx answer, which has no id, precedes the own answer. */
+static const struct answer own_interim[] = {
+	{ .name = "102 and 500",
+	  .bytes = "HTTP/1.1 102 Processing\r\n\r\n"
+		   "HTTP/1.1 500 Ashes\r\nX-Attempt-Id: " ID
+		   "\r\nX-Server-Seal: b\r\nContent-Length: 4\r\n\r\noops",
+	  .head_at = sizeof("HTTP/1.1 102 Processing\r\n\r\n") - 1,
+	  .status = 500,
+	  .body = "oops" },
+	{ .name = "103 with a header and 200",
+	  .bytes = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+		   "HTTP/1.1 200 OK\r\nX-Server-Seal: b\r\n"
+		   "Content-Length: 5\r\nX-Attempt-Id: " ID "\r\n\r\nfired",
+	  .head_at =
+		  sizeof("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n") - 1,
+	  .status = 200,
+	  .body = "fired" },
+};
+
 /* Tries all lengths that end in the heads of the parts. */
 static void try_heads(const struct answer *own, size_t own_count,
 		      enum pace pace, int idempotent)
@@ -587,7 +620,7 @@
 /* Guards against the same where the client reads single bytes. */
 static void test_heads_byte_by_byte(void)
 {
-	static const size_t some[] = { 0, 2, 10 };
+	static const size_t some[] = { 0, 2, 12 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(some); i++) {
 		for (size_t j = 0; j < 2; j++) {
@@ -600,6 +633,16 @@
 	}
 }
 
+/*
+ * Guards against the same with an own answer after a 1xx answer, whose empty
+ * line ends the part's head.
+ */
+static void test_heads_interim(void)
+{
+	try_heads(own_interim, G_N_ELEMENTS(own_interim), PACE_ONE_SEND, 0);
+	try_heads(own_interim, G_N_ELEMENTS(own_interim), PACE_TWO_SENDS, 0);
+}
+
 /* Guards against the same with an own answer that has no id, but a length. */
 static void test_heads_without_id(void)
 {
@@ -823,82 +866,121 @@
 static void test_proper(void)
 {
 	static const struct answer answers[] = {
-		{ "empty reason",
-		  "HTTP/1.1 200 \r\nX-Attempt-Id: " ID
-		  "\r\nX-Server-Seal: b\r\nContent-Length: 5\r\n\r\nfired",
-		  200, "fired", 0, 0, 0 },
-		{ "no reason",
-		  "HTTP/1.1 200\r\nX-Attempt-Id: " ID
-		  "\r\nX-Server-Seal: b\r\nContent-Length: 5\r\n\r\nfired",
-		  200, "fired", 0, 0, 0 },
-		{ "long reason",
-		  "HTTP/1.1 500 " LONG_REASON LONG_REASON LONG_REASON
-		  "\r\nX-Attempt-Id: " ID "\r\nContent-Length: 4\r\n\r\noops",
-		  500, "oops", 0, 0, 0 },
-		{ "several cookies",
-		  HEAD_OF("Set-Cookie: a=1\r\nSet-Cookie: b=2; Path=/\r\n"
+		{ .name = "empty reason",
+		  .bytes =
+			  "HTTP/1.1 200 \r\nX-Attempt-Id: " ID
+			  "\r\nX-Server-Seal: b\r\nContent-Length: 5\r\n\r\nfired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "no reason",
+		  .bytes =
+			  "HTTP/1.1 200\r\nX-Attempt-Id: " ID
+			  "\r\nX-Server-Seal: b\r\nContent-Length: 5\r\n\r\nfired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "long reason",
+		  .bytes = "HTTP/1.1 500 " LONG_REASON LONG_REASON LONG_REASON
+			   "\r\nX-Attempt-Id: " ID
+			   "\r\nContent-Length: 4\r\n\r\noops",
+		  .status = 500,
+		  .body = "oops" },
+		{ .name = "several cookies",
+		  .bytes = HEAD_OF(
+			  "Set-Cookie: a=1\r\nSet-Cookie: b=2; Path=/\r\n"
 			  "Set-Cookie: a=1\r\nContent-Length: 5") "fired",
-		  200, "fired", 0, 0, 0 },
-		{ "version in a value",
-		  "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 forge, HTTP/1.0 old\r\n"
-		  "X-Server-Seal: HTTP/1.1\r\nUpgrade-Hint: HTTP/1.1 OK\r\n"
-		  "X-Attempt-Id: " ID "\r\nContent-Length: 5\r\n\r\nfired",
-		  200, "fired", 0, 0, 0 },
-		{ "status line in a value after the id",
-		  HEAD_OF("X-Last: HTTP/1.1 200 OK\r\nContent-Length: 5") "fired",
-		  200, "fired", 0, 0, 0 },
-		{ "chunks with extensions and trailers",
-		  HEAD_OF("Transfer-Encoding: chunked\r\n"
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "version in a value",
+		  .bytes =
+			  "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 forge, HTTP/1.0 old\r\n"
+			  "X-Server-Seal: HTTP/1.1\r\nUpgrade-Hint: HTTP/1.1 OK\r\n"
+			  "X-Attempt-Id: " ID
+			  "\r\nContent-Length: 5\r\n\r\nfired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "status line in a value after the id",
+		  .bytes = HEAD_OF(
+			  "X-Last: HTTP/1.1 200 OK\r\nContent-Length: 5") "fired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "chunks with extensions and trailers",
+		  .bytes = HEAD_OF(
+			  "Transfer-Encoding: chunked\r\n"
 			  "Trailer: X-Sum") "3;a=b;c=\"HTTP/1.1 200 OK\"\r\n"
 					    "fir\r\n2 ; d\r\ned\r\n0;last\r\n"
 					    "X-Sum: 1\r\nX-Took: 2\r\n\r\n",
-		  200, "fired", 0, 0, 0 },
-		{ "coding in upper case",
-		  HEAD_OF("TRANSFER-ENCODING: Chunked") "5\r\nfired\r\n0\r\n\r\n",
-		  200, "fired", 0, 0, 0 },
-		{ "equal length twice",
-		  HEAD_OF("Content-Length: 5\r\nContent-Length: 5") "fired",
-		  200, "fired", 0, 0, 0 },
-		{ "id last",
-		  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Server-Seal: b\r\n"
-		  "X-Attempt-Id: " ID "\r\n\r\nfired",
-		  200, "fired", 0, 0, 0 },
-		{ "other letter case",
-		  "HTTP/1.1 200 ok\r\nCONTENT-LENGTH: 5\r\nx-SERVER-seal: b\r\n"
-		  "X-ATTEMPT-ID: " ID "\r\n\r\nfired",
-		  200, "fired", 0, 0, 0 },
-		{ "line feeds only",
-		  "HTTP/1.1 200 OK\nContent-Length: 5\nX-Server-Seal: b\n"
-		  "X-Attempt-Id: " ID "\n\nfired",
-		  200, "fired", 0, 0, 0 },
-		{ "no blank before values",
-		  "HTTP/1.1 200 OK\r\nContent-Length:5\r\nX-Server-Seal: b\r\n"
-		  "x-attempt-id:" ID "\r\n\r\nfired",
-		  200, "fired", 0, 0, 0 },
-		{ "no length with 204",
-		  "HTTP/1.1 204 No Content\r\nX-Server-Seal: b\r\n"
-		  "X-Attempt-Id: " ID "\r\n\r\n",
-		  204, "", 0, 0, 0 },
-		{ "no length with 304",
-		  "HTTP/1.1 304 Same\r\nETag: \"a\"\r\nX-Attempt-Id: " ID
-		  "\r\n\r\n",
-		  304, "", 0, 0, 0 },
-		{ "error without an id",
-		  "HTTP/1.1 502 Bad\r\nContent-Length: 4\r\n\r\noops", 502,
-		  "oops", 0, 0, 0 },
-		{ "refusal with an id",
-		  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " ID
-		  "\r\nContent-Length: 0\r\n\r\n",
-		  503, "", 0, 1, 0 },
-		{ "body that quotes an answer",
-		  HEAD_OF("Content-Length: 29") "got HTTP/1.1 200 OK\r\nX-A: 1\r\n",
-		  200, "got HTTP/1.1 200 OK\r\nX-A: 1\r\n", 0, 0, 0 },
-		{ "body that ends in a status line",
-		  HEAD_OF("Content-Length: 12") "HTTP/1.1 500", 200,
-		  "HTTP/1.1 500", 0, 0, 0 },
-		{ "body that ends in a letter of a status line",
-		  HEAD_OF("Transfer-Encoding: chunked") "6\r\nEARTHH\r\n0\r\n\r\n",
-		  200, "EARTHH", 0, 0, 0 },
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "coding in upper case",
+		  .bytes = HEAD_OF(
+			  "TRANSFER-ENCODING: Chunked") "5\r\nfired\r\n0\r\n\r\n",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "equal length twice",
+		  .bytes = HEAD_OF(
+			  "Content-Length: 5\r\nContent-Length: 5") "fired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "id last",
+		  .bytes =
+			  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Server-Seal: b\r\n"
+			  "X-Attempt-Id: " ID "\r\n\r\nfired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "other letter case",
+		  .bytes =
+			  "HTTP/1.1 200 ok\r\nCONTENT-LENGTH: 5\r\nx-SERVER-seal: b\r\n"
+			  "X-ATTEMPT-ID: " ID "\r\n\r\nfired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "line feeds only",
+		  .bytes =
+			  "HTTP/1.1 200 OK\nContent-Length: 5\nX-Server-Seal: b\n"
+			  "X-Attempt-Id: " ID "\n\nfired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "no blank before values",
+		  .bytes =
+			  "HTTP/1.1 200 OK\r\nContent-Length:5\r\nX-Server-Seal: b\r\n"
+			  "x-attempt-id:" ID "\r\n\r\nfired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "no length with 204",
+		  .bytes = "HTTP/1.1 204 No Content\r\nX-Server-Seal: b\r\n"
+			   "X-Attempt-Id: " ID "\r\n\r\n",
+		  .status = 204,
+		  .body = "" },
+		{ .name = "no length with 304",
+		  .bytes =
+			  "HTTP/1.1 304 Same\r\nETag: \"a\"\r\nX-Attempt-Id: " ID
+			  "\r\n\r\n",
+		  .status = 304,
+		  .body = "" },
+		{ .name = "error without an id",
+		  .bytes = "HTTP/1.1 502 Bad\r\nContent-Length: 4\r\n\r\noops",
+		  .status = 502,
+		  .body = "oops" },
+		{ .name = "refusal with an id",
+		  .bytes =
+			  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " ID
+			  "\r\nContent-Length: 0\r\n\r\n",
+		  .status = 503,
+		  .body = "",
+		  .refuses = 1 },
+		{ .name = "body that quotes an answer",
+		  .bytes = HEAD_OF(
+			  "Content-Length: 29") "got HTTP/1.1 200 OK\r\nX-A: 1\r\n",
+		  .status = 200,
+		  .body = "got HTTP/1.1 200 OK\r\nX-A: 1\r\n" },
+		{ .name = "body that ends in a status line",
+		  .bytes = HEAD_OF("Content-Length: 12") "HTTP/1.1 500",
+		  .status = 200,
+		  .body = "HTTP/1.1 500" },
+		{ .name = "body that ends in a letter of a status line",
+		  .bytes = HEAD_OF(
+			  "Transfer-Encoding: chunked") "6\r\nEARTHH\r\n0\r\n\r\n",
+		  .status = 200,
+		  .body = "EARTHH" },
 	};
 	static const char *const interim[] = {
 		"HTTP/1.1 102 Processing\r\n\r\n",
@@ -906,9 +988,10 @@
 		"HTTP/1.1 102 \r\nX-Attempt-Id: " OTHER "\r\n\r\n",
 	};
 	char *text = long_answer();
-	const struct answer long_one = {
-		"60 KB of headers", text, 200, "fired", 0, 0, 0
-	};
+	const struct answer long_one = { .name = "60 KB of headers",
+					 .bytes = text,
+					 .status = 200,
+					 .body = "fired" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++)
 		try_proper("", &answers[i]);
@@ -929,6 +1012,7 @@
 	g_test_add_func("/joined/heads", test_heads);
 	g_test_add_func("/joined/heads_two_sends", test_heads_two_sends);
 	g_test_add_func("/joined/heads_byte_by_byte", test_heads_byte_by_byte);
+	g_test_add_func("/joined/heads_interim", test_heads_interim);
 	g_test_add_func("/joined/heads_without_id", test_heads_without_id);
 	g_test_add_func("/joined/heads_without_id_unframed",
 			test_heads_without_id_unframed);
