httpc_head: search bodies for a second answer in one pass

Found by review: a body with many texts "HTTP/1." held up the event loop for seconds, since each of them began a reading to the body's end (8.3 s for 256 KB of lines "A: HTTP/1.1 200 x", 14.3 s for 8 MB of a log in one line, gcc -O2).

--- a/transport/httpc_head.c
+++ b/transport/httpc_head.c
@@ -46,7 +46,7 @@
 	const char *end = text + len;
 	const char *p = text;
 
-	while ((p = memmem(p, (size_t)(end - p), VERSION_TEXT, VERSION_LEN))) {
+	while ((p = memchr(p, VERSION_TEXT[0], (size_t)(end - p)))) {
 		if (starts_with_status(p, (size_t)(end - p)))
 			return p;
 		p++;
@@ -382,46 +382,55 @@
 	return h->fault;
 }
 
-/* Returns 1 if the text, which has no end of line, may begin a status line. */
-static int begins_status_line(const char *text, size_t len)
+/* A line of a body. */
+struct body_line {
+	const char *text;
+	size_t len;  /* without its end */
+	size_t size; /* with it */
+	int ends;    /* 0 if the body does before */
+};
+
+static struct body_line read_body_line(const char *text, size_t len)
 {
-	if (len && text[len - 1] == '\r')
-		len--;
-	return starts_with_status(text, len);
+	const char *eol = memchr(text, '\n', len);
+	struct body_line line = { .text = text,
+				  .len = eol ? (size_t)(eol - text) : len,
+				  .size = eol ? (size_t)(eol - text) + 1 : len,
+				  .ends = eol != NULL };
+
+	if (line.len && text[line.len - 1] == '\r')
+		line.len--;
+	return line;
 }
 
-static int has_id(const struct httpc_head *h, const char *id)
+/* Returns 1 if the line can be a header, or the cut off begin of one. */
+static int is_header(const struct body_line *line)
 {
-	return h->id_len && strlen(id) == h->id_len &&
-	       memcmp(h->headers->data + h->id_start, id, h->id_len) == 0;
+	const char *colon = memchr(line->text, ':', line->len);
+	size_t name_len = colon ? (size_t)(colon - line->text) : line->len;
+
+	if (!line->ends && !line->len)
+		return 1;
+	return (colon || !line->ends) && is_token(line->text, name_len) &&
+	       is_text(line->text, line->len);
 }
 
-/*
- * Reads the text from a status line on as a head. The last line may be cut off
- * anywhere. A whole head without the id is no other answer to the request.
- */
-static enum httpc_body_end read_inner_head(struct httpc_head *h,
-					   const char *text, size_t len,
-					   const char *id)
+static int has_id(const struct body_line *line, const char *name,
+		  const char *id)
 {
-	const char *eol = memchr(text, '\n', len);
+	size_t n = name ? strlen(name) : 0;
+	const char *value = line->text + n + 1;
+	size_t len = line->len - n - 1;
 
-	if (!eol && !begins_status_line(text, len))
-		return HTTPC_BODY_PLAIN;
-	while (eol) {
-		size_t line = (size_t)(eol - text) + 1;
-
-		if (httpc_head_add(h, text, line) != HTTPC_FAULT_NONE)
-			return HTTPC_BODY_PLAIN;
-		if (has_id(h, id))
-			return HTTPC_BODY_HAS_ANSWER;
-		if (h->complete)
-			return HTTPC_BODY_PLAIN;
-		text += line;
-		len -= line;
-		eol = memchr(text, '\n', len);
+	if (!n || line->len <= n || line->text[n] != ':' ||
+	    strncasecmp(line->text, name, n) != 0)
+		return 0;
+	while (len && is_blank(value[0])) {
+		value++;
+		len--;
 	}
-	return HTTPC_BODY_IN_HEAD;
+	len = trimmed_length(value, len);
+	return len == strlen(id) && memcmp(value, id, len) == 0;
 }
 
 /* Returns 1 if the body ends in a part of "HTTP/1.1 200". */
@@ -446,26 +455,27 @@
 					    const char *id_name, const char *id)
 {
 	const char *p = body;
-	const char *end = p + len;
-	enum httpc_body_end found = HTTPC_BODY_PLAIN;
-	struct buf headers;
+	size_t left = len;
+	int in_head = 0; /* all lines since a status line can be headers */
 
 	if (!len)
-		return found;
-	buf_init(&headers);
-	while ((p = memmem(p, (size_t)(end - p), VERSION_TEXT, VERSION_LEN))) {
-		enum httpc_body_end inner;
-		struct httpc_head h;
-
-		buf_reset(&headers);
-		httpc_head_init(&h, id_name, &headers);
-		inner = read_inner_head(&h, p, (size_t)(end - p), id);
-		if (inner > found)
-			found = inner;
-		p++;
+		return HTTPC_BODY_PLAIN;
+	if (!memmem(body, len, VERSION_TEXT, VERSION_LEN))
+		left = 0;
+	while (left) {
+		struct body_line line = read_body_line(p, left);
+
+		if (find_status_line(line.text,
+				     trimmed_length(line.text, line.len)))
+			in_head = 1;
+		else
+			in_head = in_head && is_header(&line);
+		if (in_head && has_id(&line, id_name, id))
+			return HTTPC_BODY_HAS_ANSWER;
+		p += line.size;
+		left -= line.size;
 	}
-	buf_finish(&headers);
-	if (found == HTTPC_BODY_PLAIN && ends_in_status(body, len))
-		found = HTTPC_BODY_IN_HEAD;
-	return found;
+	if (in_head || ends_in_status(body, len))
+		return HTTPC_BODY_IN_HEAD;
+	return HTTPC_BODY_PLAIN;
 }
--- a/transport/httpc_head.h
+++ b/transport/httpc_head.h
@@ -82,7 +82,8 @@
 
 /*
  * Looks for a second answer in a body that the request's first answer was cut
- * in. id_name may be NULL, then HTTPC_BODY_HAS_ANSWER is not returned.
+ * in, in one pass. id_name may be NULL, then HTTPC_BODY_HAS_ANSWER is not
+ * returned.
  */
 enum httpc_body_end httpc_head_find_in_body(const void *body, size_t len,
 					    const char *id_name,
