httpc_head: the text of a status line after the id is a second answer too

Found by review and by the fuzzer of heads: the text of a status line within a value was a second answer only if the id followed it. A target that begins an answer, fails, and writes an error without an id on the same connection passed: 200 with this request's id and the body of the 500, or a refusal for a request that had run. A 1xx answer before the own one ended the joined head in the same way, and without ids so did an answer without framing headers.

Such a text now counts as a second answer in anything but a success, and if its status is another one. In a success of the same status, the id (or the framing, where answers have no id) must have come before and may not follow. A request that was sent before needs no rule of its own any more.

--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -433,7 +433,6 @@
 		.unframed_ok = c->g->dialect->unframed_answers,
 		.id_name = c->g->dialect->request_id,
 		.id = c->f->request_id,
-		.sent_before = c->f->sent_before,
 		/* What answered the earlier attempt has the same id. */
 		.new_connection = separate || c->f->sent_before,
 		.close_after = separate,
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -735,7 +735,6 @@
 	buf_init(&r->answer);
 	buf_init(&r->answer_headers);
 	httpc_head_init(&r->head, r->id_name, &r->answer_headers);
-	r->head.refuses_inner_line = r->sent_before;
 	r->easy = curl_easy_init();
 	if (!r->easy)
 		return ERR_NOMEM;
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -105,7 +105,6 @@
 	 */
 	const char *id_name;
 	const char *id;
-	int sent_before; /* with this id, so that earlier answers have it too */
 
 	/*
 	 * Result, valid in done(). error is ERR_OK if the whole answer was
--- a/transport/httpc_head.c
+++ b/transport/httpc_head.c
@@ -93,6 +93,13 @@
 	return len;
 }
 
+/* Reads the status of "HTTP/1.1 200". */
+static unsigned read_status(const char *line)
+{
+	return (unsigned)(line[9] - '0') * 100 +
+	       (unsigned)(line[10] - '0') * 10 + (unsigned)(line[11] - '0');
+}
+
 static int equals(const char *text, size_t len, const char *want)
 {
 	return strlen(want) == len && strncasecmp(text, want, len) == 0;
@@ -124,19 +131,35 @@
 	h->id_len = 0;
 }
 
+/*
+ * Notes the text of a status line within a line. That of another status, or in
+ * anything but a success, is a second answer; else what follows decides.
+ */
+static enum httpc_fault find_inner_lines(struct httpc_head *h, const char *line,
+					 size_t len)
+{
+	const char *end = line + len;
+
+	while ((line = find_status_line(line, (size_t)(end - line)))) {
+		if (h->status < 200 || h->status > 299 ||
+		    read_status(line) != h->status)
+			return HTTPC_FAULT_SECOND_HEAD;
+		h->has_inner_line = 1;
+		line++;
+	}
+	return HTTPC_FAULT_NONE;
+}
+
 static enum httpc_fault add_status_line(struct httpc_head *h, const char *line,
 					size_t len)
 {
 	if (!starts_with_status(line, len) || !is_text(line, len))
 		return HTTPC_FAULT_STATUS_LINE;
 	begin_head(h);
-	h->status = (unsigned)(line[9] - '0') * 100 +
-		    (unsigned)(line[10] - '0') * 10 +
-		    (unsigned)(line[11] - '0');
+	h->status = read_status(line);
 	h->closes = line[7] == '0';
-	h->has_inner_line = find_status_line(line + MIN_STATUS_LINE,
-					     len - MIN_STATUS_LINE) != NULL;
-	return HTTPC_FAULT_NONE;
+	return find_inner_lines(h, line + MIN_STATUS_LINE,
+				len - MIN_STATUS_LINE);
 }
 
 /* One member of a list "5, 5". Returns 0 if it is no length. */
@@ -334,9 +357,8 @@
 		fault = append(h, line, name_len, value, value_len);
 out:
 	/* What follows it matters, not what stands on its own line. */
-	if (find_status_line(line, len))
-		h->has_inner_line = 1;
-	return fault;
+	return fault != HTTPC_FAULT_NONE ? fault
+					 : find_inner_lines(h, line, len);
 }
 
 /* len is 0 for a line of blanks, which is no header. */
@@ -353,8 +375,8 @@
 {
 	if (!h->in_head)
 		return HTTPC_FAULT_STATUS_LINE;
-	if (!h->complete && h->status >= 200 && h->has_inner_line &&
-	    (h->refuses_inner_line || (h->id_name && !h->id_len)))
+	if (!h->complete && h->has_inner_line &&
+	    (h->id_name ? !h->id_len : !httpc_head_is_framed(h)))
 		return HTTPC_FAULT_SECOND_HEAD;
 	/* The final head follows that of a 1xx answer. */
 	if (!h->complete && h->status < 200)
--- a/transport/httpc_head.h
+++ b/transport/httpc_head.h
@@ -12,11 +12,11 @@
  * the same connection. Read as one head, these have the status of the first and
  * the headers of the second. The status line of the second then stands at the
  * start of a line, where it is not valid, or within a header's value or the
- * reason phrase, where it is valid text. Such text counts as a second answer if
- * a header follows it that no answer lacks: the one that repeats the request's
- * id or, where answers have none, one that frames the body. An answer without
- * the id that it should repeat may not have such text at all, nor may one to a
- * request that was sent before: an answer to the earlier send has its id too.
+ * reason phrase, where it is valid text. Such text is taken for a second answer
+ * unless nothing else can be meant: the answer is a success, the text has its
+ * status, and the header that repeats the request's id has come before and does
+ * not follow. Where answers have no id, the header that frames the body takes
+ * its part.
  */
 
 /* Why bytes are not taken as one answer. */
@@ -37,8 +37,7 @@
 
 struct httpc_head {
 	const char *id_name; /* header that repeats the request's id, or NULL */
-	int refuses_inner_line; /* whatever follows the text of a status line */
-	struct buf *headers;	/* "Name: value\n" lines of the final head */
+	struct buf *headers; /* "Name: value\n" lines of the final head */
 	enum httpc_fault fault; /* the first one */
 	unsigned status;	/* of the last head */
 	int complete;		/* the final head has ended */
@@ -56,8 +55,7 @@
 
 /*
  * Starts reading. The lines of the final head are appended to headers. Both
- * pointers stay valid until the last call. The caller may set
- * refuses_inner_line before the first line.
+ * pointers stay valid until the last call.
  */
 void httpc_head_init(struct httpc_head *h, const char *id_name,
 		     struct buf *headers);
