httpc: forget connections that libcurl closes by itself

Found by review: libcurl 7.88 closes a socket whose connection was not established without CURLOPT_CLOSESOCKETFUNCTION.

An entry with the number of a new socket is dropped, and all at the end. After a cancel, the bytes of the connection's answers are not known any more.

--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -200,12 +200,42 @@
 	return found;
 }
 
+/*
+ * Returns the bytes that were received since the last answer of an earlier
+ * request, or -1 if they are not known.
+ */
+static int64_t count_bytes_of_request(const struct httpc_connection *n)
+{
+	int64_t received = count_received_bytes(n->fd);
+
+	if (received < 0 || n->answer_bytes < 0)
+		return -1;
+	return received - n->answer_bytes;
+}
+
+/* Removes a connection from the table, and from the requests that used it. */
+static void forget_connection(struct httpc *c, struct httpc_connection *n)
+{
+	struct httpc_request *r;
+
+	DL_FOREACH(c->requests, r) {
+		if (r->connection != n)
+			continue;
+		r->received_bytes = count_bytes_of_request(n);
+		r->connection = NULL;
+		r->connection_closed = 1;
+	}
+	HASH_DEL(c->connections, n);
+	free(n);
+}
+
 /* Opens a socket for libcurl, and notes it. */
 static curl_socket_t open_socket(void *priv, curlsocktype purpose,
 				 struct curl_sockaddr *address)
 {
 	struct httpc *c = priv;
 	struct httpc_connection *n = calloc(1, sizeof(*n));
+	struct httpc_connection *stale;
 
 	(void)purpose;
 	if (!n)
@@ -215,41 +245,25 @@
 		free(n);
 		return CURL_SOCKET_BAD;
 	}
+	/*
+	 * libcurl closes a socket by itself if the connection was not
+	 * established.
+	 */
+	stale = find_connection(c, n->fd);
+	if (stale)
+		forget_connection(c, stale);
 	n->opened_ms = clk_ms();
 	HASH_ADD_INT(c->connections, fd, n);
 	return n->fd;
 }
 
-/*
- * Returns the bytes that were received since the last answer of an earlier
- * request, or -1 if they are not known.
- */
-static int64_t count_bytes_of_request(const struct httpc_connection *n)
-{
-	int64_t received = count_received_bytes(n->fd);
-
-	if (received < 0 || n->answer_bytes < 0)
-		return -1;
-	return received - n->answer_bytes;
-}
-
 static int close_socket(void *priv, curl_socket_t fd)
 {
 	struct httpc *c = priv;
 	struct httpc_connection *n = find_connection(c, fd);
-	struct httpc_request *r;
 
-	if (n) {
-		DL_FOREACH(c->requests, r) {
-			if (r->connection != n)
-				continue;
-			r->received_bytes = count_bytes_of_request(n);
-			r->connection = NULL;
-			r->connection_closed = 1;
-		}
-		HASH_DEL(c->connections, n);
-		free(n);
-	}
+	if (n)
+		forget_connection(c, n);
 	return close(fd);
 }
 
@@ -324,6 +338,7 @@
 
 void httpc_finish(struct httpc *c)
 {
+	struct httpc_connection *n, *next_connection;
 	struct httpc_request *r, *next;
 
 	if (!c->multi)
@@ -333,6 +348,9 @@
 	}
 	curl_multi_cleanup(c->multi);
 	c->multi = NULL;
+	HASH_ITER(hh, c->connections, n, next_connection) {
+		forget_connection(c, n);
+	}
 	ev_timer_stop(c->loop, &c->timer);
 }
 
@@ -582,10 +600,18 @@
 	}
 }
 
+/* How much of its answer libcurl has read is not known. */
+static void abandon_connection(struct httpc_request *r)
+{
+	if (r->connection)
+		r->connection->answer_bytes = -1;
+}
+
 static void end_request(struct httpc_request *r, enum err error)
 {
 	read_status(r);
 	r->error = error;
+	abandon_connection(r);
 	release_handle(r);
 	r->ops->done(r, r->priv);
 }
@@ -761,8 +787,10 @@
 
 void httpc_cancel(struct httpc_request *r)
 {
-	if (r->easy)
-		release_handle(r);
+	if (!r->easy)
+		return;
+	abandon_connection(r);
+	release_handle(r);
 }
 
 void httpc_copy_header(const struct httpc_request *r, const char *name,
