httpc: bytes on a kept connection are no answer to the next request

Where answers have no id (the router's own interface, the stores) callers got 200 where the target answered 500; with ids, a failure without one.

Right before the first byte, the connection is asked for waiting bytes. If there are any, nothing is sent, libcurl closes it, and the request starts again on a new connection, once for each request at most. gate_answer_faults{fault="stray"} counts it, and the target gets one connection a request for 10 s.

test_httpc_conn bytes_on_idle got the early 200 on the same connection before. Bytes that come after the request was sent are told by their id only.

--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -230,15 +230,24 @@
 		    c->http.connection_answers);
 }
 
-/* Counts the answers that are not those of their calls. */
-static void count_fault(const struct gate_call *c)
+static void count_fault(struct gate *g, const char *fault)
 {
 	char labels[LABEL_BYTES];
 
-	if (!c->fault)
+	snprintf(labels, sizeof(labels), "fault=\"%s\"", fault);
+	cnt_add(g->cnt, "gate_answer_faults", labels, 1);
+}
+
+/* Counts what the target wrote that is not the answer to its call. */
+static void count_faults(struct gate_call *c)
+{
+	if (c->fault)
+		count_fault(c->g, c->fault);
+	/* Bytes on a connection without a request are of an earlier one. */
+	if (!c->http.stray_connections)
 		return;
-	snprintf(labels, sizeof(labels), "fault=\"%s\"", c->fault);
-	cnt_add(c->g->cnt, "gate_answer_faults", labels, 1);
+	count_fault(c->g, "stray");
+	suspend_connection_reuse(c->g);
 }
 
 static void end_answered_call(struct gate_call *c)
@@ -253,7 +262,7 @@
 		return;
 	}
 	classify_answer(c, &a, &reply);
-	count_fault(c);
+	count_faults(c);
 	/* An answer to another request may be old. */
 	if (reply.error != ERR_MALFORMED)
 		gate_note_target_state(c, &a.target);
@@ -301,7 +310,7 @@
 		c->fault = httpc_fault_name(c->http.fault);
 		suspend_connection_reuse(c->g);
 	}
-	count_fault(c);
+	count_faults(c);
 	health_failed(&c->g->health, clk_ms());
 	count_failure(c->g, c->http.error);
 	reply.outcome = OUTCOME_UNKNOWN;
--- a/test/unit/test_httpc_conn.c
+++ b/test/unit/test_httpc_conn.c
@@ -81,10 +81,55 @@
 	ev_loop_destroy(loop);
 }
 
+/*
+ * Guards against an answer that came while no request was open and is taken for
+ * the answer to the next one: libcurl reuses a connection with bytes to read.
+ */
+static void test_bytes_on_idle(void)
+{
+	static const char *const surplus[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly",
+		"HTTP/1.1 200 OK\r\nCon", "\r\n"
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(surplus); i++) {
+		struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+		struct fake_target target;
+		struct httpc_request r;
+		unsigned done = 0;
+		struct httpc c;
+
+		fake_target_init(&target, loop);
+		target.answer = FAKE_OK;
+		httpc_init(&c, loop, 0);
+		start(&c, &r, target.port, &done);
+		fake_wait(loop, &done, 1);
+		g_assert_cmpint(r.error, ==, ERR_OK);
+		httpc_request_finish(&r);
+		fake_write(target.last_fd, surplus[i]);
+		fake_pause(loop, 10);
+		target.answer =
+			"HTTP/1.1 500 Ashes\r\nContent-Length: 4\r\n\r\noops";
+		start(&c, &r, target.port, &done);
+		fake_wait(loop, &done, 2);
+		g_assert_cmpint(r.error, ==, ERR_OK);
+		g_assert_cmpint(r.status, ==, 500);
+		g_assert_cmpuint(r.stray_connections, ==, 1);
+		g_assert_cmpuint(r.sends, ==, 1);
+		g_assert_cmpuint(target.connections, ==, 2);
+		g_assert_cmpuint(target.runs, ==, 2);
+		httpc_request_finish(&r);
+		httpc_finish(&c);
+		fake_target_finish(&target);
+		ev_loop_destroy(loop);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	g_test_add_func("/httpc_conn/not_established", test_not_established);
+	g_test_add_func("/httpc_conn/bytes_on_idle", test_bytes_on_idle);
 	return g_test_run();
 }
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -40,6 +40,7 @@
 struct httpc_connection {
 	int fd;
 	int64_t opened_ms;
+	int local_port; /* 0 until an answer was received */
 	unsigned answers;
 	/*
 	 * Bytes of these answers; -1 if one was sent in chunks, whose framing
@@ -419,6 +420,22 @@
 	return len;
 }
 
+/*
+ * Returns 1 if bytes wait on a connection that is about to be used again. They
+ * are no answer to this request; libcurl would take them for one. It names the
+ * connection by its local port only.
+ */
+static int has_stray_bytes(const struct httpc *c, int local_port)
+{
+	const struct httpc_connection *n, *next;
+
+	HASH_ITER(hh, c->connections, n, next) {
+		if (n->local_port == local_port)
+			return count_pending_bytes(n->fd) > 0;
+	}
+	return 0;
+}
+
 static int on_prereq(void *priv, char *ip, char *local_ip, int port,
 		     int local_port)
 {
@@ -428,7 +445,10 @@
 	(void)ip;
 	(void)local_ip;
 	(void)port;
-	(void)local_port;
+	if (has_stray_bytes(r->client, local_port)) {
+		r->has_stray_bytes = 1;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	r->sends++;
 	if (r->ops->before_send)
 		e = r->ops->before_send(r, r->priv);
@@ -508,6 +528,17 @@
 	return r->fault == HTTPC_FAULT_NONE ? ERR_OK : ERR_MALFORMED;
 }
 
+static int find_local_port(int fd)
+{
+	struct sockaddr_in address = { .sin_family = AF_UNSPEC };
+	socklen_t len = sizeof(address);
+
+	if (getsockname(fd, (struct sockaddr *)&address, &len) < 0 ||
+	    address.sin_family != AF_INET)
+		return 0;
+	return ntohs(address.sin_port);
+}
+
 /* The connection has carried one answer more, unless it is closed. */
 static void note_connection(struct httpc_request *r)
 {
@@ -515,7 +546,8 @@
 
 	if (!n)
 		return;
-	n->answers++;
+	if (!n->answers++)
+		n->local_port = find_local_port(n->fd);
 	/* Of a streamed body, the length is gone. */
 	if (!r->head.has_length || r->ops->data)
 		n->answer_bytes = -1;
@@ -578,6 +610,21 @@
 	}
 }
 
+/*
+ * Starts a request again, of which nothing was sent. libcurl has closed the
+ * connection that had stray bytes. Returns 0 if libcurl does not take it.
+ */
+static int restart(struct httpc_request *r)
+{
+	r->has_stray_bytes = 0;
+	r->stray_connections++;
+	r->connection = NULL;
+	r->connection_closed = 0;
+	curl_multi_remove_handle(r->client->multi, r->easy);
+	curl_easy_setopt(r->easy, CURLOPT_FRESH_CONNECT, 1L);
+	return curl_multi_add_handle(r->client->multi, r->easy) == CURLM_OK;
+}
+
 static void process_finished(struct httpc *c)
 {
 	CURLMsg *m;
@@ -591,6 +638,8 @@
 		if (m->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &r);
+		if (r->has_stray_bytes && restart(r))
+			continue;
 		read_status(r);
 		r->error = curl_result_to_err(r, code);
 		note_connection(r);
@@ -750,6 +799,8 @@
 	r->fault = HTTPC_FAULT_NONE;
 	r->connection = NULL;
 	r->connection_closed = 0;
+	r->has_stray_bytes = 0;
+	r->stray_connections = 0;
 	r->received_bytes = -1;
 	r->connection_age_ms = -1;
 	r->connection_answers = 0;
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -129,6 +129,8 @@
 	int64_t connection_age_ms; /* -1 if it is not known */
 	/* Answers that the connection carried before this request. */
 	unsigned connection_answers;
+	/* Connections that were not used, since bytes waited on them. */
+	unsigned stray_connections;
 	struct buf answer;	   /* collected body */
 	struct buf answer_headers; /* "Name: value\n" lines */
 
@@ -139,7 +141,8 @@
 	enum err abort_error;
 	struct httpc_head head;
 	struct httpc_connection *connection; /* NULL: none, or closed */
-	int connection_closed;		     /* after the request was sent */
+	int has_stray_bytes;	 /* start again on a new connection */
+	int connection_closed;	 /* after the request was sent */
 	int64_t received_bytes;	 /* until it was closed; -1: not known */
 	size_t head_bytes;	 /* of all heads and trailers */
 	int fd;			 /* of the last event; -1: none */
