httpc_head: proper but unusual headers lose nothing

Found by review: some answers that were served before the strict reading were refused: a value continued by blanks only, a continued Connection, an empty member in Transfer-Encoding, a length with leading zeros. A header whose name or value is not valid, which was dropped alone before, or that has blanks before its colon (RFC 9112, section 5.1: a proxy removes them), made the whole answer be refused; it is no sign of a second one.

These are read now. Refused as before this commit: lines without a colon, with a carriage return or a NUL inside, framing headers that libcurl reads otherwise, both a length and a coding (RFC 9112, section 6.3 permits it), codings that were not asked for, identity among them.

test_joined proper has the four proper ones; each was refused before.

--- a/test/unit/test_joined.c
+++ b/test/unit/test_joined.c
@@ -999,6 +999,22 @@
 		  .status = 503,
 		  .body = "",
 		  .refuses = 1 },
+		{ .name = "continued values",
+		  .bytes = HEAD_OF(
+			  "Content-Length: 5\r\nConnection: keep-alive,\r\n "
+			  "x-hop\r\nX-A: b\r\n \r\nX-B: c") "fired",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "coding with an empty member",
+		  .bytes = HEAD_OF(
+			  "Transfer-Encoding: chunked,") "5\r\nfired\r\n0\r\n\r\n",
+		  .status = 200,
+		  .body = "fired" },
+		{ .name = "length with zeros",
+		  .bytes = HEAD_OF(
+			  "Content-Length: 0000000000000000000005") "fired",
+		  .status = 200,
+		  .body = "fired" },
 		{ .name = "body that quotes an answer",
 		  .bytes = HEAD_OF(
 			  "Content-Length: 29") "got HTTP/1.1 200 OK\r\nX-A: 1\r\n",
--- a/transport/httpc_head.c
+++ b/transport/httpc_head.c
@@ -166,6 +166,10 @@
 static int read_length(const char *text, size_t len, uint64_t *out)
 {
 	*out = 0;
+	while (len > 1 && text[0] == '0') {
+		text++;
+		len--;
+	}
 	/* 18 digits fit into 64 bits. */
 	if (!len || len > 18)
 		return 0;
@@ -230,13 +234,24 @@
 	}
 }
 
-/* No other transfer coding was asked for, and none twice. */
+/*
+ * No other transfer coding was asked for, and none is applied twice. A list may
+ * have empty members.
+ */
 static enum httpc_fault add_coding(struct httpc_head *h, const char *value,
 				   size_t len)
 {
-	if (!equals(value, len, "chunked") || h->chunked || h->has_length)
-		return HTTPC_FAULT_FRAMING;
-	h->chunked = 1;
+	const char *member;
+	size_t member_len;
+
+	while (next_member(&value, &len, &member, &member_len)) {
+		if (!member_len)
+			continue;
+		if (!equals(member, member_len, "chunked") || h->chunked ||
+		    h->has_length)
+			return HTTPC_FAULT_FRAMING;
+		h->chunked = 1;
+	}
 	return HTTPC_FAULT_NONE;
 }
 
@@ -268,6 +283,7 @@
 	int is_coding = equals(name, name_len, "Transfer-Encoding");
 
 	h->can_fold = 0;
+	h->drops_fold = 0;
 	if (h->id_name && equals(name, name_len, h->id_name))
 		return add_id(h, name_len, value, len);
 	if ((is_length || is_coding) && h->has_inner_line && !h->id_name)
@@ -278,17 +294,21 @@
 		return add_coding(h, value, len);
 	if (equals(name, name_len, "Connection"))
 		add_connection(h, value, len);
-	else
-		h->can_fold = 1;
+	h->can_fold = 1;
 	return HTTPC_FAULT_NONE;
 }
 
+static int is_framing(const char *name, size_t len)
+{
+	return equals(name, len, "Content-Length") ||
+	       equals(name, len, "Transfer-Encoding");
+}
+
 /* Trailers have no say; those that belong into a head are of another one. */
 static enum httpc_fault check_trailer(const struct httpc_head *h,
 				      const char *name, size_t name_len)
 {
-	if (equals(name, name_len, "Content-Length") ||
-	    equals(name, name_len, "Transfer-Encoding") ||
+	if (is_framing(name, name_len) ||
 	    (h->id_name && equals(name, name_len, h->id_name)))
 		return HTTPC_FAULT_TRAILER;
 	return HTTPC_FAULT_NONE;
@@ -315,7 +335,7 @@
 	}
 	if (!h->can_fold)
 		return HTTPC_FAULT_LINE;
-	if (h->complete)
+	if (h->complete || h->drops_fold || !is_text(line, len))
 		return HTTPC_FAULT_NONE;
 	h->headers->len--;
 	if (buf_add(h->headers, " ", 1) != ERR_OK ||
@@ -325,49 +345,75 @@
 	return HTTPC_FAULT_NONE;
 }
 
+/* A header that is not valid is dropped, and what continues it. */
+static enum httpc_fault drop_header(struct httpc_head *h)
+{
+	h->can_fold = 1;
+	h->drops_fold = 1;
+	return HTTPC_FAULT_NONE;
+}
+
+static enum httpc_fault add_named(struct httpc_head *h, const char *name,
+				  size_t name_len, const char *value,
+				  size_t len)
+{
+	enum httpc_fault fault;
+	size_t full_len = name_len;
+
+	/* RFC 9112, section 5.1: a proxy removes blanks before the colon. */
+	name_len = trimmed_length(name, name_len);
+	while (len && is_blank(value[0])) {
+		value++;
+		len--;
+	}
+	/* libcurl does not read such a header as one that frames the body. */
+	if (is_framing(name, name_len) &&
+	    (name_len != full_len || !is_text(value, len)))
+		return HTTPC_FAULT_FRAMING;
+	if (!is_token(name, name_len) || !is_text(value, len))
+		return drop_header(h);
+	if (h->complete) {
+		h->can_fold = 1;
+		return check_trailer(h, name, name_len);
+	}
+	fault = interpret(h, name, name_len, value, len);
+	return fault == HTTPC_FAULT_NONE ? append(h, name, name_len, value, len)
+					 : fault;
+}
+
 static enum httpc_fault add_header(struct httpc_head *h, const char *line,
 				   size_t len)
 {
 	const char *colon = memchr(line, ':', len);
-	size_t name_len = colon ? (size_t)(colon - line) : 0;
-	const char *value = line + name_len + 1;
-	size_t value_len = len - name_len - 1;
 	enum httpc_fault fault;
 
 	if (starts_with_status(line, len))
 		return HTTPC_FAULT_SECOND_HEAD;
-	if (!is_text(line, len) || (!colon && !is_blank(line[0])))
+	/* They end lines for other readers. */
+	if (memchr(line, '\r', len) || memchr(line, 0, len))
 		return HTTPC_FAULT_LINE;
-	if (is_blank(line[0])) {
+	if (is_blank(line[0]))
 		fault = add_folded(h, line, len);
-		goto out;
-	}
-	if (!is_token(line, name_len))
+	else if (colon)
+		fault = add_named(h, line, (size_t)(colon - line), colon + 1,
+				  len - (size_t)(colon - line) - 1);
+	else
 		return HTTPC_FAULT_LINE;
-	while (value_len && is_blank(value[0])) {
-		value++;
-		value_len--;
-	}
-	if (h->complete) {
-		h->can_fold = 1;
-		return check_trailer(h, line, name_len);
-	}
-	fault = interpret(h, line, name_len, value, value_len);
-	if (fault == HTTPC_FAULT_NONE)
-		fault = append(h, line, name_len, value, value_len);
-out:
 	/* What follows it matters, not what stands on its own line. */
-	return fault != HTTPC_FAULT_NONE ? fault
-					 : find_inner_lines(h, line, len);
+	if (fault != HTTPC_FAULT_NONE || h->complete)
+		return fault;
+	return find_inner_lines(h, line, len);
 }
 
-/* len is 0 for a line of blanks, which is no header. */
+/* len is 0 for a line of blanks, which continues a value by nothing. */
 static enum httpc_fault add_text_line(struct httpc_head *h, const char *line,
 				      size_t len)
 {
 	if (!h->in_head)
 		return add_status_line(h, line, len);
-	return len ? add_header(h, line, len) : HTTPC_FAULT_LINE;
+	if (!len)
+		return h->can_fold ? HTTPC_FAULT_NONE : HTTPC_FAULT_LINE;
+	return add_header(h, line, len);
 }
 
 /* An empty line ends a head, and the trailers. */
--- a/transport/httpc_head.h
+++ b/transport/httpc_head.h
@@ -49,6 +49,7 @@
 	int in_head;	    /* a status line was read */
 	int has_inner_line; /* a line contains the text of a status line */
 	int can_fold;	    /* the last line may be continued by the next */
+	int drops_fold;	    /* it was dropped, and so is what continues it */
 	size_t id_start;    /* of the id's value in headers */
 	size_t id_len;	    /* 0: no id yet */
 };
