httpc: a body with a whole second head, and one byte behind a body

Found by review: a cut body that holds all of another answer's head, but no id, was passed on though the rest of that answer came behind it; and a surplus of one byte was taken for the close of the other side, which the system counts as a byte.

A head that has ended counts like one that goes on: bytes behind the body decide.

--- a/test/unit/test_httpc_body.c
+++ b/test/unit/test_httpc_body.c
@@ -27,7 +27,7 @@
 		{ "fired", HTTPC_BODY_PLAIN },
 		{ "as of HTTP/1.1", HTTPC_BODY_IN_HEAD },
 		{ "it speaks HTTP/1.1 to callers", HTTPC_BODY_PLAIN },
-		{ "HTTP/1.1 200 OK\r\n\r\nfired", HTTPC_BODY_PLAIN },
+		{ "HTTP/1.1 200 OK\r\n\r\nfired", HTTPC_BODY_IN_HEAD },
 		{ "firedH", HTTPC_BODY_IN_HEAD },
 		{ "firedHTTP/1.1 50", HTTPC_BODY_IN_HEAD },
 		{ "firedHTTP/1.1 500 Ashes", HTTPC_BODY_IN_HEAD },
@@ -45,7 +45,7 @@
 		  HTTPC_BODY_PLAIN },
 		{ "HTTP/1.1 500 A\r\nX-Attempt-Id: 00\r\n\r\nX-Attempt-Id: " ID
 		  "\r\n.",
-		  HTTPC_BODY_PLAIN },
+		  HTTPC_BODY_IN_HEAD },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -23,6 +23,8 @@
  */
 #define HTTPC_IDLE_SECONDS 5L
 #define HTTPC_KEEPALIVE_SECONDS 2L
+/* As in netinet/tcp.h, which does not go with linux/tcp.h. */
+#define HTTPC_TCP_CLOSE_WAIT 8
 /*
  * While bytes come, libcurl reads up to 100 times for each event, and cannot be
  * stopped: it gets back to a request that it has not finished with at the next
@@ -101,7 +103,9 @@
 	    len < offsetof(struct tcp_info, tcpi_bytes_received) +
 			    sizeof(info.tcpi_bytes_received))
 		return -1;
-	return (int64_t)info.tcpi_bytes_received;
+	/* The close of the other side is counted as a byte. */
+	return (int64_t)info.tcpi_bytes_received -
+	       (info.tcpi_state == HTTPC_TCP_CLOSE_WAIT);
 }
 
 /* The same for the bytes that have been read from it. */
@@ -469,9 +473,8 @@
 
 	if (r->connection && count_pending_bytes(r->connection->fd))
 		return 1;
-	/* The close of the other side counts as one byte. */
 	if (received >= 0 && r->head.has_length)
-		return received > answer + 1;
+		return received > answer;
 	/* libcurl closes the connection if it has read more than the answer. */
 	return r->connection_closed && httpc_head_is_framed(&r->head) &&
 	       !r->head.closes && !r->close_after;
--- a/transport/httpc_head.c
+++ b/transport/httpc_head.c
@@ -524,7 +524,8 @@
 {
 	const char *p = body;
 	size_t left = len;
-	int in_head = 0; /* all lines since a status line can be headers */
+	int in_head = 0;  /* all lines since a status line can be headers */
+	int has_head = 0; /* such a head has ended */
 
 	if (!len)
 		return HTTPC_BODY_PLAIN;
@@ -533,6 +534,7 @@
 	while (left) {
 		struct body_line line = read_body_line(p, left);
 
+		has_head |= in_head && line.ends && !line.len;
 		if (find_status_line(line.text,
 				     trimmed_length(line.text, line.len)))
 			in_head = 1;
@@ -543,7 +545,7 @@
 		p += line.size;
 		left -= line.size;
 	}
-	if (in_head || ends_in_status(body, len))
+	if (in_head || has_head || ends_in_status(body, len))
 		return HTTPC_BODY_IN_HEAD;
 	return HTTPC_BODY_PLAIN;
 }
--- a/transport/httpc_head.h
+++ b/transport/httpc_head.h
@@ -73,7 +73,10 @@
 /* How the end of a body looks like the head of another answer. */
 enum httpc_body_end {
 	HTTPC_BODY_PLAIN,
-	/* It may go on as a head: what follows the body tells. */
+	/*
+	 * It has a head, or goes on as one: if bytes follow the body, they are
+	 * of another answer.
+	 */
 	HTTPC_BODY_IN_HEAD,
 	/* It contains a status line and, in the head that follows, the id. */
 	HTTPC_BODY_HAS_ANSWER,
