--- a/test/unit/test_joined.c
+++ b/test/unit/test_joined.c
@@ -772,11 +772,7 @@
 	}
 }
 
-/*
- * Guards against heads put together where answers have no id. An own answer
- * without framing headers, e.g. a 204, leaves no sign in the head of an empty
- * part whose length came before the cut; there is no such part here.
- */
+/* Guards against heads put together where answers have no id. */
 static void test_native(void)
 {
 	static const struct answer native_parts[] = {
@@ -785,6 +781,11 @@
 			   "\r\n\r\nearly",
 		  .status = 200,
 		  .body = "early" },
+		{ .name = "empty 200, length first",
+		  .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+			   "X-Part: part\r\n\r\n",
+		  .status = 200,
+		  .body = "" },
 		{ .name = "empty 200, length last",
 		  .bytes = "HTTP/1.1 200 OK\r\nX-Part: p\r\n"
 			   "Content-Length: 0\r\n\r\n",
