httpd: raw answers on a connection that stays open

A stand-in that plays a faulty server could send bytes as they are only as the last answer of a connection (httpd_answer_bytes, httpd_stream_begin_raw). A server that mixes answers keeps its connection. httpd_stream_begin_open sends raw bytes and leaves the connection open; httpd_stream_begin_raw uses it and then has the connection closed, as before. test_httpd passes.

--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -230,6 +230,8 @@
  * connection is closed at the end.
  */
 void httpd_stream_begin_raw(struct httpd_request *r);
+/* Does the same, but the connection stays open: the bytes are framed. */
+void httpd_stream_begin_open(struct httpd_request *r);
 /* A stream that lost data for lack of memory is cut off, not ended. */
 void httpd_stream_send(struct httpd_request *r, const void *data, size_t len);
 void httpd_stream_end(struct httpd_request *r);
--- a/transport/httpd_answer.c
+++ b/transport/httpd_answer.c
@@ -313,17 +313,24 @@
 		fail_answer(r);
 }
 
-void httpd_stream_begin_raw(struct httpd_request *r)
+void httpd_stream_begin_open(struct httpd_request *r)
 {
 	if (r->answered)
 		return;
 	r->answered = 1;
 	r->streaming = 1;
 	r->raw = 1;
-	r->conn->closing = 1;
 	httpd_conn_set_due(r->conn);
 }
 
+void httpd_stream_begin_raw(struct httpd_request *r)
+{
+	if (r->answered)
+		return;
+	httpd_stream_begin_open(r);
+	r->conn->closing = 1;
+}
+
 void httpd_stream_send(struct httpd_request *r, const void *data, size_t len)
 {
 	int chunked = !r->raw && !r->http_1_0;
