standins: targets that mix bytes of several answers

Both then fail and refuse some requests, so that answers differ in their status; mpin-target logs the status of each run, mpin-server numbers its answers.

mpin-target leaves out what nobody can tell without ids in answers: late answers, a second answer in several segments, and cuts in a body that miss at least as many bytes as the next head has.

--- a/standins/common_targetopt.c
+++ b/standins/common_targetopt.c
@@ -16,6 +16,7 @@
 	OPT_CHECKS,
 	OPT_HEALTH_LAG,
 	OPT_FALSE_LOAD,
+	OPT_STUTTER,
 };
 
 static const struct argp_option arg_options[] = {
@@ -43,6 +44,10 @@
 	  "period at which the reported load is updated", 0 },
 	{ "false-load", OPT_FALSE_LOAD, "PERCENT", 0,
 	  "reported instead of the true load", 0 },
+	{ "stutter", OPT_STUTTER, "PERCENT", 0,
+	  "answers that are written twice or behind parts of others (0); GET "
+	  "/control/stutter?percent=N changes it",
+	  0 },
 	{ 0 },
 };
 
@@ -108,6 +113,9 @@
 	case OPT_FALSE_LOAD:
 		o->false_load = parse_number(state, arg, 0, 100000);
 		return 0;
+	case OPT_STUTTER:
+		o->stutter_percent = parse_number(state, arg, 0, 100);
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
--- a/standins/common_targetopt.h
+++ b/standins/common_targetopt.h
@@ -19,8 +19,10 @@
 	int service_ms;	    /* time that one request runs */
 	int jitter_ms;	    /* upper limit of a random addition to service_ms */
 	int seed;
-	int health_lag_ms; /* period at which the reported load is updated */
-	int false_load;	   /* percent to report; -1: the true load */
+	int stutter_percent; /* answers with bytes of others (common_stutter.h)
+			      */
+	int health_lag_ms;   /* period at which the reported load is updated */
+	int false_load;	     /* percent to report; -1: the true load */
 	/* Reasons to refuse a request before it starts. */
 	int check_fence;    /* fence lower than one seen for the slot */
 	int check_deadline; /* Monsoonpin-Not-After has passed */
--- a/standins/server.c
+++ b/standins/server.c
@@ -1,5 +1,6 @@
 #include "common/clk.h"
 #include "config/opt.h"
+#include "standins/common_stutter.h"
 #include "transport/httpc.h"
 #include "transport/httpd.h"
 
@@ -22,9 +23,14 @@
  *	run ATTEMPT KEY CALLER
  *	holds at=MS FIRST-LAST/FENCE ...
  *	refused FIRST-LAST/FENCE
+ *	answer ATTEMPT STATUS N
  *
  * MS is the time of the change by clk_ms(), which all processes share; of
  * "born", the wall-clock time of the start that the heartbeats state.
+ *
+ * While it mixes bytes of several answers (standins/common_stutter.h), it
+ *prints a line "answer" for each. N numbers them; the header X-Answer and the
+ *body, whose length varies, repeat ATTEMPT, STATUS and N.
  */
 
 #define SERVER_MAX_BODY_BYTES (16 * 1024 * 1024)
@@ -32,6 +38,8 @@
 #define SERVER_MAX_RANGES 512
 /* Time to the next heartbeat if that is to report released ranges. */
 #define SERVER_RELEASE_MS 100
+/* Most filler bytes in the body of a numbered answer. */
+#define SERVER_MAX_FILLER 400
 
 /* Keys from first to last, inclusive, that are held with a fence. */
 struct range {
@@ -47,12 +55,16 @@
 	const char *service;
 	unsigned heartbeat_ms; /* period */
 	unsigned work_ms;      /* time that one request runs */
+	unsigned seed;
+	unsigned stutter_percent; /* of answers, with bytes of others */
 };
 
 struct server {
 	struct options o;
 	struct ev_loop *loop;
 	struct httpd httpd;
+	struct common_stutter stutter;
+	unsigned answer_count; /* numbered answers */
 	struct httpc client;
 	struct httpc_request heartbeat;
 	int heartbeat_in_flight;
@@ -135,7 +147,33 @@
 					  { "X-Instance-Id", s->o.id },
 					  { "X-Attempt-Id", id ? id : "-" } };
 
-	httpd_answer(r, status, h, 3, "", 0);
+	common_stutter_answer(&s->stutter, r, status, h, 3, "", 0);
+}
+
+/* Answers such that no two answers have equal headers or bodies. */
+static void answer_numbered(struct server *s, struct httpd_request *r,
+			    unsigned status)
+{
+	const char *id = httpd_get_header(r, "X-Attempt-Id");
+	char number[96];
+	const struct httpd_header h[] = {
+		{ "X-Attempt-Id", id ? id : "-" }, { "X-Server-Seal", s->o.id },
+		{ "X-Instance-Id", s->o.id },	   { "X-Answer", number },
+		{ "X-Server-Load", "1,0,4" },
+	};
+	struct buf body;
+	size_t filler;
+
+	snprintf(number, sizeof(number), "%.60s %u %u", id ? id : "-", status,
+		 ++s->answer_count);
+	printf("answer %s\n", number);
+	fflush(stdout);
+	filler = s->answer_count * 37 % SERVER_MAX_FILLER;
+	buf_init(&body);
+	buf_addf(&body, "%s %0*u\n", number, (int)filler + 1, 0);
+	common_stutter_answer(&s->stutter, r, status, h, 5, body.data,
+			      body.len);
+	buf_finish(&body);
 }
 
 static void answer(struct server *s, struct httpd_request *r)
@@ -147,6 +185,11 @@
 		{ "Server-Leaving", "1" },
 	};
 
+	if (s->stutter.percent) {
+		answer_numbered(s, r,
+				common_stutter_choose_status(&s->stutter));
+		return;
+	}
 	httpd_answer(r, 200, h, s->says_leaving ? 5 : 4, "done\n", 5);
 }
 
@@ -191,19 +234,24 @@
 	const char *key = httpd_get_header(r, "X-Shard-Key");
 
 	r->priv = NULL;
+	if (common_stutter_control(&s->stutter, r))
+		return;
 	if (expected && strcmp(expected, s->o.id) != 0)
 		answer_refused(s, r, 421);
 	else if (key && !holds_key(s, (uint32_t)strtoul(key, NULL, 10)))
 		answer_refused(s, r, 421);
+	else if (common_stutter_chooses_refusal(&s->stutter))
+		answer_refused(s, r, 503);
 	else
 		start_run(s, r, key);
 }
 
 static void on_completed(struct httpd_request *r, void *priv)
 {
+	struct server *s = priv;
 	struct run *run = r->priv;
 
-	(void)priv;
+	common_stutter_completed(&s->stutter, r);
 	if (!run)
 		return;
 	ev_timer_stop(run->s->loop, &run->timer);
@@ -425,6 +473,11 @@
 	{ "service", 's', "NAME", 0, "name of the service", 0 },
 	{ "beat-ms", 'b', "N", 0, "period of announcements (200)", 0 },
 	{ "work-ms", 'w', "N", 0, "time that a request runs (0)", 0 },
+	{ "seed", 'r', "N", 0, "seed of the random numbers (1)", 0 },
+	{ "stutter", 'u', "PERCENT", 0,
+	  "answers that are written twice or behind others, or parts of them "
+	  "(0); GET /control/stutter?percent=N changes it",
+	  0 },
 	{ 0 }
 };
 
@@ -451,6 +504,12 @@
 	case 'w':
 		o->work_ms = (unsigned)strtoul(text, NULL, 10);
 		return 0;
+	case 'r':
+		o->seed = (unsigned)strtoul(text, NULL, 10);
+		return 0;
+	case 'u':
+		o->stutter_percent = (unsigned)strtoul(text, NULL, 10);
+		return 0;
 	case ARGP_KEY_END:
 		if (!o->port || !o->control_port || !o->id || !o->service)
 			argp_error(state,
@@ -471,12 +530,13 @@
 	};
 	struct ev_loop *loop = ev_default_loop(0);
 	/* Static, as it is too large for the stack. */
-	static struct server s = { .o = { .heartbeat_ms = 200 } };
+	static struct server s = { .o = { .heartbeat_ms = 200, .seed = 1 } };
 	struct err_info info = { 0 };
 	ev_signal on_term, on_usr1, on_usr2;
 
 	s.loop = loop;
 	argp_parse(&argp, argc, argv, 0, NULL, &s.o);
+	common_stutter_init(&s.stutter, loop, s.o.seed, s.o.stutter_percent, 1);
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	s.started_ms = clk_wall_ms();
@@ -511,6 +571,7 @@
 	httpc_request_finish(&s.heartbeat);
 	httpc_finish(&s.client);
 	httpd_finish(&s.httpd);
+	common_stutter_finish(&s.stutter);
 	ev_timer_stop(loop, &s.heartbeat_timer);
 	ev_timer_stop(loop, &s.hold_timer);
 	free(s.heartbeat_body);
--- a/standins/target.c
+++ b/standins/target.c
@@ -2,12 +2,15 @@
  * mpin-target: stand-in for a target. It announces itself to the daemon beside
  * it, runs each request for a service time, logs starts and ends, and refuses
  * requests by their fence, deadline and sender if the options ask for it. The
- * header Test-Fault of a request selects a fault in its answer.
+ * header Test-Fault of a request selects a fault in its answer. It can mix
+ * bytes of several answers (standins/common_stutter.h), without late answers:
+ * the daemon's own dialect has no id in answers that would tell them.
  */
 #include "common/clk.h"
 #include "common/log.h"
 #include "standins/common_answer.h"
 #include "standins/common_history.h"
+#include "standins/common_stutter.h"
 #include "standins/common_targetopt.h"
 #include "transport/httpc.h"
 #include "transport/httpd.h"
@@ -74,6 +77,7 @@
 	char *request;
 	char *key;
 	int64_t service_ms;
+	unsigned status; /* of the answer */
 	struct buf answer;
 	size_t body_sent; /* bytes sent of a slow body */
 	struct run *prev;
@@ -102,6 +106,7 @@
 	ev_signal on_int;
 	FILE *log;
 	GRand *rand;
+	struct common_stutter stutter;
 	struct slot_fence *slots;
 	struct run *queue;
 	struct load load;
@@ -145,6 +150,9 @@
 
 	if (line && reason)
 		json_object_set_new(line, "reason", json_string(reason));
+	if (line && strcmp(ev, "end") == 0)
+		json_object_set_new(line, "status",
+				    json_integer((json_int_t)r->status));
 	if (r->target->log)
 		common_history_write(r->target->log, line, 1);
 	else
@@ -158,7 +166,8 @@
 
 	log_run(r, "refused", reason);
 	r->state = RUN_ANSWERING;
-	httpd_answer(r->http, 503, h, 2, reason, strlen(reason));
+	common_stutter_answer(&r->target->stutter, r->http, 503, h, 2, reason,
+			      strlen(reason));
 }
 
 /* Returns the slot of this name, which is added with fence 0 if it is new. */
@@ -267,7 +276,8 @@
 	struct httpd_header h[] = { { "Content-Type", "text/plain" },
 				    { "Test-Request", r->request } };
 
-	httpd_answer(r->http, 200, h, 2, r->answer.data, r->answer.len);
+	common_stutter_answer(&r->target->stutter, r->http, r->status, h, 2,
+			      r->answer.data, r->answer.len);
 }
 
 static void answer(struct run *r)
@@ -317,6 +327,11 @@
 	struct target *t = r->target;
 	const char *refusal_reason = find_refusal_reason(r);
 
+	r->status = 200;
+	if (r->fault == FAULT_NONE)
+		r->status = common_stutter_choose_status(&t->stutter);
+	if (!refusal_reason && common_stutter_chooses_refusal(&t->stutter))
+		refusal_reason = "stutter";
 	if (refusal_reason) {
 		refuse(r, refusal_reason);
 		return;
@@ -438,6 +453,8 @@
 		httpd_answer_text(http, 413, "text/plain", "too large\n");
 		return;
 	}
+	if (common_stutter_control(&t->stutter, http))
+		return;
 	if (strcmp(http->path, "/health") == 0 ||
 	    strcmp(http->path, "/load") == 0) {
 		answer_health(t, http);
@@ -451,6 +468,7 @@
 	struct target *t = priv;
 	struct run *r = http->priv;
 
+	common_stutter_completed(&t->stutter, http);
 	if (!r)
 		return;
 	ev_timer_stop(t->loop, &r->timer);
@@ -628,6 +646,8 @@
 
 	t->loop = ev_default_loop(EVFLAG_AUTO);
 	t->rand = g_rand_new_with_seed((guint32)t->opt.seed);
+	common_stutter_init(&t->stutter, t->loop, (unsigned)t->opt.seed,
+			    (unsigned)t->opt.stutter_percent, 0);
 	if (t->opt.log) {
 		t->log = common_history_open(t->opt.log, 1, info);
 		if (!t->log)
@@ -659,6 +679,7 @@
 	struct slot_fence *tmp;
 
 	httpd_finish(&t->server);
+	common_stutter_finish(&t->stutter);
 	if (t->announcement_in_flight) {
 		httpc_cancel(&t->announcement);
 		httpc_request_finish(&t->announcement);
