check: the status that a caller got is that of its answer

The checker compared the body of an answer only, so that the status of one answer with the body of another passed. The rule own-status compares the status with those that the request's runs answered, as the targets' logs state them. Cases of test_check: status (good and bad).

--- a/standins/common_check.c
+++ b/standins/common_check.c
@@ -183,6 +183,7 @@
 		return;
 	q->heard_ns = t_ns;
 	q->body_ok = common_history_get_flag(line, "body_ok");
+	q->status = common_history_get_number(line, "status", 0);
 	q->outcome = check_abort_if_null(
 		strdup(common_history_get_text(line, "outcome")));
 	q->owner = check_abort_if_null(
@@ -273,6 +274,7 @@
 			continue;
 		r->end_ns = t_ns;
 		r->has_end = 1;
+		r->status = common_history_get_number(line, "status", 0);
 		return ERR_OK;
 	}
 	return ERR_MALFORMED;
--- a/standins/common_check.h
+++ b/standins/common_check.h
@@ -39,6 +39,7 @@
 	int64_t start_ns;
 	int64_t end_ns;		/* INT64_MAX: not known */
 	int has_end;		/* the log has an "end" line of this run */
+	int64_t status;		/* of the answer; 0: not stated */
 	int64_t slot;		/* -1: not stated */
 	int64_t fence;		/* -1: not stated */
 	struct check_run *next; /* next run of the same request */
@@ -53,10 +54,11 @@
 	int send_count;	 /* "send" lines; 0: only a target's log names it */
 	int heard_count; /* "heard" lines: the caller got a result */
 	int idempotent;
-	int body_ok;   /* 1: as expected, 0: not, -1: not stated */
-	char *outcome; /* NULL if heard_count is 0 */
-	char *owner;   /* node that the answer names, "" if none */
-	char *sent_to; /* ADDRESS:PORT of the daemon that was tried last */
+	int body_ok;	/* 1: as expected, 0: not, -1: not stated */
+	int64_t status; /* that the caller got; 0: none, or not stated */
+	char *outcome;	/* NULL if heard_count is 0 */
+	char *owner;	/* node that the answer names, "" if none */
+	char *sent_to;	/* ADDRESS:PORT of the daemon that was tried last */
 	int64_t send_ns;
 	int64_t heard_ns;
 	struct check_run *runs;
--- a/standins/common_checkrule.c
+++ b/standins/common_checkrule.c
@@ -118,6 +118,39 @@
 	}
 }
 
+/* Returns 1 if a run that ended at before_ns or earlier has or lacks a status.
+ */
+static int may_have_status(const struct check_request *q, int64_t before_ns)
+{
+	const struct check_run *r;
+
+	LL_FOREACH(q->runs, r) {
+		if (r->has_end && r->end_ns <= before_ns &&
+		    (!r->status || r->status == q->status))
+			return 1;
+	}
+	return 0;
+}
+
+/* The status belongs to the same answer as the body, which names the request.
+ */
+static void check_own_status(struct common_check *c,
+			     const struct check_rule *rule)
+{
+	const struct check_request *q;
+
+	FOREACH_REQUEST(c, q)
+	{
+		if (check_has_outcome(q, "answered") && q->status &&
+		    has_run_ended(q, NULL, q->heard_ns) &&
+		    !may_have_status(q, q->heard_ns))
+			check_add_violation(c, rule,
+					    "request %s: heard status %" PRId64
+					    ", which no run of it answered",
+					    q->id, q->status);
+	}
+}
+
 /* Checks answers whose owner has a target's name, as in the test scripts. */
 static void check_owner(struct common_check *c, const struct check_rule *rule)
 {
@@ -179,6 +212,7 @@
 	{ "run-twice", CHECK_RUN_TWICE, check_run_twice },
 	{ "not-run-ran", CHECK_MISROUTED, check_not_run },
 	{ "own-answer", CHECK_MISROUTED, check_own_answer },
+	{ "own-status", CHECK_MISROUTED, check_own_status },
 	{ "answered-ran", CHECK_MISROUTED, check_answered },
 	{ "stated-owner", CHECK_MISROUTED, check_owner },
 	{ "known-request", CHECK_MISROUTED, check_known },
--- a/test/unit/test_check.c
+++ b/test/unit/test_check.c
@@ -20,6 +20,7 @@
 	int64_t slot;
 	int idempotent; /* of a send */
 	const char *owner;
+	int64_t status; /* heard, or answered at the end of a run */
 };
 
 /* A drain, a kill or a loss of a node. */
@@ -35,29 +36,37 @@
 	struct node_event node_events[2];
 };
 
-#define SEND(ms, r, k)                         \
-	{                                      \
-		's', ms, r, k, "", 0, 0, 0, "" \
+#define SEND(ms, r, k)                            \
+	{                                         \
+		's', ms, r, k, "", 0, 0, 0, "", 0 \
 	}
-#define SEND_IDEMPOTENT(ms, r, k)              \
-	{                                      \
-		's', ms, r, k, "", 0, 0, 1, "" \
+#define SEND_IDEMPOTENT(ms, r, k)                 \
+	{                                         \
+		's', ms, r, k, "", 0, 0, 1, "", 0 \
 	}
-#define HEARD(ms, r, outcome, ok)                     \
-	{                                             \
-		'h', ms, r, "", outcome, ok, 0, 0, "" \
+#define HEARD(ms, r, outcome, ok)                        \
+	{                                                \
+		'h', ms, r, "", outcome, ok, 0, 0, "", 0 \
 	}
-#define HEARD_FROM(ms, r, owner)                           \
-	{                                                  \
-		'h', ms, r, "", "answered", 1, 0, 0, owner \
+#define HEARD_FROM(ms, r, owner)                              \
+	{                                                     \
+		'h', ms, r, "", "answered", 1, 0, 0, owner, 0 \
 	}
-#define START(ms, r, k, t, slot, fence)              \
-	{                                            \
-		'b', ms, r, k, t, fence, slot, 0, "" \
+#define START(ms, r, k, t, slot, fence)                 \
+	{                                               \
+		'b', ms, r, k, t, fence, slot, 0, "", 0 \
 	}
-#define END(ms, r, k, t, slot, fence)                \
-	{                                            \
-		'e', ms, r, k, t, fence, slot, 0, "" \
+#define END(ms, r, k, t, slot, fence)                   \
+	{                                               \
+		'e', ms, r, k, t, fence, slot, 0, "", 0 \
+	}
+#define HEARD_STATUS(ms, r, status)                             \
+	{                                                       \
+		'h', ms, r, "", "answered", 1, 0, 0, "", status \
+	}
+#define END_STATUS(ms, r, k, t, slot, fence, status)         \
+	{                                                    \
+		'e', ms, r, k, t, fence, slot, 0, "", status \
 	}
 #define RUN(ms, end, r, k, t, slot, fence) \
 	START(ms, r, k, t, slot, fence), END(end, r, k, t, slot, fence)
@@ -83,16 +92,18 @@
 	json_object_set_new(line, "owner", json_string(e->owner));
 	json_object_set_new(line, "to", json_string("127.0.0.1:1"));
 	json_object_set_new(line, "body_ok", json_boolean(e->fence));
+	json_object_set_new(line, "status", json_integer(e->status));
 	return line;
 }
 
 static json_t *log_line(const struct event *e)
 {
-	return json_pack("{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I}", "t_ns",
+	return json_pack("{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I}", "t_ns",
 			 to_ns(e->ms), "ev", e->type == 'b' ? "start" : "end",
 			 "request", e->request, "service", "kiln", "key",
 			 e->key, "attempt", "1", "slot", (json_int_t)e->slot,
-			 "fence", (json_int_t)e->fence);
+			 "fence", (json_int_t)e->fence, "status",
+			 (json_int_t)e->status);
 }
 
 static void add_event(struct common_check *c, const struct event *e)
@@ -193,6 +204,17 @@
 	{ { 0 } },
 };
 
+/* An idempotent request that ran twice may get either answer. */
+static const struct test_case good_status = {
+	NULL,
+	{ SEND_IDEMPOTENT(0, "r1", "k"), START(1, "r1", "k", "a", 3, 7),
+	  END_STATUS(5, "r1", "k", "a", 3, 7, 500),
+	  START(10, "r1", "k", "b", 3, 8),
+	  END_STATUS(15, "r1", "k", "b", 3, 8, 200),
+	  HEARD_STATUS(16, "r1", 500) },
+	{ { 0 } },
+};
+
 static const struct test_case bad_twice = {
 	"run-twice",
 	{ SEND(0, "r1", "k"), RUN(1, 5, "r1", "k", "a", 3, 7),
@@ -221,6 +243,14 @@
 	{ { 0 } },
 };
 
+static const struct test_case bad_status = {
+	"own-status",
+	{ SEND(0, "r1", "k"), START(1, "r1", "k", "a", 3, 7),
+	  END_STATUS(5, "r1", "k", "a", 3, 7, 500),
+	  HEARD_STATUS(6, "r1", 200) },
+	{ { 0 } },
+};
+
 static const struct test_case bad_answer_early = {
 	"answered-ran",
 	{ SEND(0, "r1", "k"), RUN(1, 9, "r1", "k", "a", 3, 7),
@@ -364,10 +394,12 @@
 	{ "/check/good/killed", &good_killed },
 	{ "/check/good/drained", &good_drained },
 	{ "/check/good/pin", &good_pin },
+	{ "/check/good/status", &good_status },
 	{ "/check/bad/twice", &bad_twice },
 	{ "/check/bad/not-run", &bad_not_run },
 	{ "/check/bad/body", &bad_body },
 	{ "/check/bad/no-outcome", &bad_no_outcome },
+	{ "/check/bad/status", &bad_status },
 	{ "/check/bad/answer-early", &bad_answer_early },
 	{ "/check/bad/answer-without-end", &bad_answer_without_end },
 	{ "/check/bad/owner", &bad_owner },
