--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -42,6 +42,11 @@
 	kill_processes "target-$1"
 }
 
+set_stutter() { # set_stutter NODE PERCENT
+	curl -sf -m 5 "http://127.0.0.1:$(target_port "$1")/control/stutter?percent=$2" \
+		>"$WORK/stutter-$1" || fail "the control of target $1"
+}
+
 # Each fault has begin_NAME NODE and end_NAME NODE.
 begin_kill() { kill_processes "daemon-$1"; }
 end_kill() { start_daemon "$1"; }
@@ -62,6 +67,9 @@
 end_target() { start_target "$1" "${target_options[@]}"; }
 begin_slow_target() { freeze "target-$1"; }
 end_slow_target() { resume "target-$1"; }
+# The target writes every third answer twice or behind a part of another one.
+begin_stutter() { set_stutter "$1" 33; }
+end_stutter() { set_stutter "$1" 0; }
 begin_cut() { set_relay "$1" "mode=silent"; }
 end_cut() { set_relay "$1" "mode=pass"; }
 begin_reset() { set_relay "$1" "mode=reset&scope=existing"; }
@@ -110,6 +118,8 @@
 	delay drain hup)
 # Seeds below 300 draw what they drew before there was this fault.
 [ "$SOAK_SEED" -ge 300 ] && NODE_FAULTS+=(silent silent)
+# Seeds below 500 draw what they drew before there was this fault.
+[ "$SOAK_SEED" -ge 500 ] && NODE_FAULTS+=(stutter stutter)
 FLEET_FAULTS=(store_down store_down store_silent store_slow store_lossy
 	store_freeze store_compact all)
 # Seeds below 400 draw what they drew before there was this fault.
