httpd: check the ends of lines and chunks before the parser

http_parser 2.9.4, as the distribution builds it (HTTP_PARSER_STRICT=0), does not look at the byte that ends a head, the line with a chunk's size or a chunk. A caller's "3\r\nabcXX0\r\n\r\n", "3\rXabc\r\n", "3;a\rXabc\r\n", "3 5\r\nabc\r\n", "3;a\nb\r\nabc\r\n", "0\r\n\rX" and a head that ends in "\r\n\rX" were taken as whole requests, sent to the target and answered 200, and the bytes behind them were read as the next request. A reader that is strict finds the end of the body elsewhere: with a relay before the daemon, the bytes of two requests are read as other requests than the relay sent.

The server now gives the parser one line, body or chunk at a time, and checks line ends and what follows a chunk's size before. Such a request is answered 400 with the check "line", and the connection is closed. A line feed alone is still taken in a head and in trailers (RFC 9112, section 2.2), as are chunk extensions, and blanks behind a chunk's size.

/httpd/line_ends failed before (the first text was served); proper lines (/httpd/proper_lines) were and are served, whole and byte by byte.

--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -492,6 +492,103 @@
 	teardown(&f);
 }
 
+/* Sends the text at once, or a byte at a time. */
+static void send_text(struct fixture *f, const char *text, int by_bytes)
+{
+	for (; by_bytes && *text; text++) {
+		/* The server may have closed the connection already. */
+		send(f->fd, text, 1, MSG_NOSIGNAL);
+		fake_pause(f->loop, 0);
+	}
+	if (*text)
+		fake_write(f->fd, text);
+}
+
+/* Checks that the requests are refused, and nothing behind them is read. */
+static void expect_refused(const char *const *texts, size_t count)
+{
+	for (size_t i = 0; i < 2 * count; i++) {
+		struct fixture f;
+
+		setup(&f, NULL);
+		f.answer_at_once = 1;
+		g_test_message("text %zu, by bytes: %d", i / 2, (int)(i % 2));
+		send_text(&f, texts[i / 2], i % 2);
+		wait_closed(&f);
+		g_assert_cmpuint(f.requests, ==, 0);
+		g_assert_cmpuint(f.rejected, ==, 1);
+		g_assert_true(
+			g_str_has_prefix(f.received->str, "HTTP/1.1 400 "));
+		g_assert_cmpuint(count_text(&f, "HTTP/1.1 "), ==, 1);
+		g_assert_cmpuint(count_text(&f, "Connection: close"), ==, 1);
+		teardown(&f);
+	}
+}
+
+#define CHUNKED                           \
+	"POST /1 HTTP/1.1\r\nHost: a\r\n" \
+	"Transfer-Encoding: chunked\r\n\r\n"
+
+/*
+ * Guards against a body whose end another reader finds elsewhere: http_parser
+ * took any bytes for the end of a chunk and any byte for the last line feed of
+ * a head, and read on behind them.
+ */
+static void test_line_ends(void)
+{
+	static const char *const texts[] = {
+		CHUNKED "3\r\nabcXX0\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\rX0\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3\rXabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3;a\rXabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3;a\nb\r\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3;a\x01\r\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3 5\r\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3 5;a\r\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\n\rX" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\rX\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\r\n\rX" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\r\n\r" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\rX-A: b\r\n\r\n" GET("/2"),
+		"\r" GET("/1"),
+	};
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+}
+
+/* Guards against proper requests that the check of the lines refuses. */
+static void test_proper_lines(void)
+{
+	static const char *const texts[] = {
+		CHUNKED "3;a=\"b;\xc3\xa4\t\";c\r\nabc\r\n0;x\r\n\r\n",
+		CHUNKED "3 ; a = b\r\nabc\r\n0\r\n\r\n",
+		CHUNKED "3   \r\nabc\r\n00\r\n\r\n",
+		CHUNKED "0003\r\nabc\r\n0\r\nX-T: a\r\nX-U:\r\n\r\n",
+		CHUNKED "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+		"\r\n\r\nPOST /1 HTTP/1.1\r\nHost: a\r\n"
+		"Content-Length: 3\r\n\r\nabc",
+		"POST /1 HTTP/1.1\nHost: a\nContent-Length: 3\n\nabc",
+		"POST /1 HTTP/1.1\r\nHost: a\r\nX-A:\r\nX-B: b\tc \r\n"
+		"Content-Length: 3\r\n\r\nabc",
+	};
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(texts); i++) {
+		struct fixture f;
+
+		setup(&f, NULL);
+		g_test_message("text %zu, by bytes: %d", i / 2, (int)(i % 2));
+		send_text(&f, texts[i / 2], i % 2);
+		fake_write(f.fd, GET("/2"));
+		wait_requests(&f, 2);
+		g_assert_cmpstr(buf_text(&f.held[0]->body), ==, "abc");
+		g_assert_cmpstr(f.held[1]->path, ==, "/2");
+		g_assert_cmpuint(f.rejected, ==, 0);
+		teardown(&f);
+	}
+}
+
 /* Guards against a caller that keeps a connection by a byte now and then. */
 static void test_slow_head(void)
 {
@@ -582,6 +679,8 @@
 	g_test_add_func("/httpd/slow_reader", test_slow_reader);
 	g_test_add_func("/httpd/continue", test_continue);
 	g_test_add_func("/httpd/bounds", test_bounds);
+	g_test_add_func("/httpd/line_ends", test_line_ends);
+	g_test_add_func("/httpd/proper_lines", test_proper_lines);
 	g_test_add_func("/httpd/slow_head", test_slow_head);
 	g_test_add_func("/httpd/finish", test_finish);
 	g_test_add_func("/httpd/quiesce", test_quiesce);
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -46,7 +46,10 @@
 	 * headers exceed HTTPD_MAX_HEAD_BYTES), ERR_MALFORMED or ERR_NOMEM.
 	 */
 	enum err error;
-	/* The parser's name for that, e.g. "HPE_INVALID_METHOD"; else NULL. */
+	/*
+	 * The parser's name for that, e.g. "HPE_INVALID_METHOD"; "line": a line
+	 * does not end as it must, or states no size of a chunk; else NULL.
+	 */
 	const char *parser_error;
 	void *priv; /* for use by the callbacks */
 
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -88,6 +88,8 @@
 	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
 		r->parser_error =
 			http_errno_name(HTTP_PARSER_ERRNO(&c->parser));
+	else if (error == ERR_MALFORMED)
+		r->parser_error = "line";
 	/* The texts of an unfinished head have no end. */
 	if (!c->headers_done)
 		r->field_count = 0;
@@ -206,6 +208,16 @@
 	return result(c, e);
 }
 
+/* Notes what follows the head. */
+static void begin_body(struct httpd_conn *c, const http_parser *p)
+{
+	if (p->flags & F_CHUNKED)
+		httpd_lines_begin(&c->lines, HTTPD_PART_CHUNK_SIZE, 0);
+	else if (p->content_length && p->content_length != UINT64_MAX)
+		httpd_lines_begin(&c->lines, HTTPD_PART_BODY,
+				  p->content_length);
+}
+
 /* ULLONG_MAX stands for a body without a stated length. */
 static int exceeds_body_limit(const http_parser *p, const struct httpd *d)
 {
@@ -245,6 +257,26 @@
 	 */
 	if (p->method != HTTP_CONNECT)
 		p->upgrade = 0;
+	begin_body(c, p);
+	return 0;
+}
+
+static int on_chunk(http_parser *p)
+{
+	struct httpd_conn *c = p->data;
+
+	httpd_lines_begin(&c->lines,
+			  p->content_length ? HTTPD_PART_CHUNK
+					    : HTTPD_PART_TRAILERS,
+			  p->content_length);
+	return 0;
+}
+
+static int on_chunk_end(http_parser *p)
+{
+	struct httpd_conn *c = p->data;
+
+	httpd_lines_begin(&c->lines, HTTPD_PART_CHUNK_SIZE, 0);
 	return 0;
 }
 
@@ -264,6 +296,7 @@
 
 	if (p->method == HTTP_CONNECT)
 		return result(c, ERR_MALFORMED);
+	httpd_lines_begin(&c->lines, HTTPD_PART_HEAD, 0);
 	dispatch(c);
 	if (!httpd_may_take(c))
 		http_parser_pause(p, 1);
@@ -277,6 +310,8 @@
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers_complete,
 	.on_body = on_body,
+	.on_chunk_header = on_chunk,
+	.on_chunk_complete = on_chunk_end,
 	.on_message_complete = on_complete,
 };
 
@@ -284,6 +319,7 @@
 {
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
+	httpd_lines_begin(&c->lines, HTTPD_PART_HEAD, 0);
 }
 
 static enum err parse_error(const struct httpd_conn *c)
@@ -295,6 +331,30 @@
 		       : ERR_MALFORMED;
 }
 
+/*
+ * Gives the parser one line, body or chunk after the other. Returns how many
+ * bytes were taken: fewer than len at an error, and if the parser has paused.
+ */
+static size_t execute(struct httpd_conn *c, const char *data, size_t len)
+{
+	size_t taken = 0;
+
+	while (taken < len && !c->closing) {
+		size_t n =
+			httpd_lines_next(&c->lines, data + taken, len - taken);
+		size_t parsed;
+
+		if (!n)
+			break;
+		parsed = http_parser_execute(&c->parser, &parser_callbacks,
+					     data + taken, n);
+		taken += parsed;
+		if (parsed != n || HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+			break;
+	}
+	return taken;
+}
+
 void httpd_parse(struct httpd_conn *c, const char *data, size_t len)
 {
 	size_t n;
@@ -307,7 +367,7 @@
 		return;
 	}
 	http_parser_pause(&c->parser, 0);
-	n = http_parser_execute(&c->parser, &parser_callbacks, data, len);
+	n = execute(c, data, len);
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
 		if (!c->closing &&
 		    buf_add(&c->input, data + n, len - n) != ERR_OK)
--- a/transport/httpd_priv.h
+++ b/transport/httpd_priv.h
@@ -14,6 +14,25 @@
 /* Bytes read at a time. */
 #define HTTPD_READ_BYTES (32 * 1024)
 
+/* What the next bytes of a connection are. */
+enum httpd_part {
+	HTTPD_PART_HEAD,       /* lines of a head, or empty ones before it */
+	HTTPD_PART_BODY,       /* a body of a stated length */
+	HTTPD_PART_CHUNK_SIZE, /* a line */
+	HTTPD_PART_CHUNK,
+	HTTPD_PART_CHUNK_END, /* the end of line behind a chunk */
+	HTTPD_PART_TRAILERS,  /* lines */
+};
+
+/* How far the bytes that were given to the parser reach. */
+struct httpd_lines {
+	enum httpd_part part;
+	uint64_t bytes_left; /* of a body or a chunk */
+	size_t line_len;     /* bytes of a line that has not ended */
+	char last;	     /* the last of them */
+	int size_part;	     /* of a chunk's size */
+};
+
 struct httpd_conn {
 	struct httpd *server;
 	int fd;
@@ -22,6 +41,7 @@
 	ev_timer timer;	 /* idle, or the end of lingering */
 	double active_s; /* time of the last read or write, by ev_now */
 	http_parser parser;
+	struct httpd_lines lines;
 	struct buf input; /* received behind a request that was not taken yet */
 	struct httpd_request *receiving; /* NULL between requests */
 	int last_was_name;		 /* the parser's last header part */
@@ -58,6 +78,17 @@
 void httpd_parse_input(struct httpd_conn *c);
 void httpd_request_free(struct httpd_request *r);
 
+/* httpd_lines.c */
+
+/* Notes that a part of so many bytes begins; 0 for parts made of lines. */
+void httpd_lines_begin(struct httpd_lines *l, enum httpd_part part,
+		       uint64_t bytes);
+/*
+ * Returns how many of the received bytes to give to the parser next: up to the
+ * end of the line, body or chunk. 0: they are not valid.
+ */
+size_t httpd_lines_next(struct httpd_lines *l, const char *data, size_t len);
+
 /* httpd_answer.c */
 
 /* Sends what is ready, in order; completes the requests that are sent. */
