httpd: drop the blanks behind a header's value

The parser leaves blanks behind a value in it, and the server passed them on: "X-Key: k1 " had the key "k1 " and may have had another owner than "k1", although the target reads both as "k1"; a request id with a blank was not the one that the target repeated, so that its answer was refused as another request's; "Host: a " matched no route of the host a. RFC 9112, section 5.1, excludes blanks around a value. The server removes them when the head is complete.

/httpd/blanks_around_values failed before: Host was "a ".

--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -589,6 +589,26 @@
 	}
 }
 
+/*
+ * Guards against blanks behind a value that are read as part of it (RFC 9112,
+ * section 5.1): "k" and "k " were two keys, and an id with a blank was not the
+ * one that the target repeated.
+ */
+static void test_blanks_around_values(void)
+{
+	struct fixture f;
+
+	setup(&f, NULL);
+	fake_write(f.fd, "GET /1 HTTP/1.1\r\nHost: a \r\nX-A: \t b c \t\r\n"
+			 "X-B: \t\r\nX-C: d\r\n\r\n" GET("/2"));
+	wait_requests(&f, 2);
+	g_assert_cmpstr(httpd_get_header(f.held[0], "Host"), ==, "a");
+	g_assert_cmpstr(httpd_get_header(f.held[0], "X-A"), ==, "b c");
+	g_assert_cmpstr(httpd_get_header(f.held[0], "X-B"), ==, "");
+	g_assert_cmpstr(httpd_get_header(f.held[0], "X-C"), ==, "d");
+	teardown(&f);
+}
+
 /* Guards against a caller that keeps a connection by a byte now and then. */
 static void test_slow_head(void)
 {
@@ -681,6 +701,8 @@
 	g_test_add_func("/httpd/bounds", test_bounds);
 	g_test_add_func("/httpd/line_ends", test_line_ends);
 	g_test_add_func("/httpd/proper_lines", test_proper_lines);
+	g_test_add_func("/httpd/blanks_around_values",
+			test_blanks_around_values);
 	g_test_add_func("/httpd/slow_head", test_slow_head);
 	g_test_add_func("/httpd/finish", test_finish);
 	g_test_add_func("/httpd/quiesce", test_quiesce);
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -208,6 +208,18 @@
 	return result(c, e);
 }
 
+/* The parser leaves the blanks behind a value in it. */
+static void trim_values(struct httpd_request *r)
+{
+	for (size_t i = 0; i < r->field_count; i++) {
+		char *value = (char *)r->text.data + r->fields[i].value;
+		size_t len = strlen(value);
+
+		while (len && strchr(" \t", value[len - 1]))
+			value[--len] = 0;
+	}
+}
+
 /* Notes what follows the head. */
 static void begin_body(struct httpd_conn *c, const http_parser *p)
 {
@@ -240,6 +252,7 @@
 	c->headers_done = 1;
 	if (end_text(r) != ERR_OK)
 		return result(c, ERR_NOMEM);
+	trim_values(r);
 	r->path = (const char *)r->text.data;
 	r->method = http_method_str((enum http_method)p->method);
 	r->keep_alive = http_should_keep_alive(p);
