httpd: refuse a request with two Hosts or an invalid one

A caller that writes a part of a request's head behind its Host, and then its next request on the same connection, had both read as one request: method and target of the first, headers of the second. It was routed by the first Host (the server reads the first of two), and sent to a target. The request's second head cannot be told from a proper header by itself, but it repeats the Host, or stands in its value.

Such a request is answered 400, with the check "host_twice" or "host", and the connection is closed; so are calls to the daemon's other servers, for instance an announcement. RFC 9112, section 3.2, demands 400 for both. A request without Host is served as before, since nothing is ambiguous in it.

--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -609,6 +609,74 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against two requests that are read as one, the first of which was cut
+ * behind its Host: method and target of the first were dispatched with the
+ * headers of the second. The server read the first Host, others read the last.
+ */
+static void test_two_hosts(void)
+{
+	static const char *const texts[] = {
+		"GET /1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\r\nhost: a\r\n\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost:" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\r\nX-A: b" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: aGET /2 HTTP/1.1\r\nX-A: b\r\n\r\n",
+		"GET /1 HTTP/1.1\r\nHost: a\r\n b\r\n\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a/b\r\n\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a@b\r\n\r\n" GET("/2"),
+	};
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+}
+
+/* Guards against proper hosts that are refused. */
+static void test_proper_hosts(void)
+{
+	static const char *const hosts[] = {
+		"Host: a\r\n", "Host: a-b_c.d:8080\r\n", "Host: [::1]:80\r\n",
+		"Host:\r\n",   "Host:  a \r\n",		 "",
+	};
+	struct fixture f;
+
+	setup(&f, NULL);
+	f.answer_at_once = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+		fake_write(f.fd, "GET /1 HTTP/1.1\r\n");
+		fake_write(f.fd, hosts[i]);
+		fake_write(f.fd, "\r\n");
+	}
+	wait_answers(&f, G_N_ELEMENTS(hosts));
+	g_assert_cmpuint(count_text(&f, "HTTP/1.1 200 "), ==,
+			 G_N_ELEMENTS(hosts));
+	teardown(&f);
+}
+
+static const char cut_request[] =
+	"POST /1 HTTP/1.1\r\nHost: a.example:80\r\nX-Id: first\r\n"
+	"Accept: */*\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\n";
+
+/* Guards against a request that is served with the head of another one. */
+static void test_cut_head(void)
+{
+	for (size_t len = 1; len < sizeof(cut_request) - 1; len++) {
+		char *text = g_strdup_printf("%.*s%sabc", (int)len, cut_request,
+					     cut_request);
+		struct fixture f;
+
+		setup(&f, NULL);
+		f.answer_at_once = 1;
+		g_test_message("%zu bytes", len);
+		fake_write(f.fd, text);
+		wait_closed(&f);
+		g_assert_cmpuint(f.requests, ==, 0);
+		g_assert_cmpuint(f.rejected, ==, 1);
+		teardown(&f);
+		g_free(text);
+	}
+}
+
 /* Guards against a caller that keeps a connection by a byte now and then. */
 static void test_slow_head(void)
 {
@@ -703,6 +771,9 @@
 	g_test_add_func("/httpd/proper_lines", test_proper_lines);
 	g_test_add_func("/httpd/blanks_around_values",
 			test_blanks_around_values);
+	g_test_add_func("/httpd/two_hosts", test_two_hosts);
+	g_test_add_func("/httpd/proper_hosts", test_proper_hosts);
+	g_test_add_func("/httpd/cut_head", test_cut_head);
 	g_test_add_func("/httpd/slow_head", test_slow_head);
 	g_test_add_func("/httpd/finish", test_finish);
 	g_test_add_func("/httpd/quiesce", test_quiesce);
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -47,8 +47,9 @@
 	 */
 	enum err error;
 	/*
-	 * The parser's name for that, e.g. "HPE_INVALID_METHOD"; "line": a line
-	 * does not end as it must, or states no size of a chunk; else NULL.
+	 * What found that: the parser's name, e.g. "HPE_INVALID_METHOD", or a
+	 * check of the server: "line" (a line does not end as it must, or
+	 * states no size of a chunk), "host", "host_twice"; else NULL.
 	 */
 	const char *parser_error;
 	void *priv; /* for use by the callbacks */
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -6,6 +6,11 @@
 #include <strings.h>
 #include <utlist.h>
 
+static const char *text_at(const struct httpd_request *r, uint32_t offset)
+{
+	return (const char *)r->text.data + offset;
+}
+
 static struct httpd_request *request_new(struct httpd_conn *c)
 {
 	struct httpd_request *r = calloc(1, sizeof(*r));
@@ -72,6 +77,18 @@
 	}
 }
 
+/* Names what found the error, unless a check of this server did so already. */
+static void note_check(const struct httpd_conn *c, struct httpd_request *r)
+{
+	if (r->parser_error)
+		return;
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+		r->parser_error =
+			http_errno_name(HTTP_PARSER_ERRNO(&c->parser));
+	else if (r->error == ERR_MALFORMED)
+		r->parser_error = "line";
+}
+
 /* Answers what cannot be taken; the connection ends with that answer. */
 static void reject(struct httpd_conn *c, enum err error)
 {
@@ -85,11 +102,7 @@
 		return;
 	}
 	r->error = error;
-	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
-		r->parser_error =
-			http_errno_name(HTTP_PARSER_ERRNO(&c->parser));
-	else if (error == ERR_MALFORMED)
-		r->parser_error = "line";
+	note_check(c, r);
 	/* The texts of an unfinished head have no end. */
 	if (!c->headers_done)
 		r->field_count = 0;
@@ -237,6 +250,31 @@
 	       p->content_length > d->max_body_bytes;
 }
 
+/* Notes which check refuses the request. */
+static enum err refuse(struct httpd_request *r, const char *check)
+{
+	r->parser_error = check;
+	return ERR_MALFORMED;
+}
+
+/*
+ * Two Hosts, or one with characters that no host has, are the sign of a request
+ * whose head was cut and followed by another one (RFC 9112, section 3.2).
+ */
+static enum err check_host(struct httpd_request *r)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < r->field_count; i++) {
+		if (strcasecmp(text_at(r, r->fields[i].name), "Host") != 0)
+			continue;
+		if (strpbrk(text_at(r, r->fields[i].value), " \t/?#@"))
+			return refuse(r, "host");
+		count++;
+	}
+	return count > 1 ? refuse(r, "host_twice") : ERR_OK;
+}
+
 static int expects_continue(const struct httpd_request *r)
 {
 	const char *value = httpd_get_header(r, "Expect");
@@ -261,6 +299,8 @@
 		return result(c, ERR_MALFORMED);
 	if (exceeds_body_limit(p, c->server))
 		return result(c, ERR_TOO_LARGE);
+	if (check_host(r) != ERR_OK)
+		return result(c, ERR_MALFORMED);
 	r->expects_continue = expects_continue(r);
 	if (r->expects_continue && !c->requests)
 		httpd_send_continue(c);
@@ -405,11 +445,6 @@
 
 /* ---- access to a request ---- */
 
-static const char *text_at(const struct httpd_request *r, uint32_t offset)
-{
-	return (const char *)r->text.data + offset;
-}
-
 const char *httpd_get_header(const struct httpd_request *r, const char *name)
 {
 	for (size_t i = 0; i < r->field_count; i++)
