httpd: refuse bodies in other codings than chunked

A request with "Transfer-Encoding: gzip, chunked" was passed on to the target: the server removed the chunks, the ingress the header, and the target got compressed bytes as the body itself. Chunks in a request of HTTP/1.0 were read as such and the connection kept, although a relay before the daemon that follows HTTP/1.0 ends that body elsewhere; RFC 9112, section 6.1, has such framing treated as faulty. Two headers "Transfer-Encoding: chunked" were read as one by all servers but the ingress. These are answered 400 now, with the check "transfer_encoding", and the connection is closed.

/httpd/coding failed before: "gzip, chunked" was dispatched.

--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -677,6 +677,33 @@
 	}
 }
 
+#define CODED(coding, version)                                 \
+	"POST /1 HTTP/" version "\r\nHost: a\r\n"              \
+	"Connection: keep-alive\r\nTransfer-Encoding: " coding \
+	"\r\n\r\n3\r\nabc\r\n0\r\n\r\n" GET("/2")
+
+/*
+ * Guards against a body in a coding that nobody removes: it was passed on
+ * without the header that names the coding. And against chunks of a caller that
+ * speaks HTTP/1.0, where a relay before the server does not know them.
+ */
+static void test_coding(void)
+{
+	static const char *const texts[] = {
+		CODED("gzip, chunked", "1.1"),
+		CODED("gzip,\r\n chunked", "1.1"),
+		CODED("chunked, chunked", "1.1"),
+		CODED("chunked, gzip", "1.1"),
+		CODED("identity", "1.1"),
+		CODED("", "1.1"),
+		CODED("chunked", "1.0"),
+		CODED("gzip\r\nTransfer-Encoding: chunked", "1.1"),
+		CODED("chunked\r\nTransfer-Encoding: chunked", "1.1"),
+	};
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+}
+
 /* Guards against a caller that keeps a connection by a byte now and then. */
 static void test_slow_head(void)
 {
@@ -774,6 +801,7 @@
 	g_test_add_func("/httpd/two_hosts", test_two_hosts);
 	g_test_add_func("/httpd/proper_hosts", test_proper_hosts);
 	g_test_add_func("/httpd/cut_head", test_cut_head);
+	g_test_add_func("/httpd/coding", test_coding);
 	g_test_add_func("/httpd/slow_head", test_slow_head);
 	g_test_add_func("/httpd/finish", test_finish);
 	g_test_add_func("/httpd/quiesce", test_quiesce);
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -49,7 +49,8 @@
 	/*
 	 * What found that: the parser's name, e.g. "HPE_INVALID_METHOD", or a
 	 * check of the server: "line" (a line does not end as it must, or
-	 * states no size of a chunk), "host", "host_twice"; else NULL.
+	 * states no size of a chunk), "host", "host_twice",
+	 * "transfer_encoding"; else NULL.
 	 */
 	const char *parser_error;
 	void *priv; /* for use by the callbacks */
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -275,6 +275,27 @@
 	return count > 1 ? refuse(r, "host_twice") : ERR_OK;
 }
 
+/*
+ * The server removes no other coding than chunked, and a reader of HTTP/1.0
+ * knows none (RFC 9112, section 6.1).
+ */
+static enum err check_coding(struct httpd_request *r)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < r->field_count; i++) {
+		if (strcasecmp(text_at(r, r->fields[i].name),
+			       "Transfer-Encoding") != 0)
+			continue;
+		if (strcasecmp(text_at(r, r->fields[i].value), "chunked") != 0)
+			return refuse(r, "transfer_encoding");
+		count++;
+	}
+	return count > 1 || (count && r->http_1_0)
+		       ? refuse(r, "transfer_encoding")
+		       : ERR_OK;
+}
+
 static int expects_continue(const struct httpd_request *r)
 {
 	const char *value = httpd_get_header(r, "Expect");
@@ -299,7 +320,7 @@
 		return result(c, ERR_MALFORMED);
 	if (exceeds_body_limit(p, c->server))
 		return result(c, ERR_TOO_LARGE);
-	if (check_host(r) != ERR_OK)
+	if (check_host(r) != ERR_OK || check_coding(r) != ERR_OK)
 		return result(c, ERR_MALFORMED);
 	r->expects_continue = expects_continue(r);
 	if (r->expects_continue && !c->requests)
