httpd: refuse trailers that frame or route a request

A caller that writes a part of the trailers of a chunked request and then its next request on the same connection had the head of the second dropped as trailers of the first. The first ran, and its answer was taken for the answer to the second, whose Host was among the dropped lines. Names with a blank were taken as well.

Host, Content-Length and Transfer-Encoding, which RFC 9110, section 6.5.1, does not allow in trailers, and names with blanks are now answered 400 with the check "trailer", and the connection is closed; nothing has been dispatched by then. Other trailers are dropped as before.

/httpd/trailers failed before (the first text was dispatched).

--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -704,6 +704,26 @@
 	expect_refused(texts, G_N_ELEMENTS(texts));
 }
 
+/*
+ * Guards against a request whose head is lost among the trailers of one that
+ * was cut there: the caller takes the answer to the first for its answer.
+ */
+static void test_trailers(void)
+{
+	static const char *const texts[] = {
+		CHUNKED "3\r\nabc\r\n0\r\nX-T: " GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nX-T: a\r\nX-U: b" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nX-T" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nhost: a\r\n\r\n",
+		CHUNKED "3\r\nabc\r\n0\r\nContent-Length: 3\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nTransfer-Encoding:\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nX T: a\r\n\r\n" GET("/2"),
+	};
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+}
+
 /* Guards against a caller that keeps a connection by a byte now and then. */
 static void test_slow_head(void)
 {
@@ -802,6 +822,7 @@
 	g_test_add_func("/httpd/proper_hosts", test_proper_hosts);
 	g_test_add_func("/httpd/cut_head", test_cut_head);
 	g_test_add_func("/httpd/coding", test_coding);
+	g_test_add_func("/httpd/trailers", test_trailers);
 	g_test_add_func("/httpd/slow_head", test_slow_head);
 	g_test_add_func("/httpd/finish", test_finish);
 	g_test_add_func("/httpd/quiesce", test_quiesce);
--- a/transport/httpd.c
+++ b/transport/httpd.c
@@ -73,6 +73,7 @@
 	d->conn_count--;
 	close(c->fd);
 	buf_finish(&c->input);
+	buf_finish(&c->trailer_name);
 	free(c);
 	if (d->fd >= 0 && !d->stopping && !ev_is_active(&d->accept_io))
 		ev_io_start(d->loop, &d->accept_io);
@@ -234,6 +235,7 @@
 	c->fd = fd;
 	c->active_s = ev_now(d->loop);
 	buf_init(&c->input);
+	buf_init(&c->trailer_name);
 	httpd_parser_init(c);
 	ev_io_init(&c->read_io, on_readable, fd, EV_READ);
 	ev_io_init(&c->write_io, on_writable, fd, EV_WRITE);
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -50,7 +50,7 @@
 	 * What found that: the parser's name, e.g. "HPE_INVALID_METHOD", or a
 	 * check of the server: "line" (a line does not end as it must, or
 	 * states no size of a chunk), "host", "host_twice",
-	 * "transfer_encoding"; else NULL.
+	 * "transfer_encoding", "trailer"; else NULL.
 	 */
 	const char *parser_error;
 	void *priv; /* for use by the callbacks */
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -131,6 +131,13 @@
 		httpd_answer_text(r, 503, "text/plain", "stopping\n");
 }
 
+/* Notes which check refuses the request. */
+static enum err refuse(struct httpd_request *r, const char *check)
+{
+	r->parser_error = check;
+	return ERR_MALFORMED;
+}
+
 /* ---- callbacks of the parser ---- */
 
 /* Returns the value for the parser: 0, or -1 to make it stop. */
@@ -183,15 +190,42 @@
 	return ERR_OK;
 }
 
+/* Trailers are not headers: their names are checked, and they are dropped. */
+static enum err add_trailer_name(struct httpd_conn *c, const char *data,
+				 size_t len)
+{
+	if (!c->last_was_name)
+		buf_reset(&c->trailer_name);
+	c->last_was_name = 1;
+	return buf_add(&c->trailer_name, data, len);
+}
+
+/*
+ * Trailers that frame or route a request are not allowed (RFC 9110, section
+ * 6.5.1): they are of another request, whose headers follow a cut trailer.
+ */
+static enum err check_trailer(struct httpd_conn *c)
+{
+	static const char *const refused[] = { "Host", "Content-Length",
+					       "Transfer-Encoding" };
+	const char *name = buf_text(&c->trailer_name);
+
+	c->last_was_name = 0;
+	for (size_t i = 0; i < sizeof(refused) / sizeof(refused[0]); i++) {
+		if (strcasecmp(name, refused[i]) == 0)
+			return refuse(c->receiving, "trailer");
+	}
+	return strchr(name, ' ') ? refuse(c->receiving, "trailer") : ERR_OK;
+}
+
 static int on_name(http_parser *p, const char *data, size_t len)
 {
 	struct httpd_conn *c = p->data;
 	struct httpd_request *r = c->receiving;
 	enum err e = ERR_OK;
 
-	/* Trailers are not headers; they are dropped. */
 	if (c->headers_done)
-		return 0;
+		return result(c, add_trailer_name(c, data, len));
 	if (!c->last_was_name) {
 		e = end_text(r);
 		if (e == ERR_OK)
@@ -210,7 +244,7 @@
 	enum err e = ERR_OK;
 
 	if (c->headers_done)
-		return 0;
+		return result(c, check_trailer(c));
 	if (c->last_was_name) {
 		e = end_text(r);
 		r->fields[r->field_count - 1].value = (uint32_t)r->text.len;
@@ -250,13 +284,6 @@
 	       p->content_length > d->max_body_bytes;
 }
 
-/* Notes which check refuses the request. */
-static enum err refuse(struct httpd_request *r, const char *check)
-{
-	r->parser_error = check;
-	return ERR_MALFORMED;
-}
-
 /*
  * Two Hosts, or one with characters that no host has, are the sign of a request
  * whose head was cut and followed by another one (RFC 9112, section 3.2).
--- a/transport/httpd_priv.h
+++ b/transport/httpd_priv.h
@@ -46,8 +46,9 @@
 	struct httpd_request *receiving; /* NULL between requests */
 	int last_was_name;		 /* the parser's last header part */
 	int headers_done;		 /* of the request being received */
-	double receiving_since_s;	 /* time of its first byte, by ev_now */
-	struct httpd_request *requests;	 /* dispatched, in order of arrival */
+	struct buf trailer_name;
+	double receiving_since_s;	/* time of its first byte, by ev_now */
+	struct httpd_request *requests; /* dispatched, in order of arrival */
 	unsigned request_count;
 	int closing; /* takes no further requests; ends with the last answer */
 	int eof;     /* the caller closed its side */
