ingress: refuse headers that it reads and that differ

A request with two different request ids (X-Attempt-Id on the platform) was served: the ingress took the first one for its log, for error answers and for the check of the target's answer, and forwarded both, so that a target may repeat the other one and its answer is refused as another request's. Of two deadlines or tenants the first counted. This is how a request looks whose head was cut and followed by another one where Host comes late.

Two values that differ of the request id, the deadline, the tenant and, if the service uses it, Idempotency-Key are answered 400, not-run, with a check of their own; the answer repeats no id. Equal values are served as before. RFC 9110, section 5.3, does not allow a sender to repeat a field that is no list. Two key headers were refused already, also equal ones.

/ingress/repeated_headers failed before (two ids were served).

--- a/routing/ingress_parse.c
+++ b/routing/ingress_parse.c
@@ -121,8 +121,9 @@
 
 struct header_search {
 	const char *name;
-	const char *value;
+	const char *value; /* of the last one */
 	unsigned count;
+	int differs; /* two values are not equal */
 };
 
 static void match_header(const char *name, const char *value, void *priv)
@@ -131,6 +132,7 @@
 
 	if (strcasecmp(name, f->name) != 0)
 		return;
+	f->differs |= f->count && strcmp(value, f->value) != 0;
 	f->value = value;
 	f->count++;
 }
@@ -174,6 +176,33 @@
 						: key_of_header(q, s);
 }
 
+/*
+ * Rejects a header that this daemon reads and that occurs twice with different
+ * values: the target might take the other one. Where the head of a cut request
+ * is followed by that of another one, the ids differ.
+ */
+static enum err check_repeated(struct in_request *q, const char *name,
+			       const char *check)
+{
+	struct header_search f = { .name = name };
+
+	if (name)
+		httpd_each_header(q->http, match_header, &f);
+	return f.differs ? refuse(q, ERR_MALFORMED, check) : ERR_OK;
+}
+
+static enum err check_dialect_headers(struct in_request *q)
+{
+	const struct dialect *d = q->in->dialect;
+	enum err e = check_repeated(q, d->request_id, "request_id_twice");
+
+	if (e == ERR_OK)
+		e = check_repeated(q, d->deadline, "deadline_twice");
+	if (e == ERR_OK)
+		e = check_repeated(q, d->tenant, "tenant_twice");
+	return e;
+}
+
 static enum err parse_deadline(struct in_request *q, uint32_t max_ms)
 {
 	const char *text = httpd_get_header(q->http, q->in->dialect->deadline);
@@ -354,6 +383,10 @@
 	if (e != ERR_OK)
 		return e;
 	q->has_service = 1;
+	if (s->idempotency_key)
+		e = check_repeated(q, "Idempotency-Key", "idempotency_twice");
+	if (e != ERR_OK)
+		return e;
 	if (q->http->body.len > s->body_bytes)
 		return refuse(q, ERR_TOO_LARGE, "body_length");
 	e = find_key(q, s);
@@ -372,6 +405,8 @@
 	const struct doc_route *r;
 	enum err e = check_request_line(q);
 
+	if (e == ERR_OK)
+		e = check_dialect_headers(q);
 	if (e != ERR_OK)
 		return e;
 	r = doc_find_route(doc, httpd_get_header(q->http, "Host"),
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -384,6 +384,77 @@
 	teardown(&f);
 }
 
+/* Sends the text and returns what came until the connection was closed. */
+static char *exchange_raw(struct fixture *f, const char *text)
+{
+	struct raw_client raw_client = { 0 };
+	int fd = connect_to(httpd_port(&f->in->http));
+
+	fake_write(fd, text);
+	ev_io_init(&raw_client.io, on_raw_client, fd, EV_READ);
+	raw_client.io.data = &raw_client;
+	ev_io_start(f->loop, &raw_client.io);
+	fake_wait(f->loop, &raw_client.closed, 1);
+	close(fd);
+	return g_strdup(raw_client.data);
+}
+
+#define WITH(headers)                                               \
+	"POST /kiln/a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" \
+	"Connection: close\r\n" headers "\r\n\r\n"
+
+/*
+ * Guards against a header that the daemon reads one value of and the target
+ * another: the daemon logs and expects the first id, the target repeats the
+ * last one, and its answer is refused as another request's.
+ */
+static void test_repeated_headers(void)
+{
+	static const char *const bad[] = {
+		WITH("X-Id: 1\r\nX-Id: 2"),
+		WITH("X-Id: 1\r\nX-A: b\r\nx-id: 1\r\nX-ID: 1, 1"),
+		WITH("X-Id:\r\nX-Id: 1"),
+		WITH("Monsoonpin-Deadline-Ms: 900\r\n"
+		     "Monsoonpin-Deadline-Ms: 901"),
+		WITH("Monsoonpin-Tenant: a\r\nMonsoonpin-Tenant: b"),
+		WITH("Idempotency-Key: a\r\nIdempotency-Key: b"),
+	};
+	static const char *const proper[] = {
+		WITH("X-Id: 1\r\nX-Id: 1"),
+		WITH("Monsoonpin-Deadline-Ms: 900\r\n"
+		     "Monsoonpin-Deadline-Ms: 900"),
+		WITH("Monsoonpin-Tenant: a\r\nMonsoonpin-Tenant: a"),
+		WITH("Idempotency-Key: a\r\nIdempotency-Key: a"),
+		WITH("X-A: 1\r\nX-A: 2\r\nCookie: a\r\nCookie: b"),
+	};
+	struct dialect with_id = dialect_native;
+	struct fixture f;
+
+	setup(&f);
+	with_id.request_id = "X-Id";
+	f.in->dialect = &with_id;
+	f.view.service.idempotency_key = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char *answer = exchange_raw(&f, bad[i]);
+
+		g_test_message("%s", bad[i]);
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 400 "));
+		g_assert_nonnull(strstr(answer, "Outcome: not-run"));
+		/* Neither of two ids is known to be the request's. */
+		g_assert_null(strstr(answer, "X-Id"));
+		g_free(answer);
+	}
+	g_assert_cmpuint(f.target.runs, ==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(proper); i++) {
+		char *answer = exchange_raw(&f, proper[i]);
+
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200 "));
+		g_free(answer);
+	}
+	g_assert_cmpuint(f.target.runs, ==, G_N_ELEMENTS(proper));
+	teardown(&f);
+}
+
 /*
  * Guards against a proper request that is refused for one long header: the
  * operators' limit is on the whole head, 16,384 bytes.
@@ -1110,6 +1181,7 @@
 	g_test_add_func("/ingress/malformed_framing", test_malformed_framing);
 	g_test_add_func("/ingress/refused_line", test_refused_line);
 	g_test_add_func("/ingress/long_header", test_long_header);
+	g_test_add_func("/ingress/repeated_headers", test_repeated_headers);
 	g_test_add_func("/ingress/limits", test_limits);
 	g_test_add_func("/ingress/key", test_key);
 	g_test_add_func("/ingress/waits_for_owner", test_waits_for_owner);
