ingress: refuse a request that hides from the target what was read

A header that a request lists in Connection is not forwarded. If it was Host, the request was routed by it and reached the target with the target's address as Host; if it was the key's header, the request id or Idempotency-Key, the target got a request without the value that the daemon had acted on. RFC 9110, section 7.6.1, does not allow a sender to list fields that are meant for all recipients. Such a request is answered 400, not-run, with the check "connection". Other headers that are listed are dropped as before.

/ingress/listed_headers failed before (Host listed: served).

--- a/routing/ingress_parse.c
+++ b/routing/ingress_parse.c
@@ -8,6 +8,8 @@
 #include <strings.h>
 
 #define IN_MAX_DEADLINE_DIGITS 9
+/* Headers of a caller that both this daemon and the target read. */
+#define IN_ROUTER_READS 4
 /* Covers PEER_DEADLINE_MARGIN_MS and the way to a gate in another region. */
 #define IN_TIMEOUT_MARGIN_MS 60
 
@@ -255,6 +257,7 @@
 	size_t count;
 	unsigned framing_headers;
 	enum err error;
+	const char *read_by_router[IN_ROUTER_READS]; /* NULL: not read */
 };
 
 /* Headers that state the length of the body; two of them could disagree. */
@@ -281,24 +284,50 @@
 		buf_addf(&l->connection, "%s,", value);
 }
 
+static int is_read_by_router(const struct header_list *l, const char *name)
+{
+	for (size_t i = 0; i < IN_ROUTER_READS; i++) {
+		const char *read = l->read_by_router[i];
+
+		if (read && strcasecmp(name, read) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * Rejects a header that is listed in Connection and that this daemon reads: the
+ * target, which does not get it, would see another host, key or id.
+ */
 static void add_header(const char *name, const char *value, void *priv)
 {
 	struct header_list *l = priv;
 	struct in_request *q = l->q;
 	Wire__Header *h = &q->headers[q->forward.n_headers];
 
-	if (!hdr_is_forwardable(name, buf_text(&l->connection)))
+	if (!hdr_is_forwardable(name, buf_text(&l->connection))) {
+		if (hdr_is_forwardable(name, NULL) &&
+		    is_read_by_router(l, name))
+			l->error = refuse(q, ERR_MALFORMED, "connection");
 		return;
+	}
 	wire__header__init(h);
 	h->name = (char *)(uintptr_t)name;
 	h->value = (char *)(uintptr_t)value;
 	q->header_list[q->forward.n_headers++] = h;
 }
 
-static enum err parse_headers(struct in_request *q)
+static enum err parse_headers(struct in_request *q, const struct doc_service *s)
 {
 	struct header_list l = { .q = q };
 
+	l.read_by_router[0] = "Host";
+	l.read_by_router[1] = q->in->dialect->request_id;
+	if (s->keyed && s->key_source != DOC_KEY_SEGMENT)
+		l.read_by_router[2] = s->key_header;
+	if (s->idempotency_key)
+		l.read_by_router[3] = "Idempotency-Key";
+
 	buf_init(&l.connection);
 	httpd_each_header(q->http, check_header, &l);
 	if (l.error != ERR_OK)
@@ -393,7 +422,7 @@
 	if (e == ERR_OK)
 		e = parse_deadline(q, max_wait_ms(s, r));
 	if (e == ERR_OK)
-		e = parse_headers(q);
+		e = parse_headers(q, s);
 	if (e == ERR_OK)
 		fill_message(q, s, r);
 	return e;
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -455,6 +455,44 @@
 	teardown(&f);
 }
 
+#define LISTED(name)                                                  \
+	"GET /kiln/a HTTP/1.1\r\nHost: a\r\nConnection: close, " name \
+	"\r\nX-Id: 1\r\nX-Key: k\r\nIdempotency-Key: 2\r\nX-Hop: 3\r\n\r\n"
+
+/*
+ * Guards against a header that the daemon reads and withholds from the target:
+ * without its Host, a request reached the target with the address as Host.
+ */
+static void test_listed_headers(void)
+{
+	static const char *const bad[] = { LISTED("Host"), LISTED("x-id"),
+					   LISTED("X-Key"),
+					   LISTED("X-Hop,Idempotency-Key") };
+	struct dialect with_id = dialect_native;
+	struct fixture f;
+	char *answer;
+
+	setup(&f);
+	with_id.request_id = "X-Id";
+	f.in->dialect = &with_id;
+	f.view.service.idempotency_key = 1;
+	f.view.service.key_source = DOC_KEY_HEADER;
+	strcpy(f.view.service.key_header, "X-Key");
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		answer = exchange_raw(&f, bad[i]);
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 400 "));
+		g_free(answer);
+	}
+	g_assert_cmpuint(f.target.runs, ==, 0);
+	answer = exchange_raw(&f, LISTED("X-Hop"));
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200 "));
+	g_free(answer);
+	g_assert_nonnull(strstr(f.target.last_request, "\r\nHost: a\r\n"));
+	g_assert_nonnull(strstr(f.target.last_request, "\r\nX-Id: 1\r\n"));
+	g_assert_null(strstr(f.target.last_request, "X-Hop"));
+	teardown(&f);
+}
+
 /*
  * Guards against a proper request that is refused for one long header: the
  * operators' limit is on the whole head, 16,384 bytes.
@@ -1182,6 +1220,7 @@
 	g_test_add_func("/ingress/refused_line", test_refused_line);
 	g_test_add_func("/ingress/long_header", test_long_header);
 	g_test_add_func("/ingress/repeated_headers", test_repeated_headers);
+	g_test_add_func("/ingress/listed_headers", test_listed_headers);
 	g_test_add_func("/ingress/limits", test_limits);
 	g_test_add_func("/ingress/key", test_key);
 	g_test_add_func("/ingress/waits_for_owner", test_waits_for_owner);
