--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -1,4 +1,5 @@
 #include "transport/httpc.h"
+#include "common/clk.h"
 #include "common/guard.h"
 #include "common/step.h"
 #include "protocol/frame.h"
@@ -11,6 +12,9 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uthash.h>
 #include <utlist.h>
 
 /*
@@ -33,6 +37,18 @@
 	struct httpc_request *request; /* the last that used the socket */
 };
 
+struct httpc_connection {
+	int fd;
+	int64_t opened_ms;
+	unsigned answers;
+	/*
+	 * Bytes of these answers; -1 if one was sent in chunks, whose framing
+	 * is not counted.
+	 */
+	int64_t answer_bytes;
+	UT_hash_handle hh;
+};
+
 static void process_finished(struct httpc *c);
 static void end_request(struct httpc_request *r, enum err error);
 
@@ -71,10 +87,10 @@
 }
 
 /*
- * Returns the bytes that have been read from the socket since it was opened, or
- * -1 if the system does not tell.
+ * Returns the bytes that the socket has received since it was opened, or -1 if
+ * the system does not tell.
  */
-static int64_t count_read_bytes(int fd)
+static int64_t count_received_bytes(int fd)
 {
 	struct tcp_info info;
 	socklen_t len = sizeof(info);
@@ -84,8 +100,15 @@
 	    len < offsetof(struct tcp_info, tcpi_bytes_received) +
 			    sizeof(info.tcpi_bytes_received))
 		return -1;
-	return (int64_t)info.tcpi_bytes_received -
-	       (int64_t)count_pending_bytes(fd);
+	return (int64_t)info.tcpi_bytes_received;
+}
+
+/* The same for the bytes that have been read from it. */
+static int64_t count_read_bytes(int fd)
+{
+	int64_t received = count_received_bytes(fd);
+
+	return received < 0 ? -1 : received - (int64_t)count_pending_bytes(fd);
 }
 
 /*
@@ -169,6 +192,79 @@
 	end_event(c);
 }
 
+static struct httpc_connection *find_connection(struct httpc *c, int fd)
+{
+	struct httpc_connection *found;
+
+	HASH_FIND_INT(c->connections, &fd, found);
+	return found;
+}
+
+/* Opens a socket for libcurl, and notes it. */
+static curl_socket_t open_socket(void *priv, curlsocktype purpose,
+				 struct curl_sockaddr *address)
+{
+	struct httpc *c = priv;
+	struct httpc_connection *n = calloc(1, sizeof(*n));
+
+	(void)purpose;
+	if (!n)
+		return CURL_SOCKET_BAD;
+	n->fd = socket(address->family, address->socktype, address->protocol);
+	if (n->fd < 0) {
+		free(n);
+		return CURL_SOCKET_BAD;
+	}
+	n->opened_ms = clk_ms();
+	HASH_ADD_INT(c->connections, fd, n);
+	return n->fd;
+}
+
+/*
+ * Returns the bytes that were received since the last answer of an earlier
+ * request, or -1 if they are not known.
+ */
+static int64_t count_bytes_of_request(const struct httpc_connection *n)
+{
+	int64_t received = count_received_bytes(n->fd);
+
+	if (received < 0 || n->answer_bytes < 0)
+		return -1;
+	return received - n->answer_bytes;
+}
+
+static int close_socket(void *priv, curl_socket_t fd)
+{
+	struct httpc *c = priv;
+	struct httpc_connection *n = find_connection(c, fd);
+	struct httpc_request *r;
+
+	if (n) {
+		DL_FOREACH(c->requests, r) {
+			if (r->connection != n)
+				continue;
+			r->received_bytes = count_bytes_of_request(n);
+			r->connection = NULL;
+			r->connection_closed = 1;
+		}
+		HASH_DEL(c->connections, n);
+		free(n);
+	}
+	return close(fd);
+}
+
+static void set_connection(struct httpc_request *r, int fd)
+{
+	if (r->connection && r->connection->fd == fd)
+		return;
+	r->connection = find_connection(r->client, fd);
+	if (!r->connection)
+		return;
+	r->connection_closed = 0;
+	r->connection_answers = r->connection->answers;
+	r->connection_age_ms = clk_ms() - r->connection->opened_ms;
+}
+
 static int set_socket(CURL *easy, curl_socket_t fd, int what, void *priv,
 		      void *socket_priv)
 {
@@ -195,6 +291,8 @@
 		curl_multi_assign(c->multi, fd, w);
 	}
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &w->request);
+	if (is_started(c, w->request))
+		set_connection(w->request, fd);
 	if (what & CURL_POLL_IN)
 		events |= EV_READ;
 	if (what & CURL_POLL_OUT)
@@ -284,38 +382,10 @@
 	return len;
 }
 
-static int has_prefix(const char *line, size_t len, const char *prefix)
-{
-	size_t n = strlen(prefix);
-
-	return len >= n && strncasecmp(line, prefix, n) == 0;
-}
-
-static int is_chunked(const char *line, size_t len)
-{
-	static const char name[] = "Transfer-Encoding:";
-	static const char last[] = "chunked";
-	size_t n = sizeof(last) - 1;
-
-	if (!has_prefix(line, len, name))
-		return 0;
-	len -= sizeof(name) - 1;
-	line += sizeof(name) - 1;
-	return len >= n && strncasecmp(line + len - n, last, n) == 0;
-}
-
-static size_t trimmed_length(const char *line, size_t len)
-{
-	while (len && strchr(" \t\r\n", line[len - 1]))
-		len--;
-	return len;
-}
-
 static size_t on_header(char *line, size_t size, size_t count, void *priv)
 {
 	struct httpc_request *r = priv;
 	size_t len = size * count;
-	size_t text = trimmed_length(line, len);
 
 	note_progress(r);
 	r->head_bytes += len;
@@ -323,23 +393,11 @@
 		r->abort_error = ERR_TOO_LARGE;
 		return 0;
 	}
-	/* The final answer follows a 1xx answer, whose headers are dropped. */
-	if (has_prefix(line, text, "HTTP/")) {
-		buf_reset(&r->answer_headers);
-		r->framed = 0;
-		r->headers_done = 0;
-		return len;
-	}
-	if (!text)
-		r->headers_done = 1;
-	/* Trailers, which follow the empty line, are not headers. */
-	if (r->headers_done)
-		return len;
-	if (has_prefix(line, text, "Content-Length:") || is_chunked(line, text))
-		r->framed = 1;
-	if (buf_add(&r->answer_headers, line, text) != ERR_OK ||
-	    buf_add(&r->answer_headers, "\n", 1) != ERR_OK)
+	if (httpc_head_add(&r->head, line, len) != HTTPC_FAULT_NONE) {
+		r->fault = r->head.fault;
+		r->abort_error = ERR_MALFORMED;
 		return 0;
+	}
 	return len;
 }
 
@@ -364,7 +422,41 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-static enum err curl_result_to_err(const struct httpc_request *r, CURLcode code)
+/* Returns 1 if bytes that belong to no request came right behind the answer. */
+static int has_surplus(const struct httpc_request *r)
+{
+	int64_t received = r->connection ? count_bytes_of_request(r->connection)
+					 : r->received_bytes;
+	int64_t answer = (int64_t)(r->head_bytes + r->answer.len);
+
+	if (r->connection && count_pending_bytes(r->connection->fd))
+		return 1;
+	/* The close of the other side counts as one byte. */
+	if (received >= 0 && r->head.has_length)
+		return received > answer + 1;
+	/* libcurl closes the connection if it has read more than the answer. */
+	return r->connection_closed && httpc_head_is_framed(&r->head) &&
+	       !r->head.closes && !r->close_after;
+}
+
+/* Looks for a second answer behind the head of a whole answer. */
+static enum httpc_fault find_late_fault(const struct httpc_request *r)
+{
+	enum httpc_body_end end;
+
+	if (r->head.status != (unsigned)r->status)
+		return HTTPC_FAULT_STATUS_LINE;
+	if (r->ops->data)
+		return HTTPC_FAULT_NONE;
+	end = httpc_head_find_in_body(r->answer.data, r->answer.len, r->id_name,
+				      r->id);
+	if (end == HTTPC_BODY_HAS_ANSWER ||
+	    (end == HTTPC_BODY_IN_HEAD && has_surplus(r)))
+		return HTTPC_FAULT_BODY;
+	return HTTPC_FAULT_NONE;
+}
+
+static enum err curl_result_to_err(struct httpc_request *r, CURLcode code)
 {
 	if (r->abort_error != ERR_OK)
 		return r->abort_error;
@@ -381,19 +473,36 @@
 		return ERR_TOO_LARGE;
 	case CURLE_WEIRD_SERVER_REPLY:
 	case CURLE_UNSUPPORTED_PROTOCOL:
+		r->fault = HTTPC_FAULT_STATUS_LINE;
 		return ERR_MALFORMED;
 	default:
 		return r->status ? ERR_INCOMPLETE : ERR_CLOSED;
 	}
 	/* libcurl takes the end of the connection for the end of the head. */
-	if (r->status < 200 || !r->headers_done)
+	if (r->status < 200 || !r->head.complete)
 		return ERR_INCOMPLETE;
 	/* An unframed answer that was cut off looks like a whole one. */
-	if (!r->framed && !r->unframed_ok && guard_on(GUARD_FRAMING) &&
-	    r->status != 204 && r->status != 304 &&
+	if (!httpc_head_is_framed(&r->head) && !r->unframed_ok &&
+	    guard_on(GUARD_FRAMING) && r->status != 204 && r->status != 304 &&
 	    strcmp(r->method, "HEAD") != 0)
 		return ERR_INCOMPLETE;
-	return ERR_OK;
+	r->fault = find_late_fault(r);
+	return r->fault == HTTPC_FAULT_NONE ? ERR_OK : ERR_MALFORMED;
+}
+
+/* The connection has carried one answer more, unless it is closed. */
+static void note_connection(struct httpc_request *r)
+{
+	struct httpc_connection *n = r->connection;
+
+	if (!n)
+		return;
+	n->answers++;
+	/* Of a streamed body, the length is gone. */
+	if (!r->head.has_length || r->ops->data)
+		n->answer_bytes = -1;
+	else if (n->answer_bytes >= 0)
+		n->answer_bytes += (int64_t)(r->head_bytes + r->answer.len);
 }
 
 static void release_handle(struct httpc_request *r)
@@ -466,6 +575,7 @@
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &r);
 		read_status(r);
 		r->error = curl_result_to_err(r, code);
+		note_connection(r);
 		release_handle(r);
 		step_enter("httpc_done");
 		r->ops->done(r, r->priv);
@@ -592,6 +702,10 @@
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, r);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, r->client);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, r->client);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, r);
 	set_method(r);
@@ -607,8 +721,12 @@
 	r->send_started = 0;
 	r->reused_connection = 0;
 	r->status = 0;
-	r->framed = 0;
-	r->headers_done = 0;
+	r->fault = HTTPC_FAULT_NONE;
+	r->connection = NULL;
+	r->connection_closed = 0;
+	r->received_bytes = -1;
+	r->connection_age_ms = -1;
+	r->connection_answers = 0;
 	r->head_bytes = 0;
 	note_progress(r);
 	r->fd = -1;
@@ -616,6 +734,8 @@
 	r->header_list = NULL;
 	buf_init(&r->answer);
 	buf_init(&r->answer_headers);
+	httpc_head_init(&r->head, r->id_name, &r->answer_headers);
+	r->head.refuses_inner_line = r->sent_before;
 	r->easy = curl_easy_init();
 	if (!r->easy)
 		return ERR_NOMEM;
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -3,6 +3,7 @@
 
 #include "common/buf.h"
 #include "common/err.h"
+#include "transport/httpc_head.h"
 
 #include <curl/curl.h>
 #include <ev.h>
@@ -20,6 +21,9 @@
  * An answer is framed if it states its length or is sent in chunks. The end of
  * an unframed answer is the end of its connection, so that an answer that was
  * cut off cannot be told from a whole one.
+ *
+ * What the head of one answer is, httpc_head decides. Its faults are noted in
+ * the request.
  */
 
 #define HTTPC_MAX_HEADER_BYTES (64 * 1024)
@@ -32,8 +36,11 @@
  */
 #define HTTPC_MAX_COLLECTED_BYTES (24 * 1024 * 1024)
 
+struct httpc_connection;
+
 struct httpc {
 	struct ev_loop *loop;
+	struct httpc_connection *connections; /* open ones, a hash by socket */
 	size_t collected_bytes; /* in the answers of all requests */
 	int comes_back; /* libcurl has more to do for a request at once */
 	CURLM *multi;
@@ -92,6 +99,13 @@
 	int max_idle_seconds;
 	int close_after; /* close the connection after this request */
 	int unframed_ok; /* accept an unframed answer as whole */
+	/*
+	 * The header in which each answer repeats the request's id, and the id;
+	 * NULL if answers do not. Both must stay valid until the request ends.
+	 */
+	const char *id_name;
+	const char *id;
+	int sent_before; /* with this id, so that earlier answers have it too */
 
 	/*
 	 * Result, valid in done(). error is ERR_OK if the whole answer was
@@ -112,6 +126,10 @@
 	/* 1 if an earlier request may have used the connection. */
 	int reused_connection;
 	int status;		   /* HTTP status, 0 if none was received */
+	enum httpc_fault fault;	   /* why bytes were not taken as one answer */
+	int64_t connection_age_ms; /* -1 if it is not known */
+	/* Answers that the connection carried before this request. */
+	unsigned connection_answers;
 	struct buf answer;	   /* collected body */
 	struct buf answer_headers; /* "Name: value\n" lines */
 
@@ -120,8 +138,10 @@
 	CURL *easy;
 	struct curl_slist *header_list;
 	enum err abort_error;
-	int framed; /* the answer states its length or is sent in chunks */
-	int headers_done;
+	struct httpc_head head;
+	struct httpc_connection *connection; /* NULL: none, or closed */
+	int connection_closed;		     /* after the request was sent */
+	int64_t received_bytes;	 /* until it was closed; -1: not known */
 	size_t head_bytes;	 /* of all heads and trailers */
 	int fd;			 /* of the last event; -1: none */
 	unsigned unparsed_steps; /* since the last header or body byte */
