etcd: refuse an answer that is older than its call

An answer of the store has no id of the call that it is to. A store that writes an answer a second time, behind the next call on the same connection, had it taken for the answer to that call: a write was reported as done with the revision of the one before, whatever became of it, and each later call on the connection got the answer to the call before it. (If the second copy comes before the next call, libcurl does not use the connection again.)

Every answer has the store's revision. A read cannot be of a revision below the newest that was known when it was sent, and a transaction that puts a value makes a new one. An answer on a reused connection that breaks this, in the same era, is ERR_TIMEOUT now (may have taken effect), is logged as store_answer_old, and calls use new connections for a while, as after a timeout. On a new connection any revision is taken. What this does not find: a copy of the answer to a transaction that only deletes or failed, if nothing was written since, and answers about leases.

--- a/store/etcd.c
+++ b/store/etcd.c
@@ -32,6 +32,8 @@
 	enum call_kind kind;
 	struct httpc_request http;
 	char *body;
+	struct store_known known; /* when the call was sent */
+	int writes;		  /* a transaction that puts a value */
 	/*
 	 * Runs the callback from the loop, so that the callback may finish
 	 * the store.
@@ -67,8 +69,33 @@
 	free(c);
 }
 
+static void use_new_connections(struct etcd *e)
+{
+	e->new_connections_until_ms = clk_ms() + ETCD_NEW_CONNECTIONS_MS;
+}
+
+/*
+ * Returns the error of an answer with this revision: ERR_TIMEOUT if it is to an
+ * earlier call. Only a connection that carried one can bring it, and all later
+ * answers there are to earlier calls as well.
+ */
+static enum err check_revision(struct etcd_call *c, int64_t revision,
+			       uint64_t era, int wrote)
+{
+	if (c->http.reused_connection &&
+	    store_answer_is_old(&c->known, revision, era, wrote)) {
+		log_warn("store_answer_old", "revision=%lld known=%lld",
+			 (long long)revision, (long long)c->known.revision);
+		use_new_connections(c->e);
+		return ERR_TIMEOUT;
+	}
+	store_note_revision(&c->e->store.known, revision, era);
+	return ERR_OK;
+}
+
 static void deliver_range(struct etcd_call *c)
 {
+	static const struct store_range none;
 	struct store_range result = { 0 };
 	enum err e = c->error;
 
@@ -76,10 +103,12 @@
 	    etcd_json_read_range(c->http.answer.data, c->http.answer.len,
 				 &result) != ERR_OK)
 		e = ERR_TIMEOUT;
+	if (e == ERR_OK)
+		e = check_revision(c, result.revision, result.era, 0);
 	if (e != ERR_OK)
 		c->e->store.counts.failures++;
 	etcd_note_era(c->e, result.era);
-	c->fn.range(e, &result, c->priv);
+	c->fn.range(e, e == ERR_OK ? &result : &none, c->priv);
 	etcd_json_free_kvs(result.kvs, result.count);
 }
 
@@ -94,6 +123,8 @@
 	    etcd_json_read_txn(c->http.answer.data, c->http.answer.len,
 			       &succeeded, &revision, &era) != ERR_OK)
 		e = ERR_TIMEOUT;
+	if (e == ERR_OK)
+		e = check_revision(c, revision, era, succeeded && c->writes);
 	if (e != ERR_OK)
 		c->e->store.counts.failures++;
 	else if (!succeeded)
@@ -173,8 +204,7 @@
 	else
 		c->error = r->send_started ? ERR_TIMEOUT : ERR_STORE_DOWN;
 	if (r->send_started && r->error == ERR_TIMEOUT)
-		e->new_connections_until_ms =
-			clk_ms() + ETCD_NEW_CONNECTIONS_MS;
+		use_new_connections(e);
 	ev_timer_start(e->loop, &c->deliver);
 }
 
@@ -212,6 +242,7 @@
 	char *url;
 
 	c->body = body;
+	c->known = e->store.known;
 	if (!body) {
 		call_fail(c, ERR_STORE_DOWN);
 		return;
@@ -254,6 +285,16 @@
 	return 0;
 }
 
+/* The deletion of a key that does not exist makes no new revision. */
+static int has_value(const struct store_put *puts, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (puts[i].value)
+			return 1;
+	}
+	return 0;
+}
+
 static void etcd_txn(struct store *s, const struct store_compare *compares,
 		     size_t compare_count, const struct store_put *puts,
 		     size_t put_count, store_txn_fn fn, void *priv)
@@ -266,6 +307,7 @@
 		return;
 	}
 	s->counts.txns++;
+	c->writes = has_value(puts, put_count);
 	call_start(c, etcd_json_txn(compares, compare_count, puts, put_count));
 }
 
--- a/store/store.h
+++ b/store/store.h
@@ -157,12 +157,32 @@
 	void (*finish)(struct store *s);
 };
 
+/* The newest revision that an answer had, and its era. */
+struct store_known {
+	int64_t revision;
+	uint64_t era;
+};
+
 struct store {
 	const struct store_ops *ops;
 	struct store_counts counts;
 	uint64_t era; /* of the last answer; 0: none yet, or not told */
+	struct store_known known;
 };
 
+/*
+ * For drivers, whose answers carry no id: a store may write the answer to an
+ * earlier call once more, which arrives behind the next call on the same
+ * connection. Returns 1 if an answer of this revision and era cannot be to a
+ * call that was sent when known was known. wrote: the call has put a value,
+ * which makes a new revision.
+ */
+int store_answer_is_old(const struct store_known *known, int64_t revision,
+			uint64_t era, int wrote);
+/* Notes the revision and era of an answer. */
+void store_note_revision(struct store_known *known, int64_t revision,
+			 uint64_t era);
+
 /*
  * Opens a store that is etcd v3, reached over HTTP and JSON. endpoint is
  * "http://ADDRESS:PORT"; timeout_ms limits each call, but of a watch only the
--- a/test/unit/test_etcd.c
+++ b/test/unit/test_etcd.c
@@ -2,6 +2,7 @@
 #include "standins/common_relay.h"
 #include "standins/common_storesrv.h"
 #include "store/store.h"
+#include "test/unit/fake.h"
 
 #include <glib.h>
 #include <string.h>
@@ -683,6 +684,80 @@
 	assert_value(f, "a", "1");
 }
 
+#define ANSWER_HEAD "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+/* The answer to a transaction or a read, which carries no id of its call. */
+static char *etcd_answer(int revision)
+{
+	char *body =
+		g_strdup_printf("{\"header\":{\"revision\":\"%d\","
+				"\"cluster_id\":\"9\"},\"succeeded\":true}",
+				revision);
+	char *answer =
+		g_strdup_printf(ANSWER_HEAD "Content-Length: %zu\r\n\r\n%s",
+				strlen(body), body);
+
+	g_free(body);
+	return answer;
+}
+
+static void fake_setup(struct fixture *f, struct fake_target *t)
+{
+	fake_target_init(t, f->loop);
+	f->store->ops->finish(f->store);
+	f->store = open_store(f->loop, t->port);
+}
+
+/* Answers with what priv names, an array of texts by the number of the call. */
+static enum fake_mode answer_by_number(struct fake_target *t,
+				       const char *request)
+{
+	char **answers = t->priv;
+
+	(void)request;
+	t->answer = answers[t->runs - 1];
+	return t->answer[0] ? FAKE_ANSWER : FAKE_SILENT;
+}
+
+/*
+ * Guards against the answer to an earlier call that is taken for a call's own:
+ * a write that was lost or refused was reported as done.
+ */
+static void test_answer_twice(struct fixture *f, gconstpointer data)
+{
+	char *five = etcd_answer(5);
+	char *six = etcd_answer(6);
+	char *old = etcd_answer(4);
+	char *twice = g_strconcat(five, six, NULL);
+	char *late = g_strconcat(old, six, NULL);
+	char *answers[] = { five, twice, six, late, six };
+	struct fake_target t;
+
+	(void)data;
+	fake_setup(f, &t);
+	t.priv = answers;
+	t.choose = answer_by_number;
+	g_assert_cmpint(do_put(f, "a", "1", 0), ==, ERR_OK);
+	g_assert_cmpint(do_put(f, "a", "2", 0), ==, ERR_TIMEOUT);
+	g_assert_cmpuint(t.connections, ==, 1);
+	/* What comes on that connection later is behind by one call. */
+	g_assert_cmpint(do_put(f, "a", "3", 0), ==, ERR_OK);
+	g_assert_cmpuint(t.connections, ==, 2);
+	g_assert_cmpuint(f->store->counts.failures, ==, 1);
+	f->store->ops->finish(f->store);
+	f->store = open_store(f->loop, t.port);
+	t.runs = 0;
+	g_assert_cmpint(do_range(f, "a", 0).e, ==, ERR_OK);
+	t.runs = 3;
+	g_assert_cmpint(do_range(f, "a", 0).e, ==, ERR_TIMEOUT);
+	fake_target_finish(&t);
+	g_free(five);
+	g_free(six);
+	g_free(old);
+	g_free(twice);
+	g_free(late);
+}
+
 static const char *const malformed_messages[] = {
 	"{\n",
 	"\n",
@@ -759,6 +834,7 @@
 	add_test("/etcd/prefix", NULL, test_prefix);
 	add_test("/etcd/malformed", NULL, test_malformed);
 	add_test("/etcd/cut_answer", NULL, test_cut_answer);
+	add_test("/etcd/answer_twice", NULL, test_answer_twice);
 	add_test("/etcd/finish_in_callback", NULL, test_finish_in_callback);
 	add_test("/etcd/lease/expiry", NULL, test_lease_expiry);
 	add_test("/etcd/lease/unknown", NULL, test_lease_unknown);
