--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -5,6 +5,7 @@
 #include "platform/platform.h"
 #include "protocol/frame.h"
 #include "standins/common_kvsrv.h"
+#include "test/unit/fake.h"
 
 #include <glib.h>
 #include <string.h>
@@ -174,6 +175,71 @@
 	teardown(&f);
 }
 
+#define ERA "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n"
+#define WROTE_5 ERA "Content-Length: 14\r\n\r\n{\"revision\":5}"
+#define WROTE_6 ERA "Content-Length: 14\r\n\r\n{\"revision\":6}"
+#define READ_4                       \
+	ERA "Content-Length: 35\r\n" \
+	    "\r\n{\"at\":4,\"items\":[],\"hasMore\":false}"
+#define READ_5                       \
+	ERA "Content-Length: 35\r\n" \
+	    "\r\n{\"at\":5,\"items\":[],\"hasMore\":false}"
+
+/* Replaces the simulated store by one that answers with these texts. */
+static void fake_setup(struct fixture *f, struct fake_target *t)
+{
+	char endpoint[64];
+
+	setup(f);
+	f->store->ops->finish(f->store);
+	fake_target_init(t, f->loop);
+	g_snprintf(endpoint, sizeof(endpoint), "http://127.0.0.1:%u", t->port);
+	g_assert_cmpint(
+		kv_open(&f->store, f->loop, endpoint, CALL_TIMEOUT_MS, NULL),
+		==, ERR_OK);
+}
+
+static void fake_teardown(struct fixture *f, struct fake_target *t)
+{
+	fake_target_finish(t);
+	teardown(f);
+}
+
+static enum err read_error(struct fixture *f)
+{
+	struct result r = read_range(f, "a", 1);
+
+	g_free(r.keys);
+	return r.e;
+}
+
+/*
+ * Guards against the answer to an earlier call that is taken for a call's own:
+ * a write that was lost or refused was reported as done.
+ */
+static void test_answer_twice(void)
+{
+	struct fake_target t;
+	struct fixture f;
+
+	fake_setup(&f, &t);
+	t.answer = WROTE_5;
+	g_assert_cmpint(put_value(&f, "a", 0, 0).e, ==, ERR_OK);
+	t.answer = WROTE_5 WROTE_6;
+	g_assert_cmpint(put_value(&f, "a", 5, 0).e, ==, ERR_TIMEOUT);
+	g_assert_cmpuint(t.connections, ==, 1);
+	t.answer = WROTE_6;
+	g_assert_cmpint(put_value(&f, "a", 5, 0).e, ==, ERR_OK);
+	g_assert_cmpuint(t.connections, ==, 2);
+	fake_teardown(&f, &t);
+	fake_setup(&f, &t);
+	t.answer = READ_5;
+	g_assert_cmpint(read_error(&f), ==, ERR_OK);
+	t.answer = READ_4 READ_5;
+	g_assert_cmpint(read_error(&f), ==, ERR_TIMEOUT);
+	fake_teardown(&f, &t);
+}
+
 /*
  * Guards against an outage that is reported as a conflict or as success, and
  * against a write that is reported as not executed although it was. The store
@@ -614,6 +680,7 @@
 	g_test_add_func("/kv/txn", test_txn);
 	g_test_add_func("/kv/pages", test_pages);
 	g_test_add_func("/kv/outage", test_outage);
+	g_test_add_func("/kv/answer_twice", test_answer_twice);
 	g_test_add_func("/kv/too_many_entries", test_too_many_entries);
 	g_test_add_func("/platform/feed", test_feed);
 	g_test_add_func("/platform/restored_store", test_restored_store);
