test: answers of the platform's store that are joined or late

A part of an answer (a write, 412 or 503, at each length) followed by a whole one is ERR_TIMEOUT to the store driver's user, not a result; and a call that has timed out closes its connection, so that its late answer reaches no other call.

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -240,6 +240,65 @@
 	fake_teardown(&f, &t);
 }
 
+/*
+ * Guards against a part of one answer and a whole one that are read as one, at
+ * each length of the part: such an answer is no result, whatever its status.
+ */
+static void test_joined_answers(void)
+{
+	static const char *const parts[] = {
+		WROTE_5,
+		"HTTP/1.1 412 No\r\nStore-Era: 1\r\nContent-Length: 30\r\n\r\n"
+		"{\"error\":\"precondition\"}      ",
+		"HTTP/1.1 503 No\r\nStore-Era: 1\r\nContent-Length: 30\r\n\r\n"
+		"{\"error\":\"unavailable\"}       ",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		for (size_t len = 1; len < strlen(parts[i]); len++) {
+			struct fake_target t;
+			struct fixture f;
+			char *answer = g_strdup_printf("%.*s%s", (int)len,
+						       parts[i], WROTE_6);
+
+			fake_setup(&f, &t);
+			t.answer = answer;
+			g_test_message("part %zu, %zu bytes", i, len);
+			g_assert_cmpint(put_value(&f, "a", 0, 0).e, ==,
+					ERR_TIMEOUT);
+			fake_teardown(&f, &t);
+			g_free(answer);
+		}
+	}
+}
+
+static enum fake_mode silent_once(struct fake_target *t, const char *request)
+{
+	(void)request;
+	return t->runs == 1 ? FAKE_SILENT : FAKE_ANSWER;
+}
+
+/* Guards against a late answer that is read by the call after the timed-out. */
+static void test_late_answer(void)
+{
+	struct fake_target t;
+	struct fixture f;
+	int fd;
+
+	fake_setup(&f, &t);
+	t.choose = silent_once;
+	t.answer = WROTE_6;
+	g_assert_cmpint(put_value(&f, "a", 0, 0).e, ==, ERR_TIMEOUT);
+	fd = t.last_fd;
+	send(fd, WROTE_5, strlen(WROTE_5), MSG_NOSIGNAL);
+	run_for(f.loop, 0.05);
+	/* The driver has closed the connection of the call. */
+	g_assert_null(t.open[0]);
+	g_assert_cmpint(put_value(&f, "a", 0, 0).number, ==, 6);
+	g_assert_cmpuint(t.connections, ==, 2);
+	fake_teardown(&f, &t);
+}
+
 /*
  * Guards against an outage that is reported as a conflict or as success, and
  * against a write that is reported as not executed although it was. The store
@@ -681,6 +740,8 @@
 	g_test_add_func("/kv/pages", test_pages);
 	g_test_add_func("/kv/outage", test_outage);
 	g_test_add_func("/kv/answer_twice", test_answer_twice);
+	g_test_add_func("/kv/joined_answers", test_joined_answers);
+	g_test_add_func("/kv/late_answer", test_late_answer);
 	g_test_add_func("/kv/too_many_entries", test_too_many_entries);
 	g_test_add_func("/platform/feed", test_feed);
 	g_test_add_func("/platform/restored_store", test_restored_store);
