daemon: refuse a leave call whose body was cut

A leave call (/deregister on the platform) names the run of the target by "born" in its body. A body that is no JSON was taken for one that names no run: a call whose body was cut and followed by the next call of the connection, a heartbeat for instance, ended the run that the daemon knew, whichever the call had named, and the target got no more requests.

A body that begins as an object and is none, or begins with the next call, is answered 400 now. As the start of the next call behind such a body is not certain, that answer, and the one to a malformed announcement, close the connection. Leave calls with an empty body, another JSON value or other text are taken as before.

/platform/cut_leave and the run odd-announcements failed before: the cut call was answered 200, and the target was not served afterwards.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -13,16 +13,21 @@
  */
 #define CONTROL_BORN_AHEAD_MS ((int64_t)24 * 3600 * 1000)
 
+/* The connection ends: the start of the next call on it is not certain. */
 static void answer_malformed(struct httpd_request *r,
 			     const struct err_info *info)
 {
+	static const struct httpd_header headers[] = {
+		{ "Content-Type", "text/plain" }, { "Connection", "close" }
+	};
 	struct buf b;
 
 	log_warn("announcement_malformed", "error=%s detail=%s",
 		 err_name(info->code), LOG_Q(info->detail));
 	buf_init(&b);
 	buf_addf(&b, "%s: %s\n", err_name(info->code), info->detail);
-	httpd_answer_text(r, 400, "text/plain", buf_text(&b));
+	httpd_answer(r, 400, headers, sizeof(headers) / sizeof(headers[0]),
+		     buf_text(&b), strlen(buf_text(&b)));
 	buf_finish(&b);
 }
 
@@ -80,6 +85,12 @@
 	if (n->interface->read_leave)
 		born_ms = n->interface->read_leave(buf_text(&r->body),
 						   r->body.len);
+	/* Taken without its time, it would end a later run of the target. */
+	if (born_ms < 0) {
+		err_set(&info, ERR_MALFORMED, "no whole object");
+		answer_malformed(r, &info);
+		return;
+	}
 	if (node_is_born_ahead(born_ms)) {
 		err_set(&info, ERR_RANGE, "start: in the future");
 		answer_malformed(r, &info);
--- a/daemon/interface.h
+++ b/daemon/interface.h
@@ -94,7 +94,8 @@
 				      struct err_info *info);
 	/*
 	 * Returns the wall-clock time at which the run that makes a leave call
-	 * with this body started; 0: not stated. NULL: it never is.
+	 * with this body started; 0: not stated; -1: the body is not whole.
+	 * NULL: it never is stated.
 	 */
 	int64_t (*read_leave)(const char *text, size_t len);
 	/* Appends the encoded answer to out. */
--- a/test/run/odd-announcements.sh
+++ b/test/run/odd-announcements.sh
@@ -48,3 +48,11 @@
 announce "start in the far future" i-2 \
 	"$(fields $own desk 9223372036854775807)"
 announce "start in two days" i-2 "$(fields $own desk $((now + 172800000)))"
+
+# What follows a body that was cut may be the rest of the next call.
+printf '{"bornPOST /api/instances/i-2/heartbeat' |
+	curl -s -o /dev/null -D - --data-binary @- \
+		"http://127.0.0.1:$((PORT + 21))/api/instances/i-2/deregister" |
+	tr -d '\r' | grep -E '^(HTTP|Connection)'
+sleep 1
+is_served && echo "cut leave call: served" || echo "cut leave call: not served"
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -707,6 +707,33 @@
 			==, TARGET_CALL_NONE);
 }
 
+/*
+ * Guards against a leave call that is taken without its time because its body
+ * was cut and followed by the next call: it ended a later run of the target.
+ */
+static void test_cut_leave(void)
+{
+	static const char whole[] = "{\"born\": 1700000000000}";
+	static const char next[] = "POST /api/instances/i-7/heartbeat HTTP/1.1"
+				   "\r\nHost: a\r\n\r\n{}";
+
+	for (size_t len = 0; len < strlen(whole); len++) {
+		char *body = g_strdup_printf("%.*s%s", (int)len, whole, next);
+
+		g_assert_cmpint(platform_read_leave(body, strlen(whole)), ==,
+				-1);
+		g_assert_cmpint(platform_read_leave(body, strlen(body)), ==,
+				-1);
+		g_free(body);
+	}
+	g_assert_cmpint(platform_read_leave(whole, strlen(whole)), ==,
+			1700000000000);
+	g_assert_cmpint(platform_read_leave("", 0), ==, 0);
+	g_assert_cmpint(platform_read_leave("{}", 2), ==, 0);
+	g_assert_cmpint(platform_read_leave("null", 4), ==, 0);
+	g_assert_cmpint(platform_read_leave("bye", 3), ==, 0);
+}
+
 /*
  * Guards against an answer that renews holds although none are given, and
  * against encoding rows wrongly.
@@ -752,6 +779,7 @@
 	g_test_add_func("/platform/malformed_announcements",
 			test_malformed_announcements);
 	g_test_add_func("/platform/target_calls", test_target_calls);
+	g_test_add_func("/platform/cut_leave", test_cut_leave);
 	g_test_add_func("/platform/answer", test_answer);
 	return g_test_run();
 }
