httpd: refuse a second request line in front of the Host

A caller that sends other headers before the Host, and writes a part of a request's head and then its next request, had both read as one: the request line of the second was part of the value in which the first was cut, and there was one Host. The server dispatched the method and target of the first with the Host, id and body of the second.

A value in front of the Host that ends in a request line is refused (400, check "request_line", connection closed) if the line stands at the end of another word, as in "fiGET /b HTTP/1.1", or if the same header follows once more, as it does when both requests are by one caller. A header that quotes a request line is served as before. A cut right behind the blank of a header that the second request lacks cannot be told from such a quotation, and is served.

/httpd/cut_head with a second head, whose Host comes late, failed before; /httpd/quoted_request_line passed before and does now.

--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -653,28 +653,64 @@
 	teardown(&f);
 }
 
-static const char cut_request[] =
+/* The second has its Host behind the headers in which it is cut. */
+static const char *const cut_requests[] = {
 	"POST /1 HTTP/1.1\r\nHost: a.example:80\r\nX-Id: first\r\n"
-	"Accept: */*\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\n";
+	"Accept: */*\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\n",
+	"POST /1 HTTP/1.1\r\nX-Id: first\r\nAccept: */*\r\n"
+	"User-Agent: a (b; c)\r\nContent-Type: text/plain\r\n"
+	"Host: a.example:80\r\nContent-Length: 3\r\n\r\n",
+};
 
 /* Guards against a request that is served with the head of another one. */
 static void test_cut_head(void)
 {
-	for (size_t len = 1; len < sizeof(cut_request) - 1; len++) {
-		char *text = g_strdup_printf("%.*s%sabc", (int)len, cut_request,
-					     cut_request);
-		struct fixture f;
+	for (size_t i = 0; i < G_N_ELEMENTS(cut_requests); i++) {
+		const char *request = cut_requests[i];
+
+		for (size_t len = 1; len < strlen(request); len++) {
+			char *text = g_strdup_printf("%.*s%sabc", (int)len,
+						     request, request);
+			struct fixture f;
+
+			setup(&f, NULL);
+			f.answer_at_once = 1;
+			g_test_message("request %zu, %zu bytes", i, len);
+			fake_write(f.fd, text);
+			wait_closed(&f);
+			g_assert_cmpuint(f.requests, ==, 0);
+			g_assert_cmpuint(f.rejected, ==, 1);
+			teardown(&f);
+			g_free(text);
+		}
+	}
+}
 
-		setup(&f, NULL);
-		f.answer_at_once = 1;
-		g_test_message("%zu bytes", len);
-		fake_write(f.fd, text);
-		wait_closed(&f);
-		g_assert_cmpuint(f.requests, ==, 0);
-		g_assert_cmpuint(f.rejected, ==, 1);
-		teardown(&f);
-		g_free(text);
+/* Guards against proper headers that are taken for a second request. */
+static void test_quoted_request_line(void)
+{
+	static const char *const headers[] = {
+		"X-Line: GET /a HTTP/1.1\r\nHost: a\r\n",
+		"X-Log: a=GET /a HTTP/1.1\r\nHost: a\r\n",
+		"X-Log: \"GET /a HTTP/1.1\"\r\nX-Log: b\r\nHost: a\r\n",
+		"X-Log: aGET /a HTTP/1.1 b\r\nHost: a\r\n",
+		"X-Log: a HTTP/1.1\r\nX-Log: / HTTP/1.1\r\nHost: a\r\n",
+		"Host: a\r\nX-Log: GET /a HTTP/1.1\r\nX-Log: b\r\n",
+		"Via: HTTP/1.1 a\r\nVia: 1.1 b\r\nHost: a\r\n",
+	};
+	struct fixture f;
+
+	setup(&f, NULL);
+	f.answer_at_once = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(headers); i++) {
+		fake_write(f.fd, "GET /1 HTTP/1.1\r\n");
+		fake_write(f.fd, headers[i]);
+		fake_write(f.fd, "\r\n");
 	}
+	wait_answers(&f, G_N_ELEMENTS(headers));
+	g_assert_cmpuint(count_text(&f, "HTTP/1.1 200 "), ==,
+			 G_N_ELEMENTS(headers));
+	teardown(&f);
 }
 
 #define CODED(coding, version)                                 \
@@ -821,6 +857,7 @@
 	g_test_add_func("/httpd/two_hosts", test_two_hosts);
 	g_test_add_func("/httpd/proper_hosts", test_proper_hosts);
 	g_test_add_func("/httpd/cut_head", test_cut_head);
+	g_test_add_func("/httpd/quoted_request_line", test_quoted_request_line);
 	g_test_add_func("/httpd/coding", test_coding);
 	g_test_add_func("/httpd/trailers", test_trailers);
 	g_test_add_func("/httpd/slow_head", test_slow_head);
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -49,7 +49,7 @@
 	/*
 	 * What found that: the parser's name, e.g. "HPE_INVALID_METHOD", or a
 	 * check of the server: "line" (a line does not end as it must, or
-	 * states no size of a chunk), "host", "host_twice",
+	 * states no size of a chunk), "host", "host_twice", "request_line",
 	 * "transfer_encoding", "trailer"; else NULL.
 	 */
 	const char *parser_error;
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -302,6 +302,71 @@
 	return count > 1 ? refuse(r, "host_twice") : ERR_OK;
 }
 
+/*
+ * Returns where a request line starts that ends with the text, or NULL. The
+ * method may have other characters before it.
+ */
+static const char *find_request_line(const char *text)
+{
+	static const char *const methods[] = { "GET",	 "HEAD",  "POST",
+					       "PUT",	 "PATCH", "DELETE",
+					       "OPTIONS" };
+	static const char version[] = " HTTP/1.";
+	size_t len = strlen(text);
+	size_t end = sizeof(version); /* with the digit */
+	const char *target;
+
+	if (len <= end ||
+	    memcmp(text + len - end, version, sizeof(version) - 1) != 0)
+		return NULL;
+	target = memrchr(text, ' ', len - end);
+	if (!target || target[1] != '/')
+		return NULL;
+	for (size_t i = 0; i < sizeof(methods) / sizeof(methods[0]); i++) {
+		size_t n = strlen(methods[i]);
+
+		if ((size_t)(target - text) >= n &&
+		    memcmp(target - n, methods[i], n) == 0)
+			return target - n;
+	}
+	return NULL;
+}
+
+static int is_repeated(const struct httpd_request *r, size_t field)
+{
+	const char *name = text_at(r, r->fields[field].name);
+
+	for (size_t i = field + 1; i < r->field_count; i++) {
+		if (strcasecmp(text_at(r, r->fields[i].name), name) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * Finds the request line of a second request in the value in which the first
+ * was cut. In front of the Host it is the only sign of it; it counts if it
+ * stands at the end of a word, or if the cut header comes again. A header that
+ * quotes a request line does neither.
+ */
+static enum err check_request_lines(struct httpd_request *r)
+{
+	for (size_t i = 0; i < r->field_count; i++) {
+		const char *value = text_at(r, r->fields[i].value);
+		const char *line;
+
+		if (strcasecmp(text_at(r, r->fields[i].name), "Host") == 0)
+			return ERR_OK;
+		line = find_request_line(value);
+		if (!line)
+			continue;
+		if ((line > value && !strchr(" \t\"'(,;:=", line[-1])) ||
+		    is_repeated(r, i))
+			return refuse(r, "request_line");
+	}
+	return ERR_OK;
+}
+
 /*
  * The server removes no other coding than chunked, and a reader of HTTP/1.0
  * knows none (RFC 9112, section 6.1).
@@ -347,7 +412,8 @@
 		return result(c, ERR_MALFORMED);
 	if (exceeds_body_limit(p, c->server))
 		return result(c, ERR_TOO_LARGE);
-	if (check_host(r) != ERR_OK || check_coding(r) != ERR_OK)
+	if (check_host(r) != ERR_OK || check_request_lines(r) != ERR_OK ||
+	    check_coding(r) != ERR_OK)
 		return result(c, ERR_MALFORMED);
 	r->expects_continue = expects_continue(r);
 	if (r->expects_continue && !c->requests)
