--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -492,6 +492,274 @@
 	teardown(&f);
 }
 
+/* Sends the text at once, or a byte at a time. */
+static void send_text(struct fixture *f, const char *text, int by_bytes)
+{
+	for (; by_bytes && *text; text++) {
+		/* The server may have closed the connection already. */
+		send(f->fd, text, 1, MSG_NOSIGNAL);
+		fake_pause(f->loop, 0);
+	}
+	if (*text)
+		fake_write(f->fd, text);
+}
+
+/* Checks that the requests are refused, and nothing behind them is read. */
+static void expect_refused(const char *const *texts, size_t count)
+{
+	for (size_t i = 0; i < 2 * count; i++) {
+		struct fixture f;
+
+		setup(&f, NULL);
+		f.answer_at_once = 1;
+		g_test_message("text %zu, by bytes: %d", i / 2, (int)(i % 2));
+		send_text(&f, texts[i / 2], i % 2);
+		wait_closed(&f);
+		g_assert_cmpuint(f.requests, ==, 0);
+		g_assert_cmpuint(f.rejected, ==, 1);
+		g_assert_true(
+			g_str_has_prefix(f.received->str, "HTTP/1.1 400 "));
+		g_assert_cmpuint(count_text(&f, "HTTP/1.1 "), ==, 1);
+		g_assert_cmpuint(count_text(&f, "Connection: close"), ==, 1);
+		teardown(&f);
+	}
+}
+
+#define CHUNKED                           \
+	"POST /1 HTTP/1.1\r\nHost: a\r\n" \
+	"Transfer-Encoding: chunked\r\n\r\n"
+
+/*
+ * Guards against a body whose end another reader finds elsewhere: http_parser
+ * took any bytes for the end of a chunk and any byte for the last line feed of
+ * a head, and read on behind them.
+ */
+static void test_line_ends(void)
+{
+	static const char *const texts[] = {
+		CHUNKED "3\r\nabcXX0\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\rX0\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3\rXabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3;a\rXabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3;a\nb\r\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3;a\x01\r\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3 5\r\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3 5;a\r\nabc\r\n0\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\n\rX" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\rX\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\r\n\rX" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\r\n\r" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\rX-A: b\r\n\r\n" GET("/2"),
+		"\r" GET("/1"),
+	};
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+}
+
+/* Guards against proper requests that the check of the lines refuses. */
+static void test_proper_lines(void)
+{
+	static const char *const texts[] = {
+		CHUNKED "3;a=\"b;\xc3\xa4\t\";c\r\nabc\r\n0;x\r\n\r\n",
+		CHUNKED "3 ; a = b\r\nabc\r\n0\r\n\r\n",
+		CHUNKED "3   \r\nabc\r\n00\r\n\r\n",
+		CHUNKED "0003\r\nabc\r\n0\r\nX-T: a\r\nX-U:\r\n\r\n",
+		CHUNKED "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+		"\r\n\r\nPOST /1 HTTP/1.1\r\nHost: a\r\n"
+		"Content-Length: 3\r\n\r\nabc",
+		"POST /1 HTTP/1.1\nHost: a\nContent-Length: 3\n\nabc",
+		"POST /1 HTTP/1.1\r\nHost: a\r\nX-A:\r\nX-B: b\tc \r\n"
+		"Content-Length: 3\r\n\r\nabc",
+	};
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(texts); i++) {
+		struct fixture f;
+
+		setup(&f, NULL);
+		g_test_message("text %zu, by bytes: %d", i / 2, (int)(i % 2));
+		send_text(&f, texts[i / 2], i % 2);
+		fake_write(f.fd, GET("/2"));
+		wait_requests(&f, 2);
+		g_assert_cmpstr(buf_text(&f.held[0]->body), ==, "abc");
+		g_assert_cmpstr(f.held[1]->path, ==, "/2");
+		g_assert_cmpuint(f.rejected, ==, 0);
+		teardown(&f);
+	}
+}
+
+/*
+ * Guards against blanks behind a value that are read as part of it (RFC 9112,
+ * section 5.1): "k" and "k " were two keys, and an id with a blank was not the
+ * one that the target repeated.
+ */
+static void test_blanks_around_values(void)
+{
+	struct fixture f;
+
+	setup(&f, NULL);
+	fake_write(f.fd, "GET /1 HTTP/1.1\r\nHost: a \r\nX-A: \t b c \t\r\n"
+			 "X-B: \t\r\nX-C: d\r\n\r\n" GET("/2"));
+	wait_requests(&f, 2);
+	g_assert_cmpstr(httpd_get_header(f.held[0], "Host"), ==, "a");
+	g_assert_cmpstr(httpd_get_header(f.held[0], "X-A"), ==, "b c");
+	g_assert_cmpstr(httpd_get_header(f.held[0], "X-B"), ==, "");
+	g_assert_cmpstr(httpd_get_header(f.held[0], "X-C"), ==, "d");
+	teardown(&f);
+}
+
+/*
+ * Guards against two requests that are read as one, the first of which was cut
+ * behind its Host: method and target of the first were dispatched with the
+ * headers of the second. The server read the first Host, others read the last.
+ */
+static void test_two_hosts(void)
+{
+	static const char *const texts[] = {
+		"GET /1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\r\nhost: a\r\n\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost:" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a\r\nX-A: b" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: aGET /2 HTTP/1.1\r\nX-A: b\r\n\r\n",
+		"GET /1 HTTP/1.1\r\nHost: a\r\n b\r\n\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a/b\r\n\r\n" GET("/2"),
+		"GET /1 HTTP/1.1\r\nHost: a@b\r\n\r\n" GET("/2"),
+	};
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+}
+
+/* Guards against proper hosts that are refused. */
+static void test_proper_hosts(void)
+{
+	static const char *const hosts[] = {
+		"Host: a\r\n", "Host: a-b_c.d:8080\r\n", "Host: [::1]:80\r\n",
+		"Host:\r\n",   "Host:  a \r\n",		 "",
+	};
+	struct fixture f;
+
+	setup(&f, NULL);
+	f.answer_at_once = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+		fake_write(f.fd, "GET /1 HTTP/1.1\r\n");
+		fake_write(f.fd, hosts[i]);
+		fake_write(f.fd, "\r\n");
+	}
+	wait_answers(&f, G_N_ELEMENTS(hosts));
+	g_assert_cmpuint(count_text(&f, "HTTP/1.1 200 "), ==,
+			 G_N_ELEMENTS(hosts));
+	teardown(&f);
+}
+
+/* The second has its Host behind the headers in which it is cut. */
+static const char *const cut_requests[] = {
+	"POST /1 HTTP/1.1\r\nHost: a.example:80\r\nX-Id: first\r\n"
+	"Accept: */*\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\n",
+	"POST /1 HTTP/1.1\r\nX-Id: first\r\nAccept: */*\r\n"
+	"User-Agent: a (b; c)\r\nContent-Type: text/plain\r\n"
+	"Host: a.example:80\r\nContent-Length: 3\r\n\r\n",
+};
+
+/* Guards against a request that is served with the head of another one. */
+static void test_cut_head(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cut_requests); i++) {
+		const char *request = cut_requests[i];
+
+		for (size_t len = 1; len < strlen(request); len++) {
+			char *text = g_strdup_printf("%.*s%sabc", (int)len,
+						     request, request);
+			struct fixture f;
+
+			setup(&f, NULL);
+			f.answer_at_once = 1;
+			g_test_message("request %zu, %zu bytes", i, len);
+			fake_write(f.fd, text);
+			wait_closed(&f);
+			g_assert_cmpuint(f.requests, ==, 0);
+			g_assert_cmpuint(f.rejected, ==, 1);
+			teardown(&f);
+			g_free(text);
+		}
+	}
+}
+
+/* Guards against proper headers that are taken for a second request. */
+static void test_quoted_request_line(void)
+{
+	static const char *const headers[] = {
+		"X-Line: GET /a HTTP/1.1\r\nHost: a\r\n",
+		"X-Log: a=GET /a HTTP/1.1\r\nHost: a\r\n",
+		"X-Log: \"GET /a HTTP/1.1\"\r\nX-Log: b\r\nHost: a\r\n",
+		"X-Log: aGET /a HTTP/1.1 b\r\nHost: a\r\n",
+		"X-Log: a HTTP/1.1\r\nX-Log: / HTTP/1.1\r\nHost: a\r\n",
+		"Host: a\r\nX-Log: GET /a HTTP/1.1\r\nX-Log: b\r\n",
+		"Via: HTTP/1.1 a\r\nVia: 1.1 b\r\nHost: a\r\n",
+	};
+	struct fixture f;
+
+	setup(&f, NULL);
+	f.answer_at_once = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(headers); i++) {
+		fake_write(f.fd, "GET /1 HTTP/1.1\r\n");
+		fake_write(f.fd, headers[i]);
+		fake_write(f.fd, "\r\n");
+	}
+	wait_answers(&f, G_N_ELEMENTS(headers));
+	g_assert_cmpuint(count_text(&f, "HTTP/1.1 200 "), ==,
+			 G_N_ELEMENTS(headers));
+	teardown(&f);
+}
+
+#define CODED(coding, version)                                 \
+	"POST /1 HTTP/" version "\r\nHost: a\r\n"              \
+	"Connection: keep-alive\r\nTransfer-Encoding: " coding \
+	"\r\n\r\n3\r\nabc\r\n0\r\n\r\n" GET("/2")
+
+/*
+ * Guards against a body in a coding that nobody removes: it was passed on
+ * without the header that names the coding. And against chunks of a caller that
+ * speaks HTTP/1.0, where a relay before the server does not know them.
+ */
+static void test_coding(void)
+{
+	static const char *const texts[] = {
+		CODED("gzip, chunked", "1.1"),
+		CODED("gzip,\r\n chunked", "1.1"),
+		CODED("chunked, chunked", "1.1"),
+		CODED("chunked, gzip", "1.1"),
+		CODED("identity", "1.1"),
+		CODED("", "1.1"),
+		CODED("chunked", "1.0"),
+		CODED("gzip\r\nTransfer-Encoding: chunked", "1.1"),
+		CODED("chunked\r\nTransfer-Encoding: chunked", "1.1"),
+	};
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+}
+
+/*
+ * Guards against a request whose head is lost among the trailers of one that
+ * was cut there: the caller takes the answer to the first for its answer.
+ */
+static void test_trailers(void)
+{
+	static const char *const texts[] = {
+		CHUNKED "3\r\nabc\r\n0\r\nX-T: " GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nX-T: a\r\nX-U: b" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nX-T" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nhost: a\r\n\r\n",
+		CHUNKED "3\r\nabc\r\n0\r\nContent-Length: 3\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nTransfer-Encoding:\r\n\r\n" GET("/2"),
+		CHUNKED "3\r\nabc\r\n0\r\nX T: a\r\n\r\n" GET("/2"),
+	};
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+}
+
 /* Guards against a caller that keeps a connection by a byte now and then. */
 static void test_slow_head(void)
 {
@@ -582,6 +850,16 @@
 	g_test_add_func("/httpd/slow_reader", test_slow_reader);
 	g_test_add_func("/httpd/continue", test_continue);
 	g_test_add_func("/httpd/bounds", test_bounds);
+	g_test_add_func("/httpd/line_ends", test_line_ends);
+	g_test_add_func("/httpd/proper_lines", test_proper_lines);
+	g_test_add_func("/httpd/blanks_around_values",
+			test_blanks_around_values);
+	g_test_add_func("/httpd/two_hosts", test_two_hosts);
+	g_test_add_func("/httpd/proper_hosts", test_proper_hosts);
+	g_test_add_func("/httpd/cut_head", test_cut_head);
+	g_test_add_func("/httpd/quoted_request_line", test_quoted_request_line);
+	g_test_add_func("/httpd/coding", test_coding);
+	g_test_add_func("/httpd/trailers", test_trailers);
 	g_test_add_func("/httpd/slow_head", test_slow_head);
 	g_test_add_func("/httpd/finish", test_finish);
 	g_test_add_func("/httpd/quiesce", test_quiesce);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -5,6 +5,7 @@
 #include "platform/platform.h"
 #include "protocol/frame.h"
 #include "standins/common_kvsrv.h"
+#include "test/unit/fake.h"
 
 #include <glib.h>
 #include <string.h>
@@ -174,6 +175,130 @@
 	teardown(&f);
 }
 
+#define ERA "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n"
+#define WROTE_5 ERA "Content-Length: 14\r\n\r\n{\"revision\":5}"
+#define WROTE_6 ERA "Content-Length: 14\r\n\r\n{\"revision\":6}"
+#define READ_4                       \
+	ERA "Content-Length: 35\r\n" \
+	    "\r\n{\"at\":4,\"items\":[],\"hasMore\":false}"
+#define READ_5                       \
+	ERA "Content-Length: 35\r\n" \
+	    "\r\n{\"at\":5,\"items\":[],\"hasMore\":false}"
+
+/* Replaces the simulated store by one that answers with these texts. */
+static void fake_setup(struct fixture *f, struct fake_target *t)
+{
+	char endpoint[64];
+
+	setup(f);
+	f->store->ops->finish(f->store);
+	fake_target_init(t, f->loop);
+	g_snprintf(endpoint, sizeof(endpoint), "http://127.0.0.1:%u", t->port);
+	g_assert_cmpint(
+		kv_open(&f->store, f->loop, endpoint, CALL_TIMEOUT_MS, NULL),
+		==, ERR_OK);
+}
+
+static void fake_teardown(struct fixture *f, struct fake_target *t)
+{
+	fake_target_finish(t);
+	teardown(f);
+}
+
+static enum err read_error(struct fixture *f)
+{
+	struct result r = read_range(f, "a", 1);
+
+	g_free(r.keys);
+	return r.e;
+}
+
+/*
+ * Guards against the answer to an earlier call that is taken for a call's own:
+ * a write that was lost or refused was reported as done.
+ */
+static void test_answer_twice(void)
+{
+	struct fake_target t;
+	struct fixture f;
+
+	fake_setup(&f, &t);
+	t.answer = WROTE_5;
+	g_assert_cmpint(put_value(&f, "a", 0, 0).e, ==, ERR_OK);
+	t.answer = WROTE_5 WROTE_6;
+	g_assert_cmpint(put_value(&f, "a", 5, 0).e, ==, ERR_TIMEOUT);
+	g_assert_cmpuint(t.connections, ==, 1);
+	t.answer = WROTE_6;
+	g_assert_cmpint(put_value(&f, "a", 5, 0).e, ==, ERR_OK);
+	g_assert_cmpuint(t.connections, ==, 2);
+	fake_teardown(&f, &t);
+	fake_setup(&f, &t);
+	t.answer = READ_5;
+	g_assert_cmpint(read_error(&f), ==, ERR_OK);
+	t.answer = READ_4 READ_5;
+	g_assert_cmpint(read_error(&f), ==, ERR_TIMEOUT);
+	fake_teardown(&f, &t);
+}
+
+/*
+ * Guards against a part of one answer and a whole one that are read as one, at
+ * each length of the part: such an answer is no result, whatever its status.
+ */
+static void test_joined_answers(void)
+{
+	static const char *const parts[] = {
+		WROTE_5,
+		"HTTP/1.1 412 No\r\nStore-Era: 1\r\nContent-Length: 30\r\n\r\n"
+		"{\"error\":\"precondition\"}      ",
+		"HTTP/1.1 503 No\r\nStore-Era: 1\r\nContent-Length: 30\r\n\r\n"
+		"{\"error\":\"unavailable\"}       ",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		for (size_t len = 1; len < strlen(parts[i]); len++) {
+			struct fake_target t;
+			struct fixture f;
+			char *answer = g_strdup_printf("%.*s%s", (int)len,
+						       parts[i], WROTE_6);
+
+			fake_setup(&f, &t);
+			t.answer = answer;
+			g_test_message("part %zu, %zu bytes", i, len);
+			g_assert_cmpint(put_value(&f, "a", 0, 0).e, ==,
+					ERR_TIMEOUT);
+			fake_teardown(&f, &t);
+			g_free(answer);
+		}
+	}
+}
+
+static enum fake_mode silent_once(struct fake_target *t, const char *request)
+{
+	(void)request;
+	return t->runs == 1 ? FAKE_SILENT : FAKE_ANSWER;
+}
+
+/* Guards against a late answer that is read by the call after the timed-out. */
+static void test_late_answer(void)
+{
+	struct fake_target t;
+	struct fixture f;
+	int fd;
+
+	fake_setup(&f, &t);
+	t.choose = silent_once;
+	t.answer = WROTE_6;
+	g_assert_cmpint(put_value(&f, "a", 0, 0).e, ==, ERR_TIMEOUT);
+	fd = t.last_fd;
+	send(fd, WROTE_5, strlen(WROTE_5), MSG_NOSIGNAL);
+	run_for(f.loop, 0.05);
+	/* The driver has closed the connection of the call. */
+	g_assert_null(t.open[0]);
+	g_assert_cmpint(put_value(&f, "a", 0, 0).number, ==, 6);
+	g_assert_cmpuint(t.connections, ==, 2);
+	fake_teardown(&f, &t);
+}
+
 /*
  * Guards against an outage that is reported as a conflict or as success, and
  * against a write that is reported as not executed although it was. The store
@@ -582,6 +707,33 @@
 			==, TARGET_CALL_NONE);
 }
 
+/*
+ * Guards against a leave call that is taken without its time because its body
+ * was cut and followed by the next call: it ended a later run of the target.
+ */
+static void test_cut_leave(void)
+{
+	static const char whole[] = "{\"born\": 1700000000000}";
+	static const char next[] = "POST /api/instances/i-7/heartbeat HTTP/1.1"
+				   "\r\nHost: a\r\n\r\n{}";
+
+	for (size_t len = 0; len < strlen(whole); len++) {
+		char *body = g_strdup_printf("%.*s%s", (int)len, whole, next);
+
+		g_assert_cmpint(platform_read_leave(body, strlen(whole)), ==,
+				-1);
+		g_assert_cmpint(platform_read_leave(body, strlen(body)), ==,
+				-1);
+		g_free(body);
+	}
+	g_assert_cmpint(platform_read_leave(whole, strlen(whole)), ==,
+			1700000000000);
+	g_assert_cmpint(platform_read_leave("", 0), ==, 0);
+	g_assert_cmpint(platform_read_leave("{}", 2), ==, 0);
+	g_assert_cmpint(platform_read_leave("null", 4), ==, 0);
+	g_assert_cmpint(platform_read_leave("bye", 3), ==, 0);
+}
+
 /*
  * Guards against an answer that renews holds although none are given, and
  * against encoding rows wrongly.
@@ -614,6 +766,9 @@
 	g_test_add_func("/kv/txn", test_txn);
 	g_test_add_func("/kv/pages", test_pages);
 	g_test_add_func("/kv/outage", test_outage);
+	g_test_add_func("/kv/answer_twice", test_answer_twice);
+	g_test_add_func("/kv/joined_answers", test_joined_answers);
+	g_test_add_func("/kv/late_answer", test_late_answer);
 	g_test_add_func("/kv/too_many_entries", test_too_many_entries);
 	g_test_add_func("/platform/feed", test_feed);
 	g_test_add_func("/platform/restored_store", test_restored_store);
@@ -624,6 +779,7 @@
 	g_test_add_func("/platform/malformed_announcements",
 			test_malformed_announcements);
 	g_test_add_func("/platform/target_calls", test_target_calls);
+	g_test_add_func("/platform/cut_leave", test_cut_leave);
 	g_test_add_func("/platform/answer", test_answer);
 	return g_test_run();
 }
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -6,6 +6,11 @@
 #include <strings.h>
 #include <utlist.h>
 
+static const char *text_at(const struct httpd_request *r, uint32_t offset)
+{
+	return (const char *)r->text.data + offset;
+}
+
 static struct httpd_request *request_new(struct httpd_conn *c)
 {
 	struct httpd_request *r = calloc(1, sizeof(*r));
@@ -72,6 +77,18 @@
 	}
 }
 
+/* Names what found the error, unless a check of this server did so already. */
+static void note_check(const struct httpd_conn *c, struct httpd_request *r)
+{
+	if (r->parser_error)
+		return;
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+		r->parser_error =
+			http_errno_name(HTTP_PARSER_ERRNO(&c->parser));
+	else if (r->error == ERR_MALFORMED)
+		r->parser_error = "line";
+}
+
 /* Answers what cannot be taken; the connection ends with that answer. */
 static void reject(struct httpd_conn *c, enum err error)
 {
@@ -85,9 +102,7 @@
 		return;
 	}
 	r->error = error;
-	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
-		r->parser_error =
-			http_errno_name(HTTP_PARSER_ERRNO(&c->parser));
+	note_check(c, r);
 	/* The texts of an unfinished head have no end. */
 	if (!c->headers_done)
 		r->field_count = 0;
@@ -116,6 +131,13 @@
 		httpd_answer_text(r, 503, "text/plain", "stopping\n");
 }
 
+/* Notes which check refuses the request. */
+static enum err refuse(struct httpd_request *r, const char *check)
+{
+	r->parser_error = check;
+	return ERR_MALFORMED;
+}
+
 /* ---- callbacks of the parser ---- */
 
 /* Returns the value for the parser: 0, or -1 to make it stop. */
@@ -168,15 +190,42 @@
 	return ERR_OK;
 }
 
+/* Trailers are not headers: their names are checked, and they are dropped. */
+static enum err add_trailer_name(struct httpd_conn *c, const char *data,
+				 size_t len)
+{
+	if (!c->last_was_name)
+		buf_reset(&c->trailer_name);
+	c->last_was_name = 1;
+	return buf_add(&c->trailer_name, data, len);
+}
+
+/*
+ * Trailers that frame or route a request are not allowed (RFC 9110, section
+ * 6.5.1): they are of another request, whose headers follow a cut trailer.
+ */
+static enum err check_trailer(struct httpd_conn *c)
+{
+	static const char *const refused[] = { "Host", "Content-Length",
+					       "Transfer-Encoding" };
+	const char *name = buf_text(&c->trailer_name);
+
+	c->last_was_name = 0;
+	for (size_t i = 0; i < sizeof(refused) / sizeof(refused[0]); i++) {
+		if (strcasecmp(name, refused[i]) == 0)
+			return refuse(c->receiving, "trailer");
+	}
+	return strchr(name, ' ') ? refuse(c->receiving, "trailer") : ERR_OK;
+}
+
 static int on_name(http_parser *p, const char *data, size_t len)
 {
 	struct httpd_conn *c = p->data;
 	struct httpd_request *r = c->receiving;
 	enum err e = ERR_OK;
 
-	/* Trailers are not headers; they are dropped. */
 	if (c->headers_done)
-		return 0;
+		return result(c, add_trailer_name(c, data, len));
 	if (!c->last_was_name) {
 		e = end_text(r);
 		if (e == ERR_OK)
@@ -195,7 +244,7 @@
 	enum err e = ERR_OK;
 
 	if (c->headers_done)
-		return 0;
+		return result(c, check_trailer(c));
 	if (c->last_was_name) {
 		e = end_text(r);
 		r->fields[r->field_count - 1].value = (uint32_t)r->text.len;
@@ -206,6 +255,28 @@
 	return result(c, e);
 }
 
+/* The parser leaves the blanks behind a value in it. */
+static void trim_values(struct httpd_request *r)
+{
+	for (size_t i = 0; i < r->field_count; i++) {
+		char *value = (char *)r->text.data + r->fields[i].value;
+		size_t len = strlen(value);
+
+		while (len && strchr(" \t", value[len - 1]))
+			value[--len] = 0;
+	}
+}
+
+/* Notes what follows the head. */
+static void begin_body(struct httpd_conn *c, const http_parser *p)
+{
+	if (p->flags & F_CHUNKED)
+		httpd_lines_begin(&c->lines, HTTPD_PART_CHUNK_SIZE, 0);
+	else if (p->content_length && p->content_length != UINT64_MAX)
+		httpd_lines_begin(&c->lines, HTTPD_PART_BODY,
+				  p->content_length);
+}
+
 /* ULLONG_MAX stands for a body without a stated length. */
 static int exceeds_body_limit(const http_parser *p, const struct httpd *d)
 {
@@ -213,6 +284,110 @@
 	       p->content_length > d->max_body_bytes;
 }
 
+/*
+ * Two Hosts, or one with characters that no host has, are the sign of a request
+ * whose head was cut and followed by another one (RFC 9112, section 3.2).
+ */
+static enum err check_host(struct httpd_request *r)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < r->field_count; i++) {
+		if (strcasecmp(text_at(r, r->fields[i].name), "Host") != 0)
+			continue;
+		if (strpbrk(text_at(r, r->fields[i].value), " \t/?#@"))
+			return refuse(r, "host");
+		count++;
+	}
+	return count > 1 ? refuse(r, "host_twice") : ERR_OK;
+}
+
+/*
+ * Returns where a request line starts that ends with the text, or NULL. The
+ * method may have other characters before it.
+ */
+static const char *find_request_line(const char *text)
+{
+	static const char *const methods[] = { "GET",	 "HEAD",  "POST",
+					       "PUT",	 "PATCH", "DELETE",
+					       "OPTIONS" };
+	static const char version[] = " HTTP/1.";
+	size_t len = strlen(text);
+	size_t end = sizeof(version); /* with the digit */
+	const char *target;
+
+	if (len <= end ||
+	    memcmp(text + len - end, version, sizeof(version) - 1) != 0)
+		return NULL;
+	target = memrchr(text, ' ', len - end);
+	if (!target || target[1] != '/')
+		return NULL;
+	for (size_t i = 0; i < sizeof(methods) / sizeof(methods[0]); i++) {
+		size_t n = strlen(methods[i]);
+
+		if ((size_t)(target - text) >= n &&
+		    memcmp(target - n, methods[i], n) == 0)
+			return target - n;
+	}
+	return NULL;
+}
+
+static int is_repeated(const struct httpd_request *r, size_t field)
+{
+	const char *name = text_at(r, r->fields[field].name);
+
+	for (size_t i = field + 1; i < r->field_count; i++) {
+		if (strcasecmp(text_at(r, r->fields[i].name), name) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * Finds the request line of a second request in the value in which the first
+ * was cut. In front of the Host it is the only sign of it; it counts if it
+ * stands at the end of a word, or if the cut header comes again. A header that
+ * quotes a request line does neither.
+ */
+static enum err check_request_lines(struct httpd_request *r)
+{
+	for (size_t i = 0; i < r->field_count; i++) {
+		const char *value = text_at(r, r->fields[i].value);
+		const char *line;
+
+		if (strcasecmp(text_at(r, r->fields[i].name), "Host") == 0)
+			return ERR_OK;
+		line = find_request_line(value);
+		if (!line)
+			continue;
+		if ((line > value && !strchr(" \t\"'(,;:=", line[-1])) ||
+		    is_repeated(r, i))
+			return refuse(r, "request_line");
+	}
+	return ERR_OK;
+}
+
+/*
+ * The server removes no other coding than chunked, and a reader of HTTP/1.0
+ * knows none (RFC 9112, section 6.1).
+ */
+static enum err check_coding(struct httpd_request *r)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < r->field_count; i++) {
+		if (strcasecmp(text_at(r, r->fields[i].name),
+			       "Transfer-Encoding") != 0)
+			continue;
+		if (strcasecmp(text_at(r, r->fields[i].value), "chunked") != 0)
+			return refuse(r, "transfer_encoding");
+		count++;
+	}
+	return count > 1 || (count && r->http_1_0)
+		       ? refuse(r, "transfer_encoding")
+		       : ERR_OK;
+}
+
 static int expects_continue(const struct httpd_request *r)
 {
 	const char *value = httpd_get_header(r, "Expect");
@@ -228,6 +403,7 @@
 	c->headers_done = 1;
 	if (end_text(r) != ERR_OK)
 		return result(c, ERR_NOMEM);
+	trim_values(r);
 	r->path = (const char *)r->text.data;
 	r->method = http_method_str((enum http_method)p->method);
 	r->keep_alive = http_should_keep_alive(p);
@@ -236,6 +412,9 @@
 		return result(c, ERR_MALFORMED);
 	if (exceeds_body_limit(p, c->server))
 		return result(c, ERR_TOO_LARGE);
+	if (check_host(r) != ERR_OK || check_request_lines(r) != ERR_OK ||
+	    check_coding(r) != ERR_OK)
+		return result(c, ERR_MALFORMED);
 	r->expects_continue = expects_continue(r);
 	if (r->expects_continue && !c->requests)
 		httpd_send_continue(c);
@@ -245,6 +424,26 @@
 	 */
 	if (p->method != HTTP_CONNECT)
 		p->upgrade = 0;
+	begin_body(c, p);
+	return 0;
+}
+
+static int on_chunk(http_parser *p)
+{
+	struct httpd_conn *c = p->data;
+
+	httpd_lines_begin(&c->lines,
+			  p->content_length ? HTTPD_PART_CHUNK
+					    : HTTPD_PART_TRAILERS,
+			  p->content_length);
+	return 0;
+}
+
+static int on_chunk_end(http_parser *p)
+{
+	struct httpd_conn *c = p->data;
+
+	httpd_lines_begin(&c->lines, HTTPD_PART_CHUNK_SIZE, 0);
 	return 0;
 }
 
@@ -264,6 +463,7 @@
 
 	if (p->method == HTTP_CONNECT)
 		return result(c, ERR_MALFORMED);
+	httpd_lines_begin(&c->lines, HTTPD_PART_HEAD, 0);
 	dispatch(c);
 	if (!httpd_may_take(c))
 		http_parser_pause(p, 1);
@@ -277,6 +477,8 @@
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers_complete,
 	.on_body = on_body,
+	.on_chunk_header = on_chunk,
+	.on_chunk_complete = on_chunk_end,
 	.on_message_complete = on_complete,
 };
 
@@ -284,6 +486,7 @@
 {
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
+	httpd_lines_begin(&c->lines, HTTPD_PART_HEAD, 0);
 }
 
 static enum err parse_error(const struct httpd_conn *c)
@@ -295,6 +498,30 @@
 		       : ERR_MALFORMED;
 }
 
+/*
+ * Gives the parser one line, body or chunk after the other. Returns how many
+ * bytes were taken: fewer than len at an error, and if the parser has paused.
+ */
+static size_t execute(struct httpd_conn *c, const char *data, size_t len)
+{
+	size_t taken = 0;
+
+	while (taken < len && !c->closing) {
+		size_t n =
+			httpd_lines_next(&c->lines, data + taken, len - taken);
+		size_t parsed;
+
+		if (!n)
+			break;
+		parsed = http_parser_execute(&c->parser, &parser_callbacks,
+					     data + taken, n);
+		taken += parsed;
+		if (parsed != n || HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+			break;
+	}
+	return taken;
+}
+
 void httpd_parse(struct httpd_conn *c, const char *data, size_t len)
 {
 	size_t n;
@@ -307,7 +534,7 @@
 		return;
 	}
 	http_parser_pause(&c->parser, 0);
-	n = http_parser_execute(&c->parser, &parser_callbacks, data, len);
+	n = execute(c, data, len);
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
 		if (!c->closing &&
 		    buf_add(&c->input, data + n, len - n) != ERR_OK)
@@ -332,11 +559,6 @@
 
 /* ---- access to a request ---- */
 
-static const char *text_at(const struct httpd_request *r, uint32_t offset)
-{
-	return (const char *)r->text.data + offset;
-}
-
 const char *httpd_get_header(const struct httpd_request *r, const char *name)
 {
 	for (size_t i = 0; i < r->field_count; i++)
