--- a/test/unit/test_dialect.c
+++ b/test/unit/test_dialect.c
@@ -187,6 +187,44 @@
 	teardown(&f);
 }
 
+static enum fake_mode answer_joined(struct fake_target *t, const char *request)
+{
+	(void)request;
+	t->answer = t->runs == 2 ? "HTTP/1.1 500 No\r\nX-Att" SEALED : SEALED;
+	return FAKE_ANSWER;
+}
+
+/*
+ * Guards against the reuse of connections to a target that has just written a
+ * part of one answer and then another, and against a fault that is not counted.
+ */
+static void test_joined_answer(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+	struct buf metrics;
+
+	setup(&f);
+	f.target.choose = answer_joined;
+	submit_and_wait(&f, &r, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	submit_and_wait(&f, &r, 2);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_UNKNOWN);
+	g_assert_cmpint(r.error, ==, ERR_MALFORMED);
+	g_assert_cmpuint(f.target.connections, ==, 1);
+	for (uint64_t i = 3; i < 6; i++) {
+		submit_and_wait(&f, &r, i);
+		g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	}
+	g_assert_cmpuint(f.target.connections, ==, 4);
+	buf_init(&metrics);
+	cnt_write(&f.cnt, &metrics);
+	g_assert_nonnull(strstr(buf_text(&metrics),
+				"gate_answer_faults_total{fault=\"line\"} 1"));
+	buf_finish(&metrics);
+	teardown(&f);
+}
+
 /* Guards against loss of answers without a length, and unnoticed cut ones. */
 static void test_unframed(void)
 {
@@ -399,6 +437,7 @@
 	g_test_add_func("/dialect/headers", test_headers);
 	g_test_add_func("/dialect/rejected_answers", test_rejected_answers);
 	g_test_add_func("/dialect/late_answers", test_late_answers);
+	g_test_add_func("/dialect/joined_answer", test_joined_answer);
 	g_test_add_func("/dialect/unframed", test_unframed);
 	g_test_add_func("/dialect/cut_head", test_cut_head);
 	g_test_add_func("/dialect/refusals", test_refusals);
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -1,20 +1,12 @@
-#include "transport/httpc.h"
-#include "common/clk.h"
+#include "transport/httpc_priv.h"
 #include "common/guard.h"
 #include "common/step.h"
 #include "protocol/frame.h"
 
-#include <linux/tcp.h>
-#include <netinet/in.h>
-#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
-#include <unistd.h>
-#include <uthash.h>
 #include <utlist.h>
 
 /*
@@ -23,8 +15,6 @@
  */
 #define HTTPC_IDLE_SECONDS 5L
 #define HTTPC_KEEPALIVE_SECONDS 2L
-/* As in netinet/tcp.h, which does not go with linux/tcp.h. */
-#define HTTPC_TCP_CLOSE_WAIT 8
 /*
  * While bytes come, libcurl reads up to 100 times for each event, and cannot be
  * stopped: it gets back to a request that it has not finished with at the next
@@ -33,25 +23,13 @@
  * default.
  */
 #define HTTPC_READ_BYTES (4 * 1024)
+
 struct socket_watcher {
 	ev_io io;
 	struct httpc *client;
 	struct httpc_request *request; /* the last that used the socket */
 };
 
-struct httpc_connection {
-	int fd;
-	int64_t opened_ms;
-	int local_port; /* 0 until an answer was received */
-	unsigned answers;
-	/*
-	 * Bytes of these answers; -1 if one was sent in chunks, whose framing
-	 * is not counted.
-	 */
-	int64_t answer_bytes;
-	UT_hash_handle hh;
-};
-
 static void process_finished(struct httpc *c);
 static void end_request(struct httpc_request *r, enum err error);
 
@@ -80,42 +58,6 @@
 	return 0;
 }
 
-/* Returns the bytes that can be read from the socket, 0 if it is not told. */
-static size_t count_pending_bytes(int fd)
-{
-	int bytes = 0;
-
-	return ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0 ? (size_t)bytes
-							     : 0;
-}
-
-/*
- * Returns the bytes that the socket has received since it was opened, or -1 if
- * the system does not tell.
- */
-static int64_t count_received_bytes(int fd)
-{
-	struct tcp_info info;
-	socklen_t len = sizeof(info);
-
-	memset(&info, 0, sizeof(info));
-	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) < 0 ||
-	    len < offsetof(struct tcp_info, tcpi_bytes_received) +
-			    sizeof(info.tcpi_bytes_received))
-		return -1;
-	/* The close of the other side is counted as a byte. */
-	return (int64_t)info.tcpi_bytes_received -
-	       (info.tcpi_state == HTTPC_TCP_CLOSE_WAIT);
-}
-
-/* The same for the bytes that have been read from it. */
-static int64_t count_read_bytes(int fd)
-{
-	int64_t received = count_received_bytes(fd);
-
-	return received < 0 ? -1 : received - (int64_t)count_pending_bytes(fd);
-}
-
 /*
  * Returns 1 if the request has read too many bytes that are no part of an
  * answer. libcurl drops them without a bound of its own, in a chunk extension
@@ -130,9 +72,9 @@
 		return 0;
 	/* All reads of the step brought nothing, and there is more to read. */
 	if (r->client->comes_back &&
-	    count_pending_bytes(r->fd) > HTTPC_MAX_UNPARSED_BYTES)
+	    httpc_conn_count_pending(r->fd) > HTTPC_MAX_UNPARSED_BYTES)
 		return 1;
-	bytes = count_read_bytes(r->fd);
+	bytes = httpc_conn_count_read(r->fd);
 	if (bytes < 0)
 		return r->unparsed_steps > HTTPC_MAX_UNPARSED_STEPS;
 	/* What the first of these steps has read is not known. */
@@ -197,93 +139,6 @@
 	end_event(c);
 }
 
-static struct httpc_connection *find_connection(struct httpc *c, int fd)
-{
-	struct httpc_connection *found;
-
-	HASH_FIND_INT(c->connections, &fd, found);
-	return found;
-}
-
-/*
- * Returns the bytes that were received since the last answer of an earlier
- * request, or -1 if they are not known.
- */
-static int64_t count_bytes_of_request(const struct httpc_connection *n)
-{
-	int64_t received = count_received_bytes(n->fd);
-
-	if (received < 0 || n->answer_bytes < 0)
-		return -1;
-	return received - n->answer_bytes;
-}
-
-/* Removes a connection from the table, and from the requests that used it. */
-static void forget_connection(struct httpc *c, struct httpc_connection *n)
-{
-	struct httpc_request *r;
-
-	DL_FOREACH(c->requests, r) {
-		if (r->connection != n)
-			continue;
-		r->received_bytes = count_bytes_of_request(n);
-		r->connection = NULL;
-		r->connection_closed = 1;
-	}
-	HASH_DEL(c->connections, n);
-	free(n);
-}
-
-/* Opens a socket for libcurl, and notes it. */
-static curl_socket_t open_socket(void *priv, curlsocktype purpose,
-				 struct curl_sockaddr *address)
-{
-	struct httpc *c = priv;
-	struct httpc_connection *n = calloc(1, sizeof(*n));
-	struct httpc_connection *stale;
-
-	(void)purpose;
-	if (!n)
-		return CURL_SOCKET_BAD;
-	n->fd = socket(address->family, address->socktype, address->protocol);
-	if (n->fd < 0) {
-		free(n);
-		return CURL_SOCKET_BAD;
-	}
-	/*
-	 * libcurl closes a socket by itself if the connection was not
-	 * established.
-	 */
-	stale = find_connection(c, n->fd);
-	if (stale)
-		forget_connection(c, stale);
-	n->opened_ms = clk_ms();
-	HASH_ADD_INT(c->connections, fd, n);
-	return n->fd;
-}
-
-static int close_socket(void *priv, curl_socket_t fd)
-{
-	struct httpc *c = priv;
-	struct httpc_connection *n = find_connection(c, fd);
-
-	if (n)
-		forget_connection(c, n);
-	return close(fd);
-}
-
-static void set_connection(struct httpc_request *r, int fd)
-{
-	if (r->connection && r->connection->fd == fd)
-		return;
-	r->connection = find_connection(r->client, fd);
-	if (!r->connection)
-		return;
-	r->connection_closed = 0;
-	r->connection_answers = r->connection->answers;
-	r->connection_age_ms = clk_ms() - r->connection->opened_ms;
-}
-
 static int set_socket(CURL *easy, curl_socket_t fd, int what, void *priv,
 		      void *socket_priv)
 {
@@ -311,7 +166,7 @@
 	}
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &w->request);
 	if (is_started(c, w->request))
-		set_connection(w->request, fd);
+		httpc_conn_use(w->request, fd);
 	if (what & CURL_POLL_IN)
 		events |= EV_READ;
 	if (what & CURL_POLL_OUT)
@@ -343,7 +198,6 @@
 
 void httpc_finish(struct httpc *c)
 {
-	struct httpc_connection *n, *next_connection;
 	struct httpc_request *r, *next;
 
 	if (!c->multi)
@@ -353,9 +207,7 @@
 	}
 	curl_multi_cleanup(c->multi);
 	c->multi = NULL;
-	HASH_ITER(hh, c->connections, n, next_connection) {
-		forget_connection(c, n);
-	}
+	httpc_conn_finish(c);
 	ev_timer_stop(c->loop, &c->timer);
 }
 
@@ -424,22 +276,6 @@
 	return len;
 }
 
-/*
- * Returns 1 if bytes wait on a connection that is about to be used again. They
- * are no answer to this request; libcurl would take them for one. It names the
- * connection by its local port only.
- */
-static int has_stray_bytes(const struct httpc *c, int local_port)
-{
-	const struct httpc_connection *n, *next;
-
-	HASH_ITER(hh, c->connections, n, next) {
-		if (n->local_port == local_port)
-			return count_pending_bytes(n->fd) > 0;
-	}
-	return 0;
-}
-
 static int on_prereq(void *priv, char *ip, char *local_ip, int port,
 		     int local_port)
 {
@@ -449,7 +285,7 @@
 	(void)ip;
 	(void)local_ip;
 	(void)port;
-	if (has_stray_bytes(r->client, local_port)) {
+	if (httpc_conn_has_stray_bytes(r->client, local_port)) {
 		r->has_stray_bytes = 1;
 		return CURL_PREREQFUNC_ABORT;
 	}
@@ -464,22 +300,6 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-/* Returns 1 if bytes that belong to no request came right behind the answer. */
-static int has_surplus(const struct httpc_request *r)
-{
-	int64_t received = r->connection ? count_bytes_of_request(r->connection)
-					 : r->received_bytes;
-	int64_t answer = (int64_t)(r->head_bytes + r->answer.len);
-
-	if (r->connection && count_pending_bytes(r->connection->fd))
-		return 1;
-	if (received >= 0 && r->head.has_length)
-		return received > answer;
-	/* libcurl closes the connection if it has read more than the answer. */
-	return r->connection_closed && httpc_head_is_framed(&r->head) &&
-	       !r->head.closes && !r->close_after;
-}
-
 /* Looks for a second answer behind the head of a whole answer. */
 static enum httpc_fault find_late_fault(const struct httpc_request *r)
 {
@@ -492,7 +312,7 @@
 	end = httpc_head_find_in_body(r->answer.data, r->answer.len, r->id_name,
 				      r->id);
 	if (end == HTTPC_BODY_HAS_ANSWER ||
-	    (end == HTTPC_BODY_IN_HEAD && has_surplus(r)))
+	    (end == HTTPC_BODY_IN_HEAD && httpc_conn_has_surplus(r)))
 		return HTTPC_FAULT_BODY;
 	return HTTPC_FAULT_NONE;
 }
@@ -531,33 +351,6 @@
 	return r->fault == HTTPC_FAULT_NONE ? ERR_OK : ERR_MALFORMED;
 }
 
-static int find_local_port(int fd)
-{
-	struct sockaddr_in address = { .sin_family = AF_UNSPEC };
-	socklen_t len = sizeof(address);
-
-	if (getsockname(fd, (struct sockaddr *)&address, &len) < 0 ||
-	    address.sin_family != AF_INET)
-		return 0;
-	return ntohs(address.sin_port);
-}
-
-/* The connection has carried one answer more, unless it is closed. */
-static void note_connection(struct httpc_request *r)
-{
-	struct httpc_connection *n = r->connection;
-
-	if (!n)
-		return;
-	if (!n->answers++)
-		n->local_port = find_local_port(n->fd);
-	/* Of a streamed body, the length is gone. */
-	if (!r->head.has_length || r->ops->data)
-		n->answer_bytes = -1;
-	else if (n->answer_bytes >= 0)
-		n->answer_bytes += (int64_t)(r->head_bytes + r->answer.len);
-}
-
 static void release_handle(struct httpc_request *r)
 {
 	DL_DELETE(r->client->requests, r);
@@ -566,6 +359,7 @@
 	curl_slist_free_all(r->header_list);
 	r->easy = NULL;
 	r->header_list = NULL;
+	r->connection = NULL;
 	r->client->request_count--;
 	if (r->ops->data)
 		r->client->stream_count--;
@@ -645,25 +439,18 @@
 			continue;
 		read_status(r);
 		r->error = curl_result_to_err(r, code);
-		note_connection(r);
+		httpc_conn_note_answer(r);
 		release_handle(r);
 		step_enter("httpc_done");
 		r->ops->done(r, r->priv);
 	}
 }
 
-/* How much of its answer libcurl has read is not known. */
-static void abandon_connection(struct httpc_request *r)
-{
-	if (r->connection)
-		r->connection->answer_bytes = -1;
-}
-
 static void end_request(struct httpc_request *r, enum err error)
 {
 	read_status(r);
 	r->error = error;
-	abandon_connection(r);
+	httpc_conn_abandon(r);
 	release_handle(r);
 	r->ops->done(r, r->priv);
 }
@@ -780,9 +567,9 @@
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, r);
-	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, httpc_conn_open);
 	curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, r->client);
-	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, httpc_conn_close);
 	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, r->client);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, r);
@@ -843,7 +630,7 @@
 {
 	if (!r->easy)
 		return;
-	abandon_connection(r);
+	httpc_conn_abandon(r);
 	release_handle(r);
 }
 
