--- a/test/unit/test_httpc_body.c
+++ b/test/unit/test_httpc_body.c
@@ -7,6 +7,7 @@
 
 #define ID "9c41d07be2a35f68"
 #define ID_NAME "X-Attempt-Id"
+#define ID_LINE "X-Attempt-Id: " ID "\n"
 #define BODY_BYTES (8 * 1024 * 1024)
 /* The search goes through memory at more than 100 MB/s, sanitizers included. */
 #define MAX_SECONDS 2.
@@ -68,7 +69,7 @@
 		"A: HTTP/1.1 200 x\n",
 		"{\"req\":\"GET /x HTTP/1.1\",\"status\":200},",
 		"HTTP/1.1 200 ",
-		"X-Attempt-Id: " ID "\n",
+		ID_LINE,
 		"HTTP/1.1 200 x\nA: b\n",
 	};
 
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -334,7 +334,9 @@
 		return ERR_TOO_LARGE;
 	case CURLE_WEIRD_SERVER_REPLY:
 	case CURLE_UNSUPPORTED_PROTOCOL:
-		r->fault = HTTPC_FAULT_STATUS_LINE;
+		/* libcurl refuses a line without a colon before on_header. */
+		r->fault = r->head.in_head ? HTTPC_FAULT_LINE
+					   : HTTPC_FAULT_STATUS_LINE;
 		return ERR_MALFORMED;
 	default:
 		return r->status ? ERR_INCOMPLETE : ERR_CLOSED;
