--- a/test/unit/test_httpc_body.c
+++ b/test/unit/test_httpc_body.c
@@ -7,7 +7,6 @@
 
 #define ID "9c41d07be2a35f68"
 #define ID_NAME "X-Attempt-Id"
-#define ID_LINE "X-Attempt-Id: " ID "\n"
 #define BODY_BYTES (8 * 1024 * 1024)
 /* The search goes through memory at more than 100 MB/s, sanitizers included. */
 #define MAX_SECONDS 2.
@@ -65,11 +64,12 @@
  */
 static void test_large(void)
 {
+	static const char id_line[] = "X-Attempt-Id: " ID "\n";
 	static const char *const units[] = {
 		"A: HTTP/1.1 200 x\n",
 		"{\"req\":\"GET /x HTTP/1.1\",\"status\":200},",
 		"HTTP/1.1 200 ",
-		ID_LINE,
+		id_line,
 		"HTTP/1.1 200 x\nA: b\n",
 	};
 
