--- a/config/doc_service.c
+++ b/config/doc_service.c
@@ -483,7 +483,10 @@
 		doc_path_key(path, base, key);
 		o = opt_find(service_options, OPTION_COUNT, name);
 		field = find_structured_field(name);
-		if (o)
+		/* "targets.regions" would be read beside "targets". */
+		if (strchr(key, '.'))
+			report_unknown_key(r->c, path, group);
+		else if (o)
 			read_field(r, o, value, path);
 		else if (field)
 			field->read(r->c, r->s, value, path);
--- a/test/unit/test_doc.c
+++ b/test/unit/test_doc.c
@@ -125,6 +125,14 @@
 		"shards, weights, max_peak_to_mean, auto_pins, moves_per_minute, "
 		"restart_grace_ms, limits, idempotency_key, targets, assign, "
 		"pins)\n");
+	/* Such a key was read beside the group, and its list was lost. */
+	expect_problems(
+		"\"targets\": {\"regions\": [\"a\"]}, "
+		"\"targets.regions\": [\"b\"]",
+		"services.kiln.targets.regions: unknown key (allowed: "
+		"route, keyed, shards, weights, max_peak_to_mean, auto_pins, "
+		"moves_per_minute, restart_grace_ms, limits, idempotency_key, "
+		"targets, assign, pins)\n");
 	expect_problems(
 		"\"limits\": 3",
 		"services.kiln.limits: is a number (allowed: an object)\n");
