gate: answers to requests without an id

A target that repeats the empty id of a request without one had its answer refused, since the header is malformed to httpc_head without a value. Such answers are read like those of a dialect without ids. test_dialect no_request_id failed before.

--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -440,7 +440,9 @@
 		.timeout_ms = (int)(c->deadline_ms - clk_ms()),
 		.connect_timeout_ms = GATE_CONNECT_TIMEOUT_MS,
 		.unframed_ok = c->g->dialect->unframed_answers,
-		.id_name = c->g->dialect->request_id,
+		/* A request without an id has nothing to be repeated. */
+		.id_name =
+			c->f->request_id[0] ? c->g->dialect->request_id : NULL,
 		.id = c->f->request_id,
 		/* What answered the earlier attempt has the same id. */
 		.new_connection = separate || c->f->sent_before,
--- a/test/unit/test_dialect.c
+++ b/test/unit/test_dialect.c
@@ -225,6 +225,26 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against the loss of the answer to a request without an id, which the
+ * target repeats as it came.
+ */
+static void test_no_request_id(void)
+{
+	Wire__Forward m = forward(1, 0);
+	struct fake_reply r = { 0 };
+	struct fixture f;
+
+	setup(&f);
+	m.request_id = "";
+	f.target.answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id:\r\n"
+			  "X-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+	gate_submit(f.gate, &m, fake_on_reply, &r);
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	teardown(&f);
+}
+
 /* Guards against loss of answers without a length, and unnoticed cut ones. */
 static void test_unframed(void)
 {
@@ -438,6 +458,7 @@
 	g_test_add_func("/dialect/rejected_answers", test_rejected_answers);
 	g_test_add_func("/dialect/late_answers", test_late_answers);
 	g_test_add_func("/dialect/joined_answer", test_joined_answer);
+	g_test_add_func("/dialect/no_request_id", test_no_request_id);
 	g_test_add_func("/dialect/unframed", test_unframed);
 	g_test_add_func("/dialect/cut_head", test_cut_head);
 	g_test_add_func("/dialect/refusals", test_refusals);
