--- a/standins/common_stutter.h
+++ b/standins/common_stutter.h
@@ -18,15 +18,15 @@
  *  - cut_own: the first bytes of the own answer, then the whole own one.
  *
  * Some of them are sent in several segments. Earlier answers are those that
- *this process gave while the mode was on, on any connection.
+ * this process gave while the mode was on, on any connection.
  *
  * Without ids in answers, a caller cannot tell some of these from a proper
  * answer. Then there are no late answers, no second answer in several segments
  * (its end would be late), and no cuts in a body whose missing bytes are as
- *many as the next head or more: such a body ends as any other body. With or
- *without ids, an answer that was cut in its body goes in one segment: the end
+ * many as the next head or more: such a body ends as any other body. With or
+ * without ids, an answer that was cut in its body goes in one segment: the end
  *of such a body at the end of a segment has nothing behind it that shows the
- *cut.
+ * cut.
  *
  * The target also answers some requests with 500 and refuses some, so that
  * answers differ in their status.
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -113,7 +113,8 @@
 	 *  - ERR_TIMEOUT: timeout_ms or connect_timeout_ms has passed;
 	 *  - ERR_CLOSED: it failed otherwise before an answer came;
 	 *  - ERR_INCOMPLETE: the answer was cut off, or is unframed;
-	 *  - ERR_MALFORMED: the answer is not HTTP;
+	 *  - ERR_MALFORMED: the answer is not HTTP, or not one answer; fault
+	 *    says why;
 	 *  - ERR_TOO_LARGE: the answer's headers or body exceed their limit.
 	 */
 	enum err error;
--- a/transport/httpc_conn.c
+++ b/transport/httpc_conn.c
@@ -197,7 +197,10 @@
 		return 1;
 	if (received >= 0 && r->head.has_length)
 		return received > answer;
-	/* libcurl closes the connection if it has read more than the answer. */
+	/*
+	 * libcurl closes the connection if it has read more than a body of a
+	 * stated length. Behind a chunked one it drops such bytes.
+	 */
 	return r->connection_closed && httpc_head_is_framed(&r->head) &&
 	       !r->head.closes && !r->close_after;
 }
