--- a/standins/common_stutter.h
+++ b/standins/common_stutter.h
@@ -25,7 +25,7 @@
  * (its end would be late), and no cuts in a body whose missing bytes are as
  * many as the next head or more: such a body ends as any other body. With or
  * without ids, an answer that was cut in its body goes in one segment: the end
- *of such a body at the end of a segment has nothing behind it that shows the
+ * of such a body at the end of a segment has nothing behind it that shows the
  * cut.
  *
  * The target also answers some requests with 500 and refuses some, so that
