wire, doc, settings: interfaces of the parts for scarce and uneven load

Two further deployments need regions of a route, data centres that are emptied, cold targets with a stated rate, admission across services, even load and large answers. The choice of targets without keys moves to a file of its own.

--- a/config/doc.h
+++ b/config/doc.h
@@ -81,8 +81,13 @@
 	struct doc_destination *destinations;
 	size_t destination_count;
 	uint32_t weight_sum; /* of all destinations */
-	int of_service;	     /* made by a service's own prefix */
-	unsigned refs;	     /* documents that share it */
+	/*
+	 * Regions whose targets may run its requests and whose nodes may have
+	 * their bodies; NULL-terminated, NULL: all.
+	 */
+	char **regions;
+	int of_service; /* made by a service's own prefix */
+	unsigned refs;	/* documents that share it */
 };
 
 /* Assigns a range of shards: only these nodes may own them. */
@@ -124,11 +129,20 @@
 	double retry_ratio;	   /* retries as a share of answered requests */
 	double tenant_share; /* of the requests at a gate, for one tenant */
 	int idempotency_key; /* the service honours Idempotency-Key */
+	/*
+	 * Requests a second that one of its targets takes while it is cold,
+	 * i.e. for some time after its start; 0: no limit.
+	 */
+	double cold_per_s;
 };
 
-/* A planned stop: the node's slots move away. "drain" is the only state. */
+/*
+ * A planned stop of a node, or of all nodes of a data centre: the slots move
+ * away. "drain" is the only state.
+ */
 struct doc_stop {
-	char node[DOC_NAME_BYTES];
+	char node[DOC_NAME_BYTES];	  /* "": a data centre's */
+	char data_centre[DOC_NAME_BYTES]; /* "": a node's */
 };
 
 /*
@@ -426,5 +440,7 @@
 					   const char *name);
 /* Returns 1 if the document plans a stop of the node, else 0. */
 int doc_has_stop(const struct doc *d, const char *node);
+/* Returns 1 if the document stops all nodes of the data centre. */
+int doc_has_data_centre_stop(const struct doc *d, const char *data_centre);
 
 #endif
--- a/config/doc_parse.c
+++ b/config/doc_parse.c
@@ -537,3 +537,12 @@
 	}
 	return 0;
 }
+
+int doc_has_data_centre_stop(const struct doc *d, const char *data_centre)
+{
+	for (size_t i = 0; i < d->stop_count; i++) {
+		if (!strcmp(d->stops[i].data_centre, data_centre))
+			return 1;
+	}
+	return 0;
+}
--- a/config/settings.c
+++ b/config/settings.c
@@ -151,6 +151,16 @@
 	  .default_number = 1,
 	  .description = "send fewer requests at a time than the target "
 			 "announced when its answers slow down" },
+	{ .name = "balance.spread",
+	  .type = OPT_BOOL,
+	  FIELD(spread),
+	  .description = "for services without keys, choose among the targets "
+			 "with room by weight instead of the best one" },
+	{ .name = "limits.protect_calls",
+	  .type = OPT_BOOL,
+	  FIELD(protect_calls),
+	  .description = "begin less new work while the calls that running "
+			 "work makes find no room" },
 	{ .name = "ownership.grant_ms",
 	  .type = OPT_TIME,
 	  FIELD(grant_ms),
--- a/config/settings.h
+++ b/config/settings.h
@@ -70,6 +70,15 @@
 	int hold_max_ms;
 	/* Send fewer requests at a time than announced if answers slow down. */
 	int adapt_concurrency;
+	/* [balance] */
+	/*
+	 * Choose among the targets of a service without keys by weight, so that
+	 * nodes that have seen the same loads do not all choose the same one.
+	 */
+	int spread;
+	/* [limits] */
+	/* Begin less new work while the calls of running work find no room. */
+	int protect_calls;
 	/* [ownership] */
 	int grant_ms; /* as in the file; 0: see settings_grant_ms */
 	/*
--- a/membership/membership.c
+++ b/membership/membership.c
@@ -69,12 +69,20 @@
 	return ERR_STALE;
 }
 
+static int view_data_centre_is_drained(struct view *v, const char *data_centre)
+{
+	const struct membership *m = (struct membership *)v;
+
+	return m->has_doc && doc_has_data_centre_stop(&m->doc, data_centre);
+}
+
 static const struct view_ops view_ops = {
 	.map = view_map,
 	.doc = view_doc,
 	.self = view_self,
 	.may_serve = view_may_serve,
 	.may_route = view_may_route,
+	.data_centre_is_drained = view_data_centre_is_drained,
 };
 
 /*
--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -4533,7 +4533,7 @@
   (ProtobufCMessageInit) wire__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__forward_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__forward_reply__field_descriptors[11] =
 {
   {
     "attempt",
@@ -4655,6 +4655,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused_by_all",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ForwardReply, refused_by_all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__forward_reply__field_indices_by_name[] = {
   9,   /* field[9] = arrived */
@@ -4665,13 +4677,14 @@
   8,   /* field[8] = load */
   6,   /* field[6] = map_rev */
   1,   /* field[1] = outcome */
+  10,   /* field[10] = refused_by_all */
   7,   /* field[7] = retry_after_ms */
   3,   /* field[3] = status */
 };
 static const ProtobufCIntRange wire__forward_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__forward_reply__descriptor =
 {
@@ -4681,14 +4694,14 @@
   "Wire__ForwardReply",
   "wire",
   sizeof(Wire__ForwardReply),
-  10,
+  11,
   wire__forward_reply__field_descriptors,
   wire__forward_reply__field_indices_by_name,
   1,  wire__forward_reply__number_ranges,
   (ProtobufCMessageInit) wire__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[10] =
 {
   {
     "running",
@@ -4762,19 +4775,71 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slowdown_percent",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TargetLoad, slowdown_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "arrivals_per_s",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TargetLoad, arrivals_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TargetLoad, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route_is_call",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TargetLoad, route_is_call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__target_load__field_indices_by_name[] = {
+  7,   /* field[7] = arrivals_per_s */
+  8,   /* field[8] = cold_ms */
   5,   /* field[5] = kind_latency_us */
   3,   /* field[3] = latency_us */
   2,   /* field[2] = places */
   1,   /* field[1] = queued */
+  9,   /* field[9] = route_is_call */
   0,   /* field[0] = running */
+  6,   /* field[6] = slowdown_percent */
   4,   /* field[4] = took_us */
 };
 static const ProtobufCIntRange wire__target_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__target_load__descriptor =
 {
@@ -4784,7 +4849,7 @@
   "Wire__TargetLoad",
   "wire",
   sizeof(Wire__TargetLoad),
-  6,
+  10,
   wire__target_load__field_descriptors,
   wire__target_load__field_indices_by_name,
   1,  wire__target_load__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -332,7 +332,9 @@
 {
   ProtobufCMessage base;
   /*
-   * enum err; ERR_STALE: the sender is not the coordinator
+   * enum err; ERR_STALE: the sender is not the coordinator; ERR_NO_GRANT: it
+   * recovers from a copy of the store and the node is to wait, on this connection
+   * if node_id is set, else to join again
    */
   uint32_t error;
   uint32_t node_id;
@@ -823,10 +825,15 @@
    * sent to the target, which may have refused it
    */
   protobuf_c_boolean arrived;
+  /*
+   * Another target would refuse it for the same reason, so that the sender does
+   * not try one.
+   */
+  protobuf_c_boolean refused_by_all;
 };
 #define WIRE__FORWARD_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__forward_reply__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, NULL, 0, 0 }
 
 
 /*
@@ -853,10 +860,28 @@
    * as latency_us, of requests of the same route
    */
   uint32_t kind_latency_us;
+  /*
+   * How long work takes on the target's VM at present, in percent of the usual
+   * time; 0: not stated.
+   */
+  uint32_t slowdown_percent;
+  /*
+   * requests from all nodes lately; 0: not stated
+   */
+  uint32_t arrivals_per_s;
+  /*
+   * time for which the target stays cold; 0: it is not
+   */
+  uint32_t cold_ms;
+  /*
+   * Requests of this route are calls: targets of one service make them while
+   * they run other requests.
+   */
+  protobuf_c_boolean route_is_call;
 };
 #define WIRE__TARGET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__target_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -12,8 +12,8 @@
 
 /*
  * Private to the ingress: ingress.c creates and frees requests,
- * ingress_parse.c reads them, ingress_route.c makes the attempts and
- * ingress_answer.c writes the answers.
+ * ingress_parse.c reads them, ingress_targets.c chooses their targets,
+ * ingress_route.c makes the attempts and ingress_answer.c writes the answers.
  */
 
 #define IN_TENANT_BYTES 64
@@ -170,6 +170,18 @@
 /* Frees the retry budgets and the state of all services. */
 void in_free_retry_state(struct ingress *in);
 
+/* Returns the state of a service, created if needed; NULL: no memory. */
+struct in_service_state *in_service_state_get(struct ingress *in,
+					      const char *service);
+
+/* ingress_targets.c */
+
+/*
+ * Returns the node whose target is best for a request without a key; 0 if there
+ * is none.
+ */
+uint32_t in_choose_target(struct in_request *q, const struct map *m);
+
 /* ingress_answer.c */
 
 /* Logs that the caller closed its connection before the answer. */
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -13,8 +13,6 @@
 /* Backoff after the first attempt and its limit, both before jitter. */
 #define IN_BACKOFF_BASE_MS 10
 #define IN_BACKOFF_MAX_MS 320
-/* Expected size of the headers of a forwarded request and its answer. */
-#define IN_EXPECTED_HEADER_BYTES 1024
 /* Weight of the latest answer in the moving average of the size. */
 #define IN_ANSWER_BYTES_WEIGHT 0.05
 
@@ -191,8 +189,8 @@
 	pause_request(q, pause);
 }
 
-static struct in_service_state *get_service_state(struct ingress *in,
-						  const char *service)
+struct in_service_state *in_service_state_get(struct ingress *in,
+					      const char *service)
 {
 	struct in_service_state *s;
 
@@ -212,7 +210,7 @@
 {
 	const struct settings *settings = q->in->settings;
 	const struct map *m = q->in->view->ops->map(q->in->view);
-	struct in_service_state *s = get_service_state(q->in, q->service);
+	struct in_service_state *s = in_service_state_get(q->in, q->service);
 
 	if (s)
 		retry_share_request(&s->retry_share, settings->retry_ratio,
@@ -223,7 +221,7 @@
 int in_take_retry_budget(struct in_request *q)
 {
 	struct retry_budget *b = get_budget(q);
-	struct in_service_state *s = get_service_state(q->in, q->service);
+	struct in_service_state *s = in_service_state_get(q->in, q->service);
 
 	if (q->target_sends >= q->max_target_sends) {
 		count_event(q, "in_attempts_used");
@@ -253,15 +251,6 @@
 	pause_request(q, pause);
 }
 
-static int has_failed_at(const struct in_request *q, uint32_t id)
-{
-	for (unsigned i = 0; i < q->failed_target_count; i++) {
-		if (q->failed_targets[i] == id)
-			return 1;
-	}
-	return 0;
-}
-
 static void add_failed_target(struct in_request *q)
 {
 	if (q->failed_target_count < IN_MAX_FAILED_TARGETS)
@@ -357,7 +346,7 @@
 
 static void record_answer_size(struct in_request *q, size_t bytes)
 {
-	struct in_service_state *s = get_service_state(q->in, q->service);
+	struct in_service_state *s = in_service_state_get(q->in, q->service);
 
 	if (s)
 		s->answer_bytes += IN_ANSWER_BYTES_WEIGHT *
@@ -455,58 +444,6 @@
 	return find_owner(q, q->in->view->ops->map(q->in->view)) == owner;
 }
 
-static enum selector_distance distance_of(const struct in_request *q,
-					  const Wire__Node *n)
-{
-	const struct settings *settings = q->in->settings;
-
-	if (n->id == q->in->view->ops->self(q->in->view))
-		return SELECTOR_SAME_VM;
-	if (strcmp(n->data_centre, settings->data_centre) == 0)
-		return SELECTOR_SAME_DATA_CENTRE;
-	return strcmp(n->region, settings->region) == 0 ? SELECTOR_SAME_REGION
-							: SELECTOR_OTHER_REGION;
-}
-
-/* Returns the expected size of the request and its answer with headers. */
-static size_t expected_transfer_bytes(const struct in_request *q)
-{
-	const struct in_service_state *s = get_service_state(q->in, q->service);
-
-	return q->forward.body.len + IN_EXPECTED_HEADER_BYTES +
-	       (size_t)(s ? s->answer_bytes : 0);
-}
-
-/* Returns the best target of a service without keys; 0 if there is none. */
-static uint32_t choose_target(struct in_request *q, const struct map *m)
-{
-	unsigned max = HASH_COUNT(m->nodes);
-	struct selector_candidate *list = calloc(max + 1, sizeof(*list));
-	struct map_node *n, *next;
-	size_t count = 0;
-	size_t best;
-	uint32_t id;
-
-	if (!list)
-		return 0;
-	HASH_ITER(hh, m->nodes, n, next) {
-		const Wire__Target *t = n->info->target;
-
-		if (!t || strcmp(t->service, q->service) != 0 ||
-		    has_failed_at(q, n->id))
-			continue;
-		list[count].id = n->id;
-		list[count].distance = distance_of(q, n->info);
-		list[count++].places = t->concurrency;
-	}
-	best = selector_pick(&q->in->selector, list, count, q->forward.route,
-			     expected_transfer_bytes(q), clk_ms(),
-			     g_random_double(), NULL);
-	id = best < count ? list[best].id : 0;
-	free(list);
-	return id;
-}
-
 /*
  * Sends an attempt to the owner. gate_submit may run on_reply from inside the
  * call, which may free the request.
@@ -554,7 +491,7 @@
 		return;
 	}
 	q->map_rev = m->rev;
-	set_owner(q, m, q->keyed ? find_owner(q, m) : choose_target(q, m));
+	set_owner(q, m, q->keyed ? find_owner(q, m) : in_choose_target(q, m));
 	if (q->owner)
 		send_attempt(q);
 	else if (q->keyed)
--- a/routing/view.h
+++ b/routing/view.h
@@ -40,6 +40,11 @@
 	 * document have not been confirmed for limits.stale_ms.
 	 */
 	enum err (*may_route)(struct view *v, int64_t now_ms);
+	/*
+	 * Returns 1 if operators are emptying this data centre: its targets get
+	 * no requests and own no keys until they take the order back.
+	 */
+	int (*data_centre_is_drained)(struct view *v, const char *data_centre);
 };
 
 struct view {
--- a/test/unit/fake.h
+++ b/test/unit/fake.h
@@ -99,6 +99,7 @@
 	/* What may_serve returns for slots of this node, and may_route. */
 	enum err may_serve_result;
 	enum err may_route_result;
+	const char *drained_data_centre; /* NULL: none */
 	/* What may_serve fills in. */
 	uint64_t fence;
 	int64_t not_after_ns;
@@ -149,12 +150,21 @@
 	return ((struct fake_view *)v)->may_route_result;
 }
 
+static inline int fake_data_centre_is_drained(struct view *v,
+					      const char *data_centre)
+{
+	const char *drained = ((struct fake_view *)v)->drained_data_centre;
+
+	return drained && strcmp(drained, data_centre) == 0;
+}
+
 static const struct view_ops fake_view_ops = {
 	.map = fake_map,
 	.doc = fake_doc,
 	.self = fake_self,
 	.may_serve = fake_may_serve,
 	.may_route = fake_may_route,
+	.data_centre_is_drained = fake_data_centre_is_drained,
 };
 
 /* Makes the node the owner of all shards, with the map revision as fence. */
