answer_line: order of large answers on a slow line

Eleven targets behind lines of 10 Mbit/s answer downloads of 90 KB; quotes with 500 ms of full value waited behind all downloads that ended before them. Large answers now leave one after the other, and a request whose large answer would be late for what waits is refused before it runs.

--- a/routing/gate.c
+++ b/routing/gate.c
@@ -63,6 +63,7 @@
 	if (httpc_init(&g->http_client, loop, 0) != ERR_OK)
 		goto no_client;
 	admission_init(&g->admission, 0, 0, GATE_DEFAULT_SHARE);
+	answer_line_init(&g->answer_line, 0);
 	adaptive_limit_init(&g->adaptive_limit, GATE_MIN_CONCURRENCY,
 			    GATE_MIN_CONCURRENCY);
 	attempts_init(&g->attempts);
@@ -106,6 +107,7 @@
 	httpc_finish(&g->http_client);
 	gate_slots_finish(g);
 	admission_finish(&g->admission);
+	answer_line_finish(&g->answer_line);
 	attempts_finish(&g->attempts);
 	labels_finish(&g->labels);
 	hot_keys_finish(&g->hot_keys);
@@ -179,6 +181,10 @@
 		admission_remove(&g->admission, &c->item);
 	if (was_in_flight)
 		g->in_flight--;
+	if (c->large_answer)
+		answer_line_end(&g->answer_line, c->f->route);
+	if (reply->outcome == OUTCOME_ANSWERED)
+		answer_line_note(&g->answer_line, c->f->route, reply->body.len);
 	reply->arrived = c->sent_ns != 0;
 	fill_reply(g, reply, &load, c->f->attempt);
 	load.took_us = (uint32_t)((clk_ns() - c->arrived_ns) / 1000);
@@ -451,6 +457,7 @@
 	struct admission_rank rank = get_rank(c->f, now_ms);
 
 	update_admission_limits(g, c->f->service);
+	c->large_answer = answer_line_begin(&g->answer_line, c->f->route);
 	switch (admission_submit_ranked(&g->admission, &c->item, c->f->tenant,
 					now_ms, c->deadline_ms, &rank)) {
 	case ADMISSION_RUN:
@@ -640,6 +647,17 @@
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_NO_TARGET);
 }
 
+void gate_set_bandwidth(struct gate *g, uint32_t link_kbps)
+{
+	answer_line_finish(&g->answer_line);
+	answer_line_init(&g->answer_line, link_kbps);
+}
+
+struct answer_line *gate_answer_line(struct gate *g)
+{
+	return &g->answer_line;
+}
+
 void gate_quiesce(struct gate *g)
 {
 	g->quiesced = 1;
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -3,6 +3,7 @@
 
 #include "common/cnt.h"
 #include "config/settings.h"
+#include "limits/answer_line.h"
 #include "placement/health.h"
 #include "protocol/frame.h"
 #include "routing/dialect.h"
@@ -81,6 +82,17 @@
  * gate_set_target_leaving, minus a margin to send them. 0: no limit.
  */
 void gate_set_drain_ms(struct gate *g, int64_t drain_ms);
+/*
+ * Sets the rate of this node's line in kbit/s, 0: not known. To be called
+ * before the first request.
+ */
+void gate_set_bandwidth(struct gate *g, uint32_t link_kbps);
+/*
+ * Returns the order of large answers on the line. The gate notes which requests
+ * run and how large their answers are; who sends the answers to other nodes
+ * keeps the order.
+ */
+struct answer_line *gate_answer_line(struct gate *g);
 /*
  * Refuses all new requests with ERR_NO_TARGET. Queued requests and those in
  * flight go on.
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -2,6 +2,7 @@
 #define ROUTING_GATE_PRIV_H
 
 #include "limits/admission.h"
+#include "limits/answer_line.h"
 #include "limits/adaptive_limit.h"
 #include "placement/hot_keys.h"
 #include "placement/health.h"
@@ -41,7 +42,8 @@
 	struct attempt *attempt;
 	int64_t deadline_ms;
 	int64_t arrived_ns;
-	uint32_t slot; /* MAP_NO_SLOT: without a key */
+	uint32_t slot;	  /* MAP_NO_SLOT: without a key */
+	int large_answer; /* answer_line_end is due */
 
 	/* Set when the call is dispatched. */
 	struct httpc_request http;
@@ -81,6 +83,7 @@
 	int lost_reported;	     /* ops->target_lost has run */
 	unsigned unanswered_calls;   /* calls in a row without a status line */
 	struct admission admission;
+	struct answer_line answer_line;
 	struct adaptive_limit adaptive_limit;
 	struct attempts attempts;
 	struct gate_slot *slots;
--- a/routing/peer.c
+++ b/routing/peer.c
@@ -98,6 +98,7 @@
 	p->free_timer.data = p;
 	p->tick.data = p;
 	p->sweep.data = p;
+	inbound_init_answers(p);
 	ev_timer_start(loop, &p->sweep);
 	*out = p;
 	return ERR_OK;
@@ -106,6 +107,7 @@
 void peers_set_bandwidth(struct peers *p, uint32_t link_kbps)
 {
 	pull_init(&p->pull, link_kbps);
+	gate_set_bandwidth(p->gate, link_kbps);
 }
 
 /* Removes the attempt from its link, its node and the table. */
@@ -141,6 +143,7 @@
 	inbound_free_all(p);
 	ev_timer_stop(p->loop, &p->tick);
 	ev_timer_stop(p->loop, &p->sweep);
+	ev_timer_stop(p->loop, &p->answer_timer);
 	ev_timer_stop(p->loop, &p->free_timer);
 	on_free_timer(p->loop, &p->free_timer, 0);
 	free(p);
--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -1,6 +1,7 @@
 #include "routing/peer_priv.h"
 #include "common/clk.h"
 #include "common/log.h"
+#include "common/step.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,8 +9,10 @@
 
 /* An encoded reply that may not have reached the sender of the attempt. */
 struct kept_reply {
+	struct answer_line_item item; /* first member; large answers only */
+	struct inbound *in;
 	uint64_t attempt;
-	int64_t sent_ms;
+	int64_t sent_ms; /* while the item waits, when the reply was made */
 	struct buf frame;
 	struct kept_reply *prev;
 	struct kept_reply *next;
@@ -38,20 +41,60 @@
 
 static void free_kept_reply(struct inbound *in, struct kept_reply *k)
 {
+	answer_line_remove(gate_answer_line(in->p->gate), &k->item);
 	DL_DELETE(in->kept_replies, k);
 	in->kept_reply_bytes -= k->frame.len;
 	buf_finish(&k->frame);
 	free(k);
 }
 
+/* Replies that wait for the line are kept until they have been sent. */
 static void expire_kept_replies(struct inbound *in, int64_t now)
 {
-	while (in->kept_replies &&
+	while (in->kept_replies && !in->kept_replies->item.waiting &&
 	       (in->kept_reply_bytes > PEER_KEPT_REPLY_BYTES ||
 		now - in->kept_replies->sent_ms >= PEER_KEPT_REPLY_MS))
 		free_kept_reply(in, in->kept_replies);
 }
 
+static void send_kept_reply(struct kept_reply *k)
+{
+	k->sent_ms = clk_ms();
+	if (k->in->conn)
+		tcp_send_encoded(k->in->conn, &k->frame);
+}
+
+/* Sends the large answers whose turn it is. */
+static void send_large_answers(struct peers *p)
+{
+	struct answer_line *l = gate_answer_line(p->gate);
+	struct answer_line_item *item;
+	int64_t wait_ms;
+
+	while ((item = answer_line_next(l, clk_ms(), &wait_ms)))
+		send_kept_reply((struct kept_reply *)item);
+	ev_timer_stop(p->loop, &p->answer_timer);
+	if (wait_ms < 0)
+		return;
+	ev_now_update(p->loop);
+	ev_timer_set(&p->answer_timer, (double)wait_ms / 1000., 0.);
+	ev_timer_start(p->loop, &p->answer_timer);
+}
+
+static void on_answer_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	step_enter("peer_answer_timer");
+	send_large_answers(w->data);
+}
+
+void inbound_init_answers(struct peers *p)
+{
+	ev_timer_init(&p->answer_timer, on_answer_timer, 0., 0.);
+	p->answer_timer.data = p;
+}
+
 /*
  * Encodes the reply as a frame. A reply that exceeds the size of a frame is
  * replaced by one with OUTCOME_UNKNOWN and ERR_TOO_LARGE.
@@ -73,6 +116,7 @@
 static void on_gate_reply(const Wire__ForwardReply *reply, void *priv)
 {
 	struct inbound *in = priv;
+	struct answer_line *line = gate_answer_line(in->p->gate);
 	struct kept_reply *k = calloc(1, sizeof(*k));
 
 	/* Without memory nothing is sent; the sender times out. */
@@ -84,20 +128,27 @@
 		free(k);
 		return;
 	}
-	if (in->conn)
-		tcp_send_encoded(in->conn, &k->frame);
+	k->in = in;
 	k->attempt = reply->attempt;
 	k->sent_ms = clk_ms();
 	DL_APPEND(in->kept_replies, k);
 	in->kept_reply_bytes += k->frame.len;
-	expire_kept_replies(in, k->sent_ms);
+	if (answer_line_is_large(line, k->frame.len)) {
+		cnt_add(in->p->cnt, "peer_large_answers", "", 1);
+		k->item.bytes = k->frame.len;
+		answer_line_add(line, &k->item);
+		send_large_answers(in->p);
+	} else {
+		send_kept_reply(k);
+	}
+	expire_kept_replies(in, clk_ms());
 	peer_start_ticks(in->p);
 }
 
-static const struct kept_reply *find_kept_reply(const struct inbound *in,
-						uint64_t attempt)
+static struct kept_reply *find_kept_reply(const struct inbound *in,
+					  uint64_t attempt)
 {
-	const struct kept_reply *k;
+	struct kept_reply *k;
 
 	DL_FOREACH(in->kept_replies, k) {
 		if (k->attempt == attempt)
@@ -106,13 +157,23 @@
 	return NULL;
 }
 
+/* Drops a large answer that has not been sent and that nobody waits for. */
+static void drop_waiting_reply(struct inbound *in, uint64_t attempt)
+{
+	struct kept_reply *k = find_kept_reply(in, attempt);
+
+	if (k && k->item.waiting)
+		free_kept_reply(in, k);
+}
+
 static void on_query(struct inbound *in, const Wire__Query *q)
 {
 	Wire__QueryReply r = WIRE__QUERY_REPLY__INIT;
-	const struct kept_reply *k = find_kept_reply(in, q->attempt);
+	struct kept_reply *k = find_kept_reply(in, q->attempt);
 
 	if (k) {
-		tcp_send_encoded(in->conn, &k->frame);
+		answer_line_remove(gate_answer_line(in->p->gate), &k->item);
+		send_kept_reply(k);
 		return;
 	}
 	r.attempt = q->attempt;
@@ -152,6 +213,22 @@
 	request_bodies(p);
 }
 
+/*
+ * Refuses an attempt whose large answer would be late because of those before
+ * it on this node's line. Returns 1 if it was refused.
+ */
+static int answer_would_be_late(struct inbound *in, const Wire__Forward *f)
+{
+	struct gate *g = in->p->gate;
+	int64_t wait_ms =
+		answer_line_wait_ms(gate_answer_line(g), f->route, clk_ms());
+
+	if (!wait_ms || gate_check_offer(g, f, wait_ms, on_gate_reply, in))
+		return 0;
+	cnt_add(in->p->cnt, "peer_large_answers_refused", "", 1);
+	return 1;
+}
+
 /*
  * Passes an attempt to the gate. If it was offered before, the time until its
  * value ends is counted from the offer, since sending the body took time.
@@ -167,6 +244,8 @@
 		m.value_ms = (int32_t)(o->value_end_ms - clk_ms());
 	if (item)
 		remove_offer(p, f->attempt);
+	if (answer_would_be_late(in, &m))
+		return;
 	gate_submit(p->gate, &m, on_gate_reply, in);
 }
 
@@ -233,6 +312,7 @@
 		break;
 	case FRAME_CANCEL:
 		remove_offer(in->p, ((const Wire__Cancel *)f->msg)->attempt);
+		drop_waiting_reply(in, ((const Wire__Cancel *)f->msg)->attempt);
 		gate_cancel(in->p->gate,
 			    ((const Wire__Cancel *)f->msg)->attempt);
 		break;
--- a/routing/peer_priv.h
+++ b/routing/peer_priv.h
@@ -169,7 +169,8 @@
 	struct peer_node *nodes;
 	struct out_attempt *attempts; /* by id */
 	struct inbound *inbound;
-	struct pull pull; /* bodies offered to this node */
+	struct pull pull;      /* bodies offered to this node */
+	ev_timer answer_timer; /* sends the next large answer that waits */
 	struct deferred_free *deferred_frees;
 	ev_timer free_timer; /* frees deferred_frees */
 	ev_timer tick;	     /* runs while a node or a sender needs it */
@@ -234,6 +235,8 @@
 
 /* peer_in.c */
 
+/* Sets up answer_timer. */
+void inbound_init_answers(struct peers *p);
 /* Applies the timeouts of offers, kept replies and senders without a link. */
 void inbound_tick(struct peers *p, int64_t now_ms);
 /* Returns 1 if inbound_tick may have something to do. */
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -768,6 +768,129 @@
 	teardown(&f);
 }
 
+#define LARGE_BYTES 40000
+#define LARGE_ROUTE 7
+
+struct large_reply {
+	unsigned count;
+	enum wire_outcome outcome;
+	enum err error;
+	size_t bytes;
+};
+
+static void on_large_reply(const Wire__ForwardReply *reply, void *priv)
+{
+	struct large_reply *r = priv;
+
+	r->count++;
+	r->outcome = reply->outcome;
+	r->error = reply->error;
+	r->bytes = reply->body.len;
+}
+
+static void forward_large(struct fixture *f, struct large_reply *r,
+			  uint64_t attempt, int32_t value_ms)
+{
+	Wire__Forward m = fake_forward(attempt, "GET");
+
+	memset(r, 0, sizeof(*r));
+	m.deadline_ms = 5000;
+	m.route = LARGE_ROUTE;
+	m.value_ms = value_ms;
+	m.has_value = value_ms != 0;
+	peers_forward(f->sender.peers, 2, &m, on_large_reply, r);
+}
+
+/* The target answers one request of the sender with so many bytes. */
+static void answer_with(struct fixture *f, struct large_reply *r,
+			uint64_t attempt, size_t bytes)
+{
+	char *text = g_strnfill(bytes, 'x');
+	char *answer = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", bytes,
+		text);
+	unsigned runs = f->target.runs;
+
+	forward_large(f, r, attempt, 0);
+	fake_wait(f->loop, &f->target.runs, runs + 1);
+	fake_write(f->target.last_fd, answer);
+	g_free(answer);
+	g_free(text);
+}
+
+/*
+ * Guards against small answers that wait behind all large ones of a slow line:
+ * six of 40 KB take 0.5 s there.
+ */
+static void test_small_answer_overtakes(void)
+{
+	enum { N = 6 };
+	struct large_reply large[N], small;
+	struct fixture f;
+	unsigned before = 0;
+
+	setup_slow_line(&f);
+	f.target.mode = FAKE_SILENT;
+	for (uint64_t i = 0; i < N; i++)
+		answer_with(&f, &large[i], i + 1, LARGE_BYTES);
+	answer_with(&f, &small, N + 1, 2);
+	fake_wait(f.loop, &small.count, 1);
+	for (int i = 0; i < N; i++)
+		before += large[i].count;
+	g_assert_cmpuint(before, <, N);
+	for (int i = 0; i < N; i++) {
+		fake_wait(f.loop, &large[i].count, 1);
+		g_assert_cmpint(large[i].outcome, ==, OUTCOME_ANSWERED);
+		g_assert_cmpuint(large[i].bytes, ==, LARGE_BYTES);
+	}
+	g_assert_null(gate_answer_line(f.owner.gate)->items);
+	teardown(&f);
+}
+
+/* Guards against the loss of an answer that waited when its link broke. */
+static void test_waiting_answer_link_lost(void)
+{
+	struct large_reply first, waiting;
+	struct fixture f;
+
+	setup_slow_line(&f);
+	f.target.mode = FAKE_SILENT;
+	answer_with(&f, &first, 1, LARGE_BYTES);
+	fake_wait(f.loop, &first.count, 1);
+	answer_with(&f, &first, 2, 4 * LARGE_BYTES);
+	answer_with(&f, &waiting, 3, LARGE_BYTES);
+	while (!gate_answer_line(f.owner.gate)->items)
+		ev_run(f.loop, EVRUN_ONCE);
+	relay_conn_close(f.relay.conns);
+	fake_wait(f.loop, &waiting.count, 1);
+	g_assert_cmpint(waiting.outcome, ==, OUTCOME_ANSWERED);
+	g_assert_cmpuint(f.target.runs, ==, 3);
+	teardown(&f);
+}
+
+/*
+ * Guards against work whose large answer cannot be sent in time: the line is
+ * busy for 0.5 s and the answer has its value for 0.2 s.
+ */
+static void test_late_large_answer_refused(void)
+{
+	struct large_reply large[6], late;
+	struct fixture f;
+
+	setup_slow_line(&f);
+	f.target.mode = FAKE_SILENT;
+	for (uint64_t i = 0; i < G_N_ELEMENTS(large); i++)
+		answer_with(&f, &large[i], i + 1, LARGE_BYTES);
+	while (!gate_answer_line(f.owner.gate)->items)
+		ev_run(f.loop, EVRUN_ONCE);
+	forward_large(&f, &late, 9, 200);
+	fake_wait(f.loop, &late.count, 1);
+	g_assert_cmpint(late.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpint(late.error, ==, ERR_SHED);
+	g_assert_cmpuint(f.target.runs, ==, G_N_ELEMENTS(large));
+	teardown(&f);
+}
+
 /* Guards against invalid frames on one link that break another. */
 static void test_garbage(void)
 {
@@ -1144,6 +1267,12 @@
 	g_test_add_func("/peer/offer_refused", test_offer_refused);
 	g_test_add_func("/peer/offer_link_lost", test_offer_link_lost);
 	g_test_add_func("/peer/offer_cancelled", test_offer_cancelled);
+	g_test_add_func("/peer/small_answer_overtakes",
+			test_small_answer_overtakes);
+	g_test_add_func("/peer/waiting_answer_link_lost",
+			test_waiting_answer_link_lost);
+	g_test_add_func("/peer/late_large_answer_refused",
+			test_late_large_answer_refused);
 	g_test_add_func("/peer/garbage", test_garbage);
 	g_test_add_func("/peer/random_faults", test_random_faults);
 	g_test_add_func("/tcp/refused", test_tcp_refused);
