doc: regions of a route

A route could not state where its requests may run. It now takes a list of at most 64 names, each once; missing or empty means all regions. doc_owner_regions_init finds the regions that all routes to a service and the service itself allow, for the owners of its keys. A new error, no_target_in_regions, is for requests that these lists leave no target.

test_doc covers the reading, the bound, the differences and the common regions; test_doc_update compares regions after random changes.

--- a/common/err.c
+++ b/common/err.c
@@ -30,6 +30,7 @@
 	[ERR_INCOMPLETE] = "incomplete_answer",
 	[ERR_NO_SERVICE] = "no_service",
 	[ERR_NO_KEY] = "no_key",
+	[ERR_NO_REGION] = "no_target_in_regions",
 };
 
 const char *err_name(enum err code)
--- a/common/err.h
+++ b/common/err.h
@@ -33,6 +33,7 @@
 	ERR_INCOMPLETE,	    /* answer was cut off */
 	ERR_NO_SERVICE,	    /* no service has this prefix */
 	ERR_NO_KEY,	    /* request carries no key */
+	ERR_NO_REGION,	    /* no target in the regions of the route */
 	ERR_COUNT
 };
 
--- a/config/doc.h
+++ b/config/doc.h
@@ -40,6 +40,7 @@
 /* Services, routes and the stops. */
 #define DOC_MAX_SECTIONS (DOC_MAX_SERVICES + DOC_MAX_ROUTES + 1)
 #define DOC_MAX_DESTINATIONS 64
+#define DOC_MAX_ROUTE_REGIONS 64
 #define DOC_HOST_BYTES 128
 /* Keys of DOC_KEY_NUMBER are the numbers from 0 to DOC_KEY_NUMBERS - 1. */
 #define DOC_KEY_NUMBERS 65536U
@@ -438,6 +439,31 @@
 /* Returns the service with this name, NULL if there is none. */
 const struct doc_service *doc_find_service(const struct doc *d,
 					   const char *name);
+/* Returns 1 if the NULL-terminated list has the region, or is NULL: all. */
+int doc_regions_allow(char *const *regions, const char *region);
+/* Appends the names, separated by commas. */
+void doc_regions_add(char *const *regions, struct buf *out);
+
+/* Where the owners of a service's keys may be, by the routes to it. */
+struct doc_owner_regions {
+	char **names; /* NULL-terminated; NULL: no route restricts them */
+	int conflict; /* no region is allowed by all; names is NULL then */
+};
+
+/*
+ * Finds the regions that all routes to the service and the service itself
+ * allow. Destinations of weight 0 do not count. Goes through all routes. The
+ * caller finishes o in each case.
+ */
+enum err doc_owner_regions_init(struct doc_owner_regions *o,
+				const struct doc *d,
+				const struct doc_service *s);
+/* Returns 1 if both allow the same regions. */
+int doc_owner_regions_equal(const struct doc_owner_regions *a,
+			    const struct doc_owner_regions *b);
+/* Frees the names and empties o, which may be zeroed memory. */
+void doc_owner_regions_finish(struct doc_owner_regions *o);
+
 /* Returns 1 if the document plans a stop of the node, else 0. */
 int doc_has_stop(const struct doc *d, const char *node);
 /* Returns 1 if the document stops all nodes of the data centre. */
--- a/config/doc_internal.h
+++ b/config/doc_internal.h
@@ -120,6 +120,8 @@
  */
 char **doc_read_names(struct doc_check *c, const json_t *value,
 		      const char *path, int wildcard);
+/* Frees a list of names, which may be NULL. */
+void doc_free_names(char **list);
 /* Reports names that occur twice. "" is ignored; NULL is not allowed. */
 void doc_check_unique(struct doc_check *c, const char *path,
 		      const char *const *names, size_t count);
--- a/config/doc_route.c
+++ b/config/doc_route.c
@@ -154,6 +154,24 @@
 			"0)");
 }
 
+static void read_regions(struct doc_check *c, struct doc_route *r,
+			 const json_t *value, const char *path)
+{
+	size_t count = json_array_size(value);
+
+	if (json_is_array(value) && !count)
+		return;
+	if (!count || count > DOC_MAX_ROUTE_REGIONS) {
+		doc_add_problem(c, ERR_TYPE, path,
+				"%s (allowed: at most %d names)",
+				json_is_array(value) ? "has too many items"
+						     : doc_type_name(value),
+				DOC_MAX_ROUTE_REGIONS);
+		return;
+	}
+	r->regions = doc_read_names(c, value, path, 0);
+}
+
 void doc_check_destinations(struct doc_check *c, const struct doc *d,
 			    const struct doc_route *r, const char *path)
 {
@@ -197,6 +215,8 @@
 			store_option(c, o, item, r, item_path);
 		else if (!strcmp(key, "to"))
 			read_destinations(c, r, item, item_path);
+		else if (!strcmp(key, "regions"))
+			read_regions(c, r, item, item_path);
 		else
 			doc_add_problem(c, ERR_UNKNOWN_KEY, item_path,
 					"unknown key");
@@ -217,6 +237,7 @@
 {
 	if (--r->refs)
 		return;
+	doc_free_names(r->regions);
 	free(r->destinations);
 	free(r);
 }
@@ -257,6 +278,11 @@
 		 "\"weight\" (default 1); default: required; services "
 		 "that serve, each its share by weight\n",
 		 DOC_MAX_DESTINATIONS);
+	buf_addf(out,
+		 "routes.NAME.regions: at most %d names; default: []; regions "
+		 "whose targets may run the requests and whose nodes may have "
+		 "their bodies; []: all\n",
+		 DOC_MAX_ROUTE_REGIONS);
 }
 
 /*
--- a/config/doc_service.c
+++ b/config/doc_service.c
@@ -593,7 +593,7 @@
 	}
 }
 
-static void free_names(char **list)
+void doc_free_names(char **list)
 {
 	for (char **p = list; p && *p; p++)
 		free(*p);
@@ -603,13 +603,13 @@
 void doc_service_finish(struct doc_service *s)
 {
 	for (size_t i = 0; i < s->assign_count; i++)
-		free_names(s->assign[i].nodes);
+		doc_free_names(s->assign[i].nodes);
 	for (size_t i = 0; i < s->pin_count; i++) {
 		free(s->pins[i].key);
 		free(s->pins[i].node);
 	}
 	free(s->assign);
 	free(s->pins);
-	free_names(s->regions);
-	free_names(s->nodes);
+	doc_free_names(s->regions);
+	doc_free_names(s->nodes);
 }
--- a/test/unit/test_doc.c
+++ b/test/unit/test_doc.c
@@ -418,6 +418,169 @@
 	g_free(b);
 }
 
+/* Returns a document with the service "kiln" in region "x" and "y" and routes.
+ */
+static char *make_routed(const char *routes)
+{
+	return g_strdup_printf(
+		"{\"version\": 1, \"services\": {\"kiln\": {\"shards\": 16, "
+		"\"targets\": {\"regions\": [\"x\", \"y\"]}}, \"desk\": "
+		"{\"keyed\": false}}, \"routes\": {%s}}",
+		routes);
+}
+
+/* Returns a route to kiln, and to desk with this weight. */
+static char *make_route(const char *name, const char *regions, int weight)
+{
+	return g_strdup_printf(
+		"\"%s\": {\"prefix\": \"/%s/\", \"to\": [{\"service\": "
+		"\"kiln\", \"weight\": %d}, {\"service\": \"desk\"}]%s%s}",
+		name, name, weight, *regions ? ", \"regions\": " : "", regions);
+}
+
+/* Guards against regions of a route that are read wrongly. */
+static void test_route_regions(void)
+{
+	static const struct {
+		const char *regions;
+		const char *problem; /* NULL: none */
+		const char *read;
+	} cases[] = {
+		{ "", NULL, "" },
+		{ "[]", NULL, "" },
+		{ "[\"x\"]", NULL, "x" },
+		{ "[\"y\", \"far\"]", NULL, "y,far" },
+		{ "\"x\"",
+		  "routes.a.regions: is a text (allowed: at most 64 names)",
+		  "" },
+		{ "{}", "routes.a.regions: is an object", "" },
+		{ "[\"x\", \"x\"]", "routes.a.regions: \"x\" is named twice",
+		  "" },
+		{ "[\"*\"]", "routes.a.regions[0]: is no name", "" },
+		{ "[\"\"]", "routes.a.regions[0]: is no name", "" },
+		{ "[\"x\", 3]", "routes.a.regions[1]: is no name", "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *route = make_route("a", cases[i].regions, 1);
+		char *text = make_routed(route);
+		struct buf out;
+		struct doc d;
+
+		g_free(route);
+		if (cases[i].problem) {
+			expect_document_problem(text, cases[i].problem);
+			continue;
+		}
+		g_assert_cmpint(doc_parse(&d, text, strlen(text), NULL), ==,
+				ERR_OK);
+		buf_init(&out);
+		doc_regions_add(d.routes[0]->regions, &out);
+		g_assert_cmpstr(buf_text(&out), ==, cases[i].read);
+		buf_finish(&out);
+		doc_finish(&d);
+		g_free(text);
+	}
+}
+
+/* Guards against a list without bound. */
+static void test_many_regions(void)
+{
+	GString *list = g_string_new("[");
+	char *route;
+
+	for (int i = 0; i <= DOC_MAX_ROUTE_REGIONS; i++)
+		g_string_append_printf(list, "%s\"r%d\"", i ? "," : "", i);
+	g_string_append(list, "]");
+	route = make_route("a", list->str, 1);
+	expect_document_problem(make_routed(route),
+				"routes.a.regions: has too many items "
+				"(allowed: at most 64 names)");
+	g_free(route);
+	g_string_free(list, TRUE);
+}
+
+/* Guards against a change of regions that an operator does not see. */
+static void test_diff_of_regions(void)
+{
+	char *a = make_route("a", "[\"x\"]", 1);
+	char *b = make_route("a", "[\"x\", \"y\"]", 1);
+	struct doc_sections x;
+	struct doc_sections y;
+	struct buf out;
+
+	split_and_free(make_routed(a), &x);
+	split_and_free(make_routed(b), &y);
+	buf_init(&out);
+	g_assert_cmpint(doc_diff(&x, &y, &out), ==, ERR_OK);
+	g_assert_cmpstr(buf_text(&out), ==,
+			"~ route/a.regions: [\"x\"] -> [\"x\",\"y\"]\n");
+	buf_finish(&out);
+	doc_sections_finish(&x);
+	doc_sections_finish(&y);
+	g_free(a);
+	g_free(b);
+}
+
+/*
+ * Guards against owners where a route to their service may not go, and against
+ * a service without owners because its routes contradict each other.
+ */
+static void test_owner_regions(void)
+{
+	static const struct {
+		const char *first;
+		int first_weight;
+		const char *second;
+		int conflict;
+		const char *names; /* NULL: not restricted */
+	} cases[] = {
+		{ "", 1, "", 0, NULL },
+		{ "[]", 1, "[]", 0, NULL },
+		{ "[\"x\"]", 1, "", 0, "x" },
+		{ "", 1, "[\"y\"]", 0, "y" },
+		{ "[\"y\", \"x\"]", 1, "[\"x\", \"y\"]", 0, "y,x" },
+		{ "[\"x\", \"y\"]", 1, "[\"y\"]", 0, "y" },
+		/* The service's own regions are x and y. */
+		{ "[\"x\", \"z\"]", 1, "", 0, "x" },
+		{ "[\"z\"]", 1, "", 1, NULL },
+		{ "[\"x\"]", 1, "[\"y\"]", 1, NULL },
+		/* It gets none of the route's requests. */
+		{ "[\"x\"]", 0, "[\"y\"]", 0, "y" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *a =
+			make_route("a", cases[i].first, cases[i].first_weight);
+		char *b = make_route("b", cases[i].second, 1);
+		char *both = g_strdup_printf("%s, %s", a, b);
+		char *text = make_routed(both);
+		struct doc_owner_regions o;
+		struct buf out;
+		struct doc d;
+
+		g_test_message("case %zu", i);
+		g_assert_cmpint(doc_parse(&d, text, strlen(text), NULL), ==,
+				ERR_OK);
+		g_assert_cmpint(doc_owner_regions_init(
+					&o, &d, doc_find_service(&d, "kiln")),
+				==, ERR_OK);
+		g_assert_cmpint(o.conflict, ==, cases[i].conflict);
+		g_assert_cmpint(!o.names, ==, !cases[i].names);
+		buf_init(&out);
+		doc_regions_add(o.names, &out);
+		if (cases[i].names)
+			g_assert_cmpstr(buf_text(&out), ==, cases[i].names);
+		buf_finish(&out);
+		doc_owner_regions_finish(&o);
+		doc_finish(&d);
+		g_free(text);
+		g_free(both);
+		g_free(a);
+		g_free(b);
+	}
+}
+
 /*
  * Guards against a head whose list of recent changes lacks one, keeps one too
  * long, or differs after it was written and read back.
@@ -625,6 +788,10 @@
 	g_test_add_func("/doc/sections", test_sections);
 	g_test_add_func("/doc/malformed_sections", test_malformed_sections);
 	g_test_add_func("/doc/diff_ignores_order", test_diff_ignores_order);
+	g_test_add_func("/doc/route_regions", test_route_regions);
+	g_test_add_func("/doc/many_regions", test_many_regions);
+	g_test_add_func("/doc/diff_of_regions", test_diff_of_regions);
+	g_test_add_func("/doc/owner_regions", test_owner_regions);
 	g_test_add_func("/doc/head_changes", test_head_changes);
 	g_test_add_func("/doc/head_era", test_head_era);
 	g_test_add_func("/doc/head_of_many_routes", test_head_of_many_routes);
--- a/test/unit/test_doc_update.c
+++ b/test/unit/test_doc_update.c
@@ -41,6 +41,9 @@
 				 y->destination_count);
 		g_assert_cmpstr(x->destinations[0].service, ==,
 				y->destinations[0].service);
+		g_assert_cmpint(!x->regions, ==, !y->regions);
+		if (x->regions)
+			g_assert_cmpstrv(x->regions, y->regions);
 	}
 }
 
@@ -92,7 +95,9 @@
 			g_rand_int_range(rand, 1, 4), "abcd",
 			g_rand_int_range(rand, 0, 9),
 			g_rand_int_range(rand, 0, 3),
-			kind == 19 ? ",\"unknown\":1" : "");
+			kind == 19   ? ",\"unknown\":1"
+			: kind == 18 ? ",\"regions\":[\"a\",\"b\"]"
+				     : "");
 	}
 	if (kind % 4 == 1 && kind != 3)
 		g_assert_cmpint(doc_changes_remove(changes, name), ==, ERR_OK);
