coord: keys only in the regions that all routes allow

An owner elsewhere would have to refuse the requests of a restricted route. The coordinator counts a node as eligible only in the regions that all routes to the service allow. They are found once for each revision of the document. If there is none, the lists are ignored with a warning and a counter, since a service without owners serves nobody.

test_coord regions fails without the check: all three nodes got keys.

--- a/membership/coord_place.c
+++ b/membership/coord_place.c
@@ -32,6 +32,7 @@
 		return;
 	HASH_ITER(hh, p->services, s, tmp) {
 		HASH_DEL(p->services, s);
+		doc_owner_regions_finish(&s->regions);
 		free(s);
 	}
 	HASH_ITER(hh, p->keys, k, next) {
@@ -70,18 +71,21 @@
 	return 0;
 }
 
-static int is_eligible(const struct co_member *m, const struct doc_service *s)
+static int is_eligible(const struct co_member *m, const struct doc_service *s,
+		       const struct doc_owner_regions *regions)
 {
 	if (!m->info->target || m->join != CO_JOIN_DONE || m->leaving == 1 ||
 	    m->health.state == HEALTH_EJECTED)
 		return 0;
 	return strcmp(m->info->target->service, s->name) == 0 &&
 	       matches_any(s->regions, m->info->region) &&
+	       doc_regions_allow(regions->names, m->info->region) &&
 	       matches_any(s->nodes, m->info->name);
 }
 
 static void fill_node(const struct coord *c, const struct co_member *m,
-		      const struct doc_service *s, int64_t now_ms,
+		      const struct doc_service *s,
+		      const struct doc_owner_regions *regions, int64_t now_ms,
 		      struct place_node *n)
 {
 	memset(n, 0, sizeof(*n));
@@ -94,7 +98,7 @@
 			: 0);
 	n->region = g_quark_from_string(m->info->region);
 	n->data_centre = g_quark_from_string(m->info->data_centre);
-	n->eligible = is_eligible(m, s);
+	n->eligible = is_eligible(m, s, regions);
 	n->weight = m->health.weight;
 	n->state = PLACE_LIVE;
 	if (m->lost) {
@@ -242,6 +246,7 @@
 	in->state = service_get(c->placement_state, s->name, now_ms);
 	if (!in->map || !in->state)
 		return 0;
+	place_read_regions(c, s, in->state);
 	in->nodes = calloc(HASH_COUNT(c->members) + 1, sizeof(*in->nodes));
 	in->slots =
 		calloc((size_t)in->map->shards + pins + 1, sizeof(*in->slots));
@@ -251,7 +256,8 @@
 		return 0;
 	}
 	HASH_ITER(hh, c->members, m, tmp) {
-		fill_node(c, m, s, now_ms, &in->nodes[in->node_count++]);
+		fill_node(c, m, s, &in->state->regions, now_ms,
+			  &in->nodes[in->node_count++]);
 	}
 	for (uint32_t i = 0; i < in->map->shards; i++)
 		add_slot(c, in, in->map->first_slot + i, 0);
--- a/membership/coord_place_priv.h
+++ b/membership/coord_place_priv.h
@@ -28,6 +28,10 @@
 	size_t announced;
 	int64_t first_announced_ms;   /* when the first of them did, 0 none */
 	int64_t announced_changed_ms; /* when their number last changed */
+	/* Where the owners may be, by the document of this revision. */
+	struct doc_owner_regions regions;
+	uint64_t regions_revision;
+	int regions_read;
 	UT_hash_handle hh;
 };
 
@@ -69,6 +73,12 @@
 void pins_update(struct coord *c, const struct place_input *in,
 		 const struct place_policy *policy, int64_t now_ms);
 
+/* ---- coord_regions.c ---- */
+
+/* Brings state->regions up to date with the document, and logs a change. */
+void place_read_regions(const struct coord *c, const struct doc_service *s,
+			struct service_placement *state);
+
 /* ---- coord_place.c ---- */
 
 /* Returns 1 if the owner serves the slot and no change of it is pending. */
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -439,6 +439,94 @@
 	teardown(&f);
 }
 
+/* Puts a document in force in which two routes lead to vault. */
+static void set_routes(struct fixture *f, uint64_t revision, const char *first,
+		       const char *second)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":1,\"services\":{\"cal\":{\"shards\":4,"
+		"\"route\":{\"key\":\"number:X-Key\"}},"
+		"\"vault\":{\"shards\":32}},\"routes\":{"
+		"\"a\":{\"prefix\":\"/a/\",\"regions\":[%s],"
+		"\"to\":[{\"service\":\"vault\"}]},"
+		"\"b\":{\"prefix\":\"/b/\",\"regions\":[%s],"
+		"\"to\":[{\"service\":\"vault\"},{\"service\":\"cal\"}]}}}",
+		first, second);
+
+	doc_finish(&f->c.doc);
+	g_assert_cmpint(doc_parse(&f->c.doc, text, strlen(text), NULL), ==,
+			ERR_OK);
+	f->c.doc.revision = revision;
+	g_free(text);
+}
+
+/* Returns the owners of the service's slots, a bit for each node's id. */
+static unsigned owners_of(const struct fixture *f, const char *service)
+{
+	const struct map_service *s = map_find_service(&f->c.map, service);
+	unsigned owners = 0;
+
+	for (uint32_t i = 0; i < s->shards; i++)
+		owners |= 1U << f->c.map.slots[s->first_slot + i].owner;
+	return owners;
+}
+
+/* Returns the nodes that slots are released for, a bit for each id. */
+static unsigned successors(const struct fixture *f, uint32_t from)
+{
+	unsigned nodes = 0;
+
+	for (uint32_t i = 0; i < f->c.map.slot_count; i++) {
+		if (f->c.slots[i].releasing && f->c.map.slots[i].owner == from)
+			nodes |= 1U << f->c.slots[i].new_owner;
+	}
+	return nodes;
+}
+
+/*
+ * Guards against keys that are given, or left, to nodes where a route to their
+ * service may not go, and against a service without owners because its routes
+ * contradict each other.
+ */
+static void test_regions(void)
+{
+	static char *const regions[] = { "sur", "muscat", "sohar" };
+	Wire__Target targets[3];
+	struct fixture f;
+	int64_t now_ms = 5000;
+
+	setup(&f);
+	set_routes(&f, 2, "\"sur\",\"muscat\"", "\"muscat\",\"sohar\"");
+	for (uint32_t id = 1; id <= 3; id++) {
+		announce_target(&f, id, &targets[id - 1], "vault", 0);
+		co_member_find(&f.c, id)->info->region =
+			strdup(regions[id - 1]);
+	}
+	f.c.own.phase = OWN_NORMAL;
+	for (; !f.c.queue.slot_count && now_ms < 15000; now_ms += 100)
+		co_place_tick(&f.c, now_ms);
+	apply_queued_changes(&f);
+	g_assert_cmpuint(owners_of(&f, "vault"), ==, 1U << 2);
+	/* Contradicting lists are ignored: the others get a share. */
+	set_routes(&f, 3, "\"sur\"", "\"sohar\"");
+	for (int i = 0; i < 200; i++, now_ms += 100)
+		co_place_tick(&f.c, now_ms);
+	g_assert_cmpuint(successors(&f, 2) & ~(1U << 2), ==, 1U << 1 | 1U << 3);
+	g_assert_cmpuint(cnt_get(&f.cnt, "co_region_conflicts", ""), ==, 1);
+	/* All slots leave a node that is not allowed any more. */
+	set_routes(&f, 4, "", "\"sohar\"");
+	for (int i = 0; i < 200; i++, now_ms += 100)
+		co_place_tick(&f.c, now_ms);
+	g_assert_cmpuint(successors(&f, 2), ==, 1U << 3);
+	for (uint32_t i = 0; i < f.c.map.slot_count; i++) {
+		if (f.c.map.slots[i].owner == 2)
+			g_assert_cmpint(f.c.slots[i].releasing, ==, 1);
+	}
+	for (uint32_t id = 1; id <= 3; id++)
+		co_member_find(&f.c, id)->info->target = NULL;
+	teardown(&f);
+}
+
 /*
  * Guards against slots that stay without an owner because the node that they
  * were released for was lost: a change that names it does not apply to the map,
@@ -815,6 +903,7 @@
 	g_test_add_func("/coord/roster_mark", test_roster_mark);
 	g_test_add_func("/coord/first_assignment", test_first_assignment);
 	g_test_add_func("/coord/lost_successor", test_lost_successor);
+	g_test_add_func("/coord/regions", test_regions);
 	g_test_add_func("/coord/handover", test_handover);
 	g_test_add_func("/coord/sync", test_sync);
 	g_test_add_func("/coord/document_of_member", test_document_of_member);
