ingress: requests stay in the regions of their route

Targets outside of the regions are no candidates, also for later attempts, and a request whose key is owned elsewhere, or for whose service the map knows no target there, is refused at once as not-run (no_target_in_regions), counted and logged with what was known. A request that waits looks its route up again, so that its next attempt goes by the document in force. Requests of routes without regions take the path that they took before, but for that look-up after a pause.

test_regions has a target with far more room outside of the regions; with the check of candidates removed, its first case fails.

--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -15,6 +15,7 @@
 	(void)loop;
 	(void)events;
 	step_enter("ingress_timer");
+	in_regions_refresh(w->data);
 	in_start_attempt(w->data);
 }
 
--- a/routing/ingress_parse.c
+++ b/routing/ingress_parse.c
@@ -408,6 +408,8 @@
 	q->retry_ratio = s->retry_ratio;
 	q->target_ms = r->target_ms;
 	q->max_target_sends = r->attempts;
+	q->regions = r->regions;
+	q->has_regions = r->regions != NULL;
 	e = parse_tenant(q);
 	if (e != ERR_OK)
 		return e;
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -12,8 +12,9 @@
 
 /*
  * Private to the ingress: ingress.c creates and frees requests,
- * ingress_parse.c reads them, ingress_targets.c chooses their targets,
- * ingress_route.c makes the attempts and ingress_answer.c writes the answers.
+ * ingress_parse.c reads them, ingress_targets.c chooses their targets, within
+ * the regions of ingress_regions.c, ingress_route.c makes the attempts and
+ * ingress_answer.c writes the answers.
  */
 
 #define IN_TENANT_BYTES 64
@@ -74,6 +75,12 @@
 	 * time after the request arrived. 0: the route has none.
 	 */
 	uint32_t target_ms;
+	/*
+	 * Regions that the route allows, NULL-terminated; NULL: all. Borrowed
+	 * from the document: valid until control returns to the event loop.
+	 */
+	char *const *regions;
+	int has_regions; /* regions was not NULL at the last attempt */
 	/* Limit of the route on target_sends. */
 	uint32_t max_target_sends;
 	/* Attempts that reached, or may have reached, a target. */
@@ -182,6 +189,23 @@
  */
 uint32_t in_choose_target(struct in_request *q, const struct map *m);
 
+/* ingress_regions.c */
+
+/*
+ * Sets q->regions by the document in force, which may be another one than at
+ * the last attempt. If no route matches any more, a request that was restricted
+ * may go nowhere.
+ */
+void in_regions_refresh(struct in_request *q);
+/* Returns 1 if the request may be sent to the node. */
+int in_regions_allow(const struct in_request *q, const Wire__Node *n);
+/*
+ * Returns 1 if the regions leave the request no target: its owner is elsewhere,
+ * or the map has no target of the service in them. Counts and logs that. To be
+ * called with q->owner set to the chosen node, 0: none.
+ */
+int in_regions_refuse(const struct in_request *q, const struct map *m);
+
 /* ingress_answer.c */
 
 /* Logs that the caller closed its connection before the answer. */
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -492,7 +492,9 @@
 	}
 	q->map_rev = m->rev;
 	set_owner(q, m, q->keyed ? find_owner(q, m) : in_choose_target(q, m));
-	if (q->owner)
+	if (in_regions_refuse(q, m))
+		fail_request(q, ERR_NO_REGION, 0);
+	else if (q->owner)
 		send_attempt(q);
 	else if (q->keyed)
 		wait_for_map(q, ERR_NOT_OWNER);
--- a/routing/ingress_targets.c
+++ b/routing/ingress_targets.c
@@ -46,7 +46,7 @@
 	const Wire__Target *t = n->info->target;
 
 	return t && strcmp(t->service, q->service) == 0 &&
-	       !has_failed_at(q, n->id);
+	       !has_failed_at(q, n->id) && in_regions_allow(q, n->info);
 }
 
 uint32_t in_choose_target(struct in_request *q, const struct map *m)
