test_dialect: reset of an answer without a length during the send

A trial found 502 each time for such an answer whose connection is reset while the request's body is still being sent; nothing kept that. The test plays 12 cases: with and without a body, a pause and an abort, and with Connection: close.

--- a/test/unit/test_dialect.c
+++ b/test/unit/test_dialect.c
@@ -266,6 +266,74 @@
 	teardown(&f);
 }
 
+/* More than the sockets of a connection hold. */
+#define LARGE_BODY_BYTES (16 * 1024 * 1024)
+
+/* Sends the answer on a connection with unread bytes and resets it. */
+static void answer_and_reset(struct fixture *f, int fd, const char *answer,
+			     int pauses, int aborts)
+{
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	char some[4096];
+
+	g_assert_cmpint(recv(fd, some, sizeof(some), 0), >, 0);
+	fake_write(fd, answer);
+	if (pauses)
+		fake_pause(f->loop, 20);
+	if (aborts)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	/* Without the option too: there are bytes that were not read. */
+	close(fd);
+}
+
+/*
+ * Guards against an answer without a length that is passed on as whole although
+ * its connection was reset: only the regular end of the connection ends it. The
+ * request's body is still being sent.
+ */
+static void test_reset_during_send(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		"\r\nX-Server-Seal: s\r\n\r\npart",
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		"\r\nX-Server-Seal: s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: " ID
+		"\r\nX-Server-Seal: s\r\nConnection: close\r\n\r\npart",
+	};
+	char *body = g_malloc0(LARGE_BODY_BYTES);
+
+	for (unsigned i = 0; i < 4 * G_N_ELEMENTS(answers); i++) {
+		Wire__Forward m = forward(1, 0);
+		struct fake_reply r = { 0 };
+		struct fixture f;
+		Wire__Target a;
+		unsigned port;
+		int listener, fd;
+
+		setup(&f);
+		listener = fake_listen(&port);
+		a = fake_announcement(&f.target, 2);
+		a.service = "desk";
+		a.port = port;
+		gate_set_target(f.gate, &a);
+		m.body.data = (uint8_t *)body;
+		m.body.len = LARGE_BODY_BYTES;
+		gate_submit(f.gate, &m, fake_on_reply, &r);
+		fake_pause(f.loop, 20);
+		fd = accept(listener, NULL, NULL);
+		g_assert_cmpint(fd, >=, 0);
+		answer_and_reset(&f, fd, answers[i / 4], i & 1, i & 2);
+		fake_wait(f.loop, &r.count, 1);
+		g_test_message("case %u: outcome %d error %s", i,
+			       (int)r.outcome, err_name(r.error));
+		g_assert_cmpint(r.outcome, ==, OUTCOME_UNKNOWN);
+		close(listener);
+		teardown(&f);
+	}
+	g_free(body);
+}
+
 /*
  * Guards against an answer whose head was cut off and that is passed on as
  * whole: the target stops at any byte of the head and closes the connection.
@@ -460,6 +528,7 @@
 	g_test_add_func("/dialect/joined_answer", test_joined_answer);
 	g_test_add_func("/dialect/no_request_id", test_no_request_id);
 	g_test_add_func("/dialect/unframed", test_unframed);
+	g_test_add_func("/dialect/reset_during_send", test_reset_during_send);
 	g_test_add_func("/dialect/cut_head", test_cut_head);
 	g_test_add_func("/dialect/refusals", test_refusals);
 	g_test_add_func("/dialect/repeated_refusal", test_repeated_refusal);
