httpc_head: a status above 599 is malformed

A target's final answer with the status 600 or 999 was passed on to the caller; 000, 099, 0200 and 1000 ended as 502 already. RFC 9110, section 15, has no status above 599, so that such an answer is malformed now: the outcome is unknown and the caller gets 502. The search for a second answer in a head or a body still takes any three digits for a status.

The fuzzer's bound on the status is 599 now instead of 999.

--- a/test/fuzz/fuzz_httpc_head.c
+++ b/test/fuzz/fuzz_httpc_head.c
@@ -112,7 +112,7 @@
 		check(eol || fault != HTTPC_FAULT_NONE);
 		/* Trailers change nothing. */
 		check(!was_complete || headers.len == headers_len);
-		check(!h.complete || (h.status >= 200 && h.status <= 999));
+		check(!h.complete || (h.status >= 200 && h.status <= 599));
 		check(httpc_head_is_framed(&h) == (h.chunked || h.has_length));
 		check_headers(&headers);
 		last = fault;
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -708,6 +708,33 @@
 	teardown(&f);
 }
 
+/* Guards against a status that is not one of HTTP and reaches the caller. */
+static void test_invalid_status(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 600 No\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 999 No\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 099 No\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 1000 No\r\nContent-Length: 2\r\n\r\nno",
+	};
+	struct fixture f;
+	struct caller c;
+
+	setup(&f);
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		f.target.answer = answers[i];
+		start(&f, &c, "POST", "/kiln/a");
+		expect(&f, &c, 502, "unknown");
+		finish(&c);
+		g_assert_cmpuint(f.target.runs, ==, i + 1);
+	}
+	f.target.answer = "HTTP/1.1 599 No\r\nContent-Length: 2\r\n\r\nno";
+	start(&f, &c, "POST", "/kiln/a");
+	expect(&f, &c, 599, "answered");
+	finish(&c);
+	teardown(&f);
+}
+
 /* Guards against retries that multiply the load on a failing target. */
 static void test_budget(void)
 {
@@ -1227,6 +1254,7 @@
 	g_test_add_func("/ingress/unknown", test_unknown);
 	g_test_add_func("/ingress/unknown_stays", test_unknown_stays);
 	g_test_add_func("/ingress/incomplete", test_incomplete);
+	g_test_add_func("/ingress/invalid_status", test_invalid_status);
 	g_test_add_func("/ingress/budget", test_budget);
 	g_test_add_func("/ingress/shed", test_shed);
 	g_test_add_func("/ingress/target_sheds", test_target_sheds);
--- a/transport/httpc_head.c
+++ b/transport/httpc_head.c
@@ -7,6 +7,8 @@
 #define VERSION_LEN (sizeof(VERSION_TEXT) - 1)
 /* "HTTP/1.1 200": the shortest status line. */
 #define MIN_STATUS_LINE 12
+/* RFC 9110, section 15: others are invalid. */
+#define MAX_STATUS 599
 
 static const char *const fault_names[] = {
 	[HTTPC_FAULT_NONE] = "none",
@@ -153,7 +155,8 @@
 static enum httpc_fault add_status_line(struct httpc_head *h, const char *line,
 					size_t len)
 {
-	if (!starts_with_status(line, len) || !is_text(line, len))
+	if (!starts_with_status(line, len) || !is_text(line, len) ||
+	    read_status(line) > MAX_STATUS)
 		return HTTPC_FAULT_STATUS_LINE;
 	begin_head(h);
 	h->status = read_status(line);
