limits: a limit for targets that are cold

The bucket of rate_limit holds a second's tokens, so that a second can see twice the rate. Admission applies it beside the rate that a target names in its answers.

--- a/limits/admission.c
+++ b/limits/admission.c
@@ -35,6 +35,7 @@
 {
 	memset(a, 0, sizeof(*a));
 	rate_limit_init(&a->rate);
+	cold_limit_init(&a->cold);
 	admission_set_limits(a, limit, queue, tenant_share);
 }
 
@@ -73,13 +74,43 @@
 	rate_limit_clear(&a->rate);
 }
 
+void admission_set_cold_rate(struct admission *a, double per_s, int64_t now_ms)
+{
+	cold_limit_set(&a->cold, per_s, now_ms);
+}
+
+double admission_rate(const struct admission *a)
+{
+	double named = a->rate.per_s;
+	double cold = a->cold.bucket.per_s;
+
+	if (named <= 0 || cold <= 0)
+		return fmax(named, cold);
+	return fmin(named, cold);
+}
+
+/* Time until both limits allow a request with `ahead` others before it. */
+static double rate_wait_ms(const struct admission *a, uint32_t ahead,
+			   int64_t now_ms)
+{
+	return fmax(rate_limit_wait_ms(&a->rate, ahead, now_ms),
+		    cold_limit_wait_ms(&a->cold, ahead, now_ms));
+}
+
+static void take_rate(struct admission *a, int64_t now_ms)
+{
+	rate_limit_take(&a->rate, now_ms);
+	cold_limit_take(&a->cold, now_ms);
+}
+
 uint32_t admission_usable_places(const struct admission *a)
 {
+	double per_s = admission_rate(a);
 	double busy;
 
-	if (a->rate.per_s <= 0 || a->service_ms <= 0)
+	if (per_s <= 0 || a->service_ms <= 0)
 		return a->limit;
-	busy = ceil(a->rate.per_s * a->service_ms / 1000);
+	busy = ceil(per_s * a->service_ms / 1000);
 	return busy < a->limit ? (uint32_t)busy : a->limit;
 }
 
@@ -125,16 +156,15 @@
 	double place_ms = a->service_ms * (ahead + 1.0) / servers;
 
 	/* What waits for the rate alone finds a free place. */
-	if (a->rate.per_s > 0 && a->running + ahead < a->limit)
+	if (admission_rate(a) > 0 && a->running + ahead < a->limit)
 		place_ms = 0;
-	return fmax(place_ms, rate_limit_wait_ms(&a->rate, ahead, now_ms));
+	return fmax(place_ms, rate_wait_ms(a, ahead, now_ms));
 }
 
 /* May an item begin to run now, with no other before it? */
 static int has_capacity(const struct admission *a, int64_t now_ms)
 {
-	return a->running < a->limit &&
-	       rate_limit_wait_ms(&a->rate, 0, now_ms) <= 0;
+	return a->running < a->limit && rate_wait_ms(a, 0, now_ms) <= 0;
 }
 
 static struct admission_kind *kind_find(const struct admission *a, uint32_t id)
@@ -318,7 +348,7 @@
 		item->state = ADMISSION_RUNNING;
 		item->started_ms = item->arrived_ms;
 		a->running++;
-		rate_limit_take(&a->rate, item->arrived_ms);
+		take_rate(a, item->arrived_ms);
 		update_full_since(a, item->arrived_ms);
 		return ADMISSION_RUN;
 	}
@@ -440,7 +470,7 @@
 	a->running++;
 	item->state = ADMISSION_RUNNING;
 	item->started_ms = now_ms;
-	rate_limit_take(&a->rate, now_ms);
+	take_rate(a, now_ms);
 	update_full_since(a, now_ms);
 	return item;
 }
--- a/limits/admission.h
+++ b/limits/admission.h
@@ -1,6 +1,7 @@
 #ifndef LIMITS_ADMISSION_H
 #define LIMITS_ADMISSION_H
 
+#include "limits/cold_limit.h"
 #include "limits/rate_limit.h"
 
 #include <stdint.h>
@@ -86,6 +87,7 @@
 	uint32_t queue;		/* most requests that may wait */
 	double tenant_share;	/* of limit + queue; 0 < share <= 1 */
 	struct rate_limit rate; /* of the requests that begin to run */
+	struct cold_limit cold; /* the same, while the target is cold */
 	uint32_t running;
 	uint32_t queued;
 	double service_ms;     /* moving average over all kinds; 0: unknown */
@@ -115,6 +117,13 @@
 void admission_set_rate(struct admission *a, double per_s, int64_t now_ms);
 /* Ends the limit of admission_set_rate. */
 void admission_clear_rate(struct admission *a);
+/*
+ * Does the same for a target that is cold; 0: it is not. Both limits hold, see
+ * limits/cold_limit.h. The caller counts what it sends and checks it before.
+ */
+void admission_set_cold_rate(struct admission *a, double per_s, int64_t now_ms);
+/* Returns the lower one of both limits; 0: none. */
+double admission_rate(const struct admission *a);
 /*
  * Returns the requests that can run at a time: the limit, or fewer if the rate
  * keeps that many from being busy, but at least 1 unless the limit is 0.
--- a/limits/rate_limit.c
+++ b/limits/rate_limit.c
@@ -8,23 +8,27 @@
 	memset(r, 0, sizeof(*r));
 }
 
-static double capacity(const struct rate_limit *r)
-{
-	return fmax(r->per_s * RATE_LIMIT_BURST_S, 1);
-}
-
 static double tokens_at(const struct rate_limit *r, int64_t now_ms)
 {
 	double earned = (double)(now_ms - r->updated_ms) / 1000 * r->per_s;
 
-	return fmin(r->tokens + earned, capacity(r));
+	return fmin(r->tokens + earned, r->burst);
 }
 
-void rate_limit_set(struct rate_limit *r, double per_s, int64_t now_ms)
+void rate_limit_set_burst(struct rate_limit *r, double per_s, double burst,
+			  int64_t now_ms)
 {
 	r->tokens = r->per_s > 0 ? tokens_at(r, now_ms) : 0;
 	r->updated_ms = now_ms;
 	r->per_s = fmax(per_s, RATE_LIMIT_MIN_PER_S);
+	r->burst = fmax(burst, 1);
+}
+
+void rate_limit_set(struct rate_limit *r, double per_s, int64_t now_ms)
+{
+	rate_limit_set_burst(
+		r, per_s,
+		fmax(per_s, RATE_LIMIT_MIN_PER_S) * RATE_LIMIT_BURST_S, now_ms);
 }
 
 void rate_limit_clear(struct rate_limit *r)
--- a/limits/rate_limit.h
+++ b/limits/rate_limit.h
@@ -22,6 +22,7 @@
 struct rate_limit {
 	double per_s; /* 0: no limit */
 	double tokens;
+	double burst; /* most tokens */
 	int64_t updated_ms;
 };
 
@@ -33,6 +34,12 @@
  * requests.
  */
 void rate_limit_set(struct rate_limit *r, double per_s, int64_t now_ms);
+/*
+ * Does the same with a bucket of `burst` tokens, at least one, instead of those
+ * of RATE_LIMIT_BURST_S.
+ */
+void rate_limit_set_burst(struct rate_limit *r, double per_s, double burst,
+			  int64_t now_ms);
 /* Ends the limit. */
 void rate_limit_clear(struct rate_limit *r);
 /*
--- a/test/unit/test_limits.c
+++ b/test/unit/test_limits.c
@@ -934,6 +934,197 @@
 	admission_finish(&a);
 }
 
+/* Times of the requests that a target gets, with repeats. */
+struct cold_run {
+	struct cold_limit limit;
+	GArray *sent_ms;
+	GRand *rand;
+};
+
+/* Sends if that is allowed; a fifth of the requests is sent twice. */
+static void cold_send(struct cold_run *run, int64_t now_ms)
+{
+	int twice = g_rand_double(run->rand) < 0.2;
+
+	for (int i = 0; i <= twice; i++) {
+		if (!cold_limit_may_send(&run->limit, now_ms))
+			return;
+		if (i)
+			cold_limit_take(&run->limit, now_ms);
+		cold_limit_note_sent(&run->limit, now_ms);
+		g_array_append_val(run->sent_ms, now_ms);
+	}
+}
+
+/*
+ * Admits whatever the bucket allows, at times with gaps of up to half a second,
+ * and sends it up to half a second later.
+ */
+static void cold_run_greedily(struct cold_run *run, int64_t from_ms,
+			      int64_t until_ms)
+{
+	GArray *due = g_array_new(FALSE, FALSE, sizeof(int64_t));
+
+	for (int64_t now = from_ms; now < until_ms; now++) {
+		for (guint i = 0; i < due->len;) {
+			if (g_array_index(due, int64_t, i) > now) {
+				i++;
+				continue;
+			}
+			g_array_remove_index_fast(due, i);
+			cold_send(run, now);
+		}
+		if (g_rand_double(run->rand) < 0.01)
+			now += g_rand_int_range(run->rand, 0, 500);
+		while (cold_limit_wait_ms(&run->limit, 0, now) <= 0) {
+			int64_t at =
+				now + (g_rand_boolean(run->rand) ? 0 : 400);
+
+			cold_limit_take(&run->limit, now);
+			g_array_append_val(due, at);
+		}
+	}
+	g_array_unref(due);
+}
+
+static unsigned most_in_a_second(const GArray *times, int64_t from_ms)
+{
+	unsigned most = 0;
+
+	for (guint first = 0, last = 0; last < times->len; last++) {
+		int64_t now = g_array_index(times, int64_t, last);
+
+		while (g_array_index(times, int64_t, first) <= now - 1000)
+			first++;
+		if (now >= from_ms && last - first + 1 > most)
+			most = last - first + 1;
+	}
+	return most;
+}
+
+/*
+ * Guards against a cold target that gets more than 1.5 times its rate and 8 in
+ * some second, by tokens that were saved, by connections that delay requests
+ * and release them together, by requests that are sent twice, and by those of
+ * the second before it was known to be cold.
+ */
+static void test_cold_limit(void)
+{
+	static const double rates[] = { 0.5, 1, 2.5, 10, 47, 333, 2000, 10000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
+		struct cold_run run = { .rand = g_rand_new_with_seed(11) };
+		int64_t start_ms = 5000;
+		unsigned before;
+
+		run.sent_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+		cold_limit_init(&run.limit);
+		/* A warm target has got twice its cold rate. */
+		before = (unsigned)(2 * rates[i]);
+		for (unsigned k = 0; k < before; k++) {
+			int64_t at = start_ms - 1000 + k * 1000 / before;
+
+			cold_limit_note_sent(&run.limit, at);
+			g_array_append_val(run.sent_ms, at);
+		}
+		cold_limit_set(&run.limit, rates[i], start_ms);
+		cold_run_greedily(&run, start_ms, start_ms + 30000);
+		g_assert_cmpuint(most_in_a_second(run.sent_ms, start_ms + 1),
+				 <=, (unsigned)MAX(1.5 * rates[i] + 8, before));
+		g_assert_cmpuint(most_in_a_second(run.sent_ms, start_ms + 1000),
+				 <=, (unsigned)(1.5 * rates[i] + 8));
+		/* The rate is used. */
+		g_assert_cmpuint(run.sent_ms->len - before, >=,
+				 (unsigned)(0.8 * rates[i] * 29));
+		g_rand_free(run.rand);
+		g_array_unref(run.sent_ms);
+	}
+}
+
+/* Requests begun in the worst second, and what became of those refused. */
+struct cold_load {
+	unsigned most_cold;
+	unsigned begun_cold;
+	unsigned shed_cold;
+	unsigned shed_warm;
+	unsigned bad_retry_after;
+};
+
+/*
+ * 35 requests/s of 60 ms for 20 s at a target with 16 places that takes 10/s
+ * while it is cold: in the first 5 s, and again from 12 s to 17 s.
+ */
+static struct cold_load run_cold_load(void)
+{
+	enum { ITEMS = 700, WORK_MS = 60 };
+	static struct admission_item items[ITEMS];
+	struct cold_load load = { 0 };
+	GArray *begun = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	unsigned next = 0;
+	struct admission a;
+
+	memset(items, 0, sizeof(items));
+	admission_init(&a, 16, 64, 1.0);
+	admission_set_cold_rate(&a, 10, 0);
+	for (int64_t now = 1; next < ITEMS; now++) {
+		int cold = now < 5000 || (now >= 12000 && now < 17000);
+
+		if (now == 5000 || now == 12000 || now == 17000)
+			admission_set_cold_rate(&a, cold ? 10 : 0, now);
+		for (unsigned i = 0; i < next; i++) {
+			if (items[i].state == ADMISSION_RUNNING &&
+			    items[i].started_ms + WORK_MS <= now)
+				admission_done(&a, &items[i], now);
+		}
+		while (admission_expire(&a, now))
+			;
+		while (next < ITEMS && next * 1000 / 35 < now) {
+			struct admission_rank rank = { 1, now + 800, 5 };
+
+			if (admission_submit_ranked(&a, &items[next++], "t",
+						    now, now + 3000,
+						    &rank) != ADMISSION_SHED)
+				continue;
+			load.shed_cold += cold;
+			load.shed_warm += !cold;
+			load.bad_retry_after +=
+				cold && admission_retry_after_ms(&a, now) < 100;
+		}
+		while (admission_next(&a, now))
+			;
+		for (unsigned i = 0; cold && i < next; i++) {
+			if (items[i].started_ms != now)
+				continue;
+			cold_limit_note_sent(&a.cold, now);
+			g_array_append_val(begun, now);
+		}
+	}
+	load.begun_cold = begun->len;
+	load.most_cold = most_in_a_second(begun, 0);
+	g_array_unref(begun);
+	admission_finish(&a);
+	return load;
+}
+
+/*
+ * Guards against a cold target that gets the 35 requests/s meant for it, also
+ * when it turns cold in the middle, against a limit that stays once it is warm,
+ * and against requests that are refused without a time to come back.
+ */
+static void test_admission_cold(void)
+{
+	struct cold_load load = run_cold_load();
+
+	g_test_message("most in a second %u, begun %u, shed %u, shed warm %u",
+		       load.most_cold, load.begun_cold, load.shed_cold,
+		       load.shed_warm);
+	g_assert_cmpuint(load.most_cold, <=, 1.5 * 10 + 8);
+	g_assert_cmpuint(load.begun_cold, >=, 0.8 * 10 * 10);
+	g_assert_cmpuint(load.shed_cold, >, 0);
+	g_assert_cmpuint(load.shed_warm, ==, 0);
+	g_assert_cmpuint(load.bad_retry_after, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -961,6 +1152,8 @@
 			test_admission_would_shed_after);
 	g_test_add_func("/rate_limit/bucket", test_rate_limit);
 	g_test_add_func("/admission/rate", test_admission_rate);
+	g_test_add_func("/cold_limit/bound", test_cold_limit);
+	g_test_add_func("/admission/cold", test_admission_cold);
 	g_test_add_func("/admission/usable-places",
 			test_admission_usable_places);
 	g_test_add_func("/pull/small-requests", test_pull_small_requests);
