gate: limit the requests to a target that is cold

A target that has just started ends if it gets the requests of a warm one. The gate takes the time from the announcement and the rate from the document. The limit ends by itself; a request is counted where it is sent, also if libcurl repeats it. A gate without a document refuses requests to a cold target, since the document may state a limit.

/gate/cold_at_start, /gate/cold_again and /gate/cold_without_limit.

--- a/routing/gate.c
+++ b/routing/gate.c
@@ -154,6 +154,7 @@
 	load->queued = g->admission.queued;
 	load->places = admission_usable_places(&g->admission);
 	load->latency_us = (uint32_t)g->health.latency_us;
+	load->cold_ms = gate_cold_ms(g);
 	reply->load = load;
 	reply->attempt = attempt;
 	reply->map_rev = g->view->ops->map(g->view)->rev;
@@ -219,6 +220,7 @@
 	if (g->dispatching)
 		return;
 	g->dispatching = 1;
+	gate_update_cold(g);
 	while ((item = admission_next(&g->admission, clk_ms())))
 		gate_call_start(call_from_item(item));
 	g->dispatching = 0;
@@ -286,6 +288,7 @@
 	if (g->target)
 		wire__target__free_unpacked(g->target, NULL);
 	g->target = wire_copy_target(t);
+	gate_set_cold(g, t->cold_ms);
 	if (is_new) {
 		health_init(&g->health, clk_ms());
 		adaptive_limit_init(&g->adaptive_limit, GATE_MIN_CONCURRENCY,
@@ -387,7 +390,7 @@
 		return e;
 	if (!g->target || strcmp(g->target->service, f->service) != 0)
 		return ERR_NO_TARGET;
-	return ERR_OK;
+	return gate_check_cold(g);
 }
 
 static struct gate_call *call_new(struct gate *g, const Wire__Forward *f)
@@ -433,6 +436,7 @@
 
 	admission_set_limits(&g->admission, gate_concurrency_limit(g), queue,
 			     share);
+	gate_update_cold(g);
 }
 
 static struct admission_rank get_rank(const Wire__Forward *f, int64_t now_ms)
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -99,6 +99,15 @@
  */
 void gate_set_target(struct gate *g, const Wire__Target *target);
 
+/*
+ * The target is cold for cold_ms from now on, and a little longer to allow for
+ * an announcement that was late; 0: it is not cold. It then gets at most as
+ * many requests a second as the document states (cold_per_s of its service).
+ * gate_set_target does this with the cold_ms of the target; each announcement
+ * replaces what the one before, or another caller, has set.
+ */
+void gate_set_cold(struct gate *g, int64_t cold_ms);
+
 /*
  * Submits one attempt. fn gets the result exactly once, possibly before this
  * function returns, but never after gate_detach_requester. An attempt that is
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -85,6 +85,8 @@
 	e = check_ownership(c, &fence, &not_after_ns);
 	if (e == ERR_OK)
 		e = check_header_values(c, fence, not_after_ns);
+	if (e == ERR_OK)
+		e = gate_check_cold_send(c->g, r->send_started);
 	if (e != ERR_OK)
 		return e;
 	if (!c->sent_ns)
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -75,11 +75,14 @@
 	int rate_limit_named;	     /* they name a limit, which may be 0 */
 	double rate_limit_per_s;     /* valid while rate_limit_named is set */
 	int64_t rate_limit_named_ns; /* when the latest answer named it */
-	int leaving_named;	     /* they say that it is leaving */
-	int leaving_changed;	     /* ops->target_leaving is due */
-	int64_t leaving_named_ns;    /* when the latest answer said so */
-	int lost_reported;	     /* ops->target_lost has run */
-	unsigned unanswered_calls;   /* calls in a row without a status line */
+	/* See gate_cold.c. */
+	int64_t cold_until_ms;	   /* the target is cold before; 0: it is not */
+	double cold_per_s;	   /* limit in force; 0: none */
+	int leaving_named;	   /* they say that it is leaving */
+	int leaving_changed;	   /* ops->target_leaving is due */
+	int64_t leaving_named_ns;  /* when the latest answer said so */
+	int lost_reported;	   /* ops->target_lost has run */
+	unsigned unanswered_calls; /* calls in a row without a status line */
 	struct admission admission;
 	struct adaptive_limit adaptive_limit;
 	struct attempts attempts;
@@ -154,6 +157,27 @@
 /* Forgets what the answers of an earlier run of the target said. */
 void gate_reset_target_state(struct gate *g);
 
+/* gate_cold.c */
+
+/*
+ * Sets or ends the limit on requests to a cold target, by the document and the
+ * time. Call it before the limit is used.
+ */
+void gate_update_cold(struct gate *g);
+/* Returns for how long a target with this limit stays cold; 0: it is not. */
+uint32_t gate_cold_ms(const struct gate *g);
+/*
+ * Returns ERR_STALE while the target is cold and there is no document that
+ * states whether its requests are limited.
+ */
+enum err gate_check_cold(const struct gate *g);
+/*
+ * The last check before a request is sent to the target: returns ERR_OK and
+ * counts it, or ERR_SHED if too many were sent lately. repeated: it was sent
+ * before, on a connection that broke.
+ */
+enum err gate_check_cold_send(struct gate *g, int repeated);
+
 /* gate_answer.c */
 
 /* The headers of an answer. Strings point into the HTTP client's buffer. */
--- a/routing/gate_slot.c
+++ b/routing/gate_slot.c
@@ -339,7 +339,8 @@
 	};
 
 	health_report(&g->health, clk_ms(), &s.target);
-	s.rate_limit_per_s = g->admission.rate.per_s;
+	gate_update_cold(g);
+	s.rate_limit_per_s = admission_rate(&g->admission);
 	g->shed = 0;
 	hist_init(&g->latency);
 	return s;
--- a/test/unit/fake.h
+++ b/test/unit/fake.h
@@ -95,6 +95,7 @@
 	struct doc_route doc_route;
 	struct doc_route *routes; /* the only one */
 	struct doc_destination part;
+	int no_doc;    /* no document has come yet */
 	uint32_t self; /* id of this node */
 	/* What may_serve returns for slots of this node, and may_route. */
 	enum err may_serve_result;
@@ -119,7 +120,9 @@
 
 static inline const struct doc *fake_doc(struct view *v)
 {
-	return &((struct fake_view *)v)->doc;
+	struct fake_view *f = (struct fake_view *)v;
+
+	return f->no_doc ? NULL : &f->doc;
 }
 
 static inline uint32_t fake_self(struct view *v)
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -1045,6 +1045,110 @@
 	teardown(&f);
 }
 
+static void announce(struct fixture *f, uint32_t concurrency, uint32_t cold_ms)
+{
+	Wire__Target a = fake_announcement(&f->target, concurrency);
+
+	a.cold_ms = cold_ms;
+	gate_set_target(f->gate, &a);
+}
+
+/* Submits `count` requests and returns how many were refused at once. */
+static unsigned submit_many(struct fixture *f, struct fake_reply *r,
+			    uint64_t attempt, unsigned count)
+{
+	unsigned refused = 0;
+
+	for (unsigned i = 0; i < count; i++) {
+		submit(f, &r[i], attempt + i, "GET");
+		if (!r[i].count)
+			continue;
+		refused++;
+		g_assert_cmpint(r[i].outcome, ==, OUTCOME_NOT_RUN);
+		g_assert_cmpint(r[i].error, ==, ERR_SHED);
+		g_assert_cmpuint(r[i].retry_after_ms, >=, 1000 / 20);
+	}
+	return refused;
+}
+
+/*
+ * Guards against a target that gets all requests because this daemon started
+ * while it was cold: with the first announcement, and before the document is
+ * there. Load: 40 requests at once, and the target takes 20/s. No further
+ * announcement comes, and the limit ends by itself.
+ */
+static void test_cold_at_start(void)
+{
+	enum { CALLS = 40 };
+	struct fake_reply early, r[CALLS], last;
+	unsigned refused;
+	struct fixture f;
+
+	setup(&f, 16);
+	f.view.service.cold_per_s = 20;
+	announce(&f, 16, 400);
+	f.view.no_doc = 1;
+	submit(&f, &early, 1, "GET");
+	g_assert_cmpuint(early.count, ==, 1);
+	g_assert_cmpint(early.error, ==, ERR_STALE);
+	f.view.no_doc = 0;
+	refused = submit_many(&f, r, 2, CALLS);
+	g_assert_cmpuint(refused, ==, CALLS - 16);
+	g_assert_cmpfloat(gate_take_stats(f.gate).rate_limit_per_s, ==, 20);
+	fake_pause(f.loop, 400);
+	g_assert_cmpuint(f.target.runs, <=, 20 * 0.5 + 1);
+	fake_wait(f.loop, &f.target.runs, 16);
+	g_assert_cmpfloat(gate_take_stats(f.gate).rate_limit_per_s, ==, 0);
+	submit_and_wait(&f, &last, 1000, "GET");
+	g_assert_cmpint(last.outcome, ==, OUTCOME_ANSWERED);
+	teardown(&f);
+}
+
+/*
+ * Guards against a target that turns cold and gets as many requests as before
+ * until its next restart, and against those that were sent just before and add
+ * up with the ones that the limit allows. Load: 30 requests, then 40 more.
+ */
+static void test_cold_again(void)
+{
+	enum { CALLS = 40 };
+	struct fake_reply warm[30], r[CALLS];
+	struct fixture f;
+
+	setup(&f, 30);
+	f.view.service.cold_per_s = 20;
+	gate_set_adaptive(f.gate, 0);
+	announce(&f, 30, 0);
+	g_assert_cmpuint(submit_many(&f, warm, 1, 30), ==, 0);
+	fake_wait(f.loop, &f.target.runs, 30);
+	gate_set_cold(f.gate, 3000);
+	g_assert_cmpuint(submit_many(&f, r, 100, CALLS), ==, CALLS - 16);
+	fake_pause(f.loop, 900);
+	g_assert_cmpuint(f.target.runs, ==, 30);
+	fake_pause(f.loop, 400);
+	g_assert_cmpuint(f.target.runs, >, 30);
+	g_assert_cmpuint(f.target.runs, <=, 30 + 20 * 0.5);
+	/* The next announcement says that it is warm. */
+	gate_set_cold(f.gate, 0);
+	fake_wait(f.loop, &f.target.runs, 30 + 16);
+	teardown(&f);
+}
+
+/* Guards against a limit where the document states none. */
+static void test_cold_without_limit(void)
+{
+	struct fake_reply r[10];
+	struct fixture f;
+
+	setup(&f, 10);
+	gate_set_adaptive(f.gate, 0);
+	announce(&f, 10, 60000);
+	g_assert_cmpuint(submit_many(&f, r, 1, 10), ==, 0);
+	fake_wait(f.loop, &f.target.runs, 10);
+	g_assert_cmpfloat(gate_take_stats(f.gate).rate_limit_per_s, ==, 0);
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1087,5 +1191,8 @@
 	g_test_add_func("/gate/rate_limit_header", test_rate_limit_header);
 	g_test_add_func("/gate/rate_limit_malformed",
 			test_rate_limit_malformed);
+	g_test_add_func("/gate/cold_at_start", test_cold_at_start);
+	g_test_add_func("/gate/cold_again", test_cold_again);
+	g_test_add_func("/gate/cold_without_limit", test_cold_without_limit);
 	return g_test_run();
 }
