daemon, membership: pass on that a target turned cold again

Announcements were passed on only if the target had changed, and cold_ms did not count. The gate now learns it from each announcement; the coordinator if the others take the target for warm, so that a write to the store is due once for each cold start. A join states the time that is left.

--- a/daemon/node.h
+++ b/daemon/node.h
@@ -179,6 +179,8 @@
 	 * call, since a target that has left makes none.
 	 */
 	int target_left;
+	/* Until when the other nodes take the target for cold. */
+	int64_t cold_passed_until_ms;
 	int64_t left_ms; /* when the leave call came */
 	struct departures departures;
 	/*
--- a/daemon/target.c
+++ b/daemon/target.c
@@ -7,6 +7,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * A shorter time that a target stays cold is over before the other nodes know
+ * of it.
+ */
+#define NODE_COLD_MIN_MS 1000
+
 static int targets_are_equal(const Wire__Target *a, const Wire__Target *b)
 {
 	return strcmp(a->service, b->service) == 0 &&
@@ -47,14 +53,51 @@
 	return a->sequence <= n->target_sequence;
 }
 
+/* Returns 1 if the document limits the requests to the target while cold. */
+static int cold_is_limited(const struct node *n, const Wire__Target *t)
+{
+	struct view *v = membership_view(n->membership);
+	const struct doc *d = v->ops->doc(v);
+	const struct doc_service *s =
+		d ? doc_find_service(d, t->service) : NULL;
+
+	return s && s->cold_per_s > 0;
+}
+
+static void pass_target(struct node *n, const Wire__Target *t)
+{
+	n->cold_passed_until_ms = clk_ms() + t->cold_ms;
+	membership_set_target(n->membership, n->target);
+}
+
+/*
+ * The gate learns from each announcement for how long the target stays cold,
+ * the other nodes only if they take it for warm: each time is a write to the
+ * store.
+ */
+static void note_cold(struct node *n, const Wire__Target *t)
+{
+	gate_set_cold(n->gate, t->cold_ms);
+	n->target->cold_ms = t->cold_ms;
+	if (t->cold_ms < NODE_COLD_MIN_MS ||
+	    clk_ms() < n->cold_passed_until_ms || !cold_is_limited(n, t))
+		return;
+	log_info("target_cold_again", "id=%s cold_ms=%u", LOG_Q(t->id),
+		 t->cold_ms);
+	pass_target(n, t);
+}
+
 /* Passes a target that is new or has changed to the gate and the member. */
 static void apply_target(struct node *n, struct announcement *a)
 {
 	Wire__Target t;
 
 	fill_target(&t, a);
-	if (n->target && !n->target_leaving && targets_are_equal(n->target, &t))
+	if (n->target && !n->target_leaving &&
+	    targets_are_equal(n->target, &t)) {
+		note_cold(n, &t);
 		return;
+	}
 	if (n->target)
 		wire__target__free_unpacked(n->target, NULL);
 	n->target = wire_copy_target(&t);
@@ -63,7 +106,7 @@
 		 "service=%s address=%s port=%u id=%s cold_ms=%u",
 		 LOG_Q(t.service), t.address, t.port, LOG_Q(t.id), t.cold_ms);
 	gate_set_target(n->gate, n->target);
-	membership_set_target(n->membership, n->target);
+	pass_target(n, n->target);
 }
 
 /*
--- a/membership/membership.c
+++ b/membership/membership.c
@@ -226,10 +226,24 @@
 		membership_follow_coordinator(m, term, address, peer_port);
 }
 
+void membership_update_cold_time(struct membership *m)
+{
+	int64_t now_ms = clk_ms();
+	int64_t age_ms = now_ms - m->target_set_ms;
+
+	m->target_set_ms = now_ms;
+	if (!m->target || !m->target->cold_ms)
+		return;
+	m->target->cold_ms = age_ms < m->target->cold_ms
+				     ? m->target->cold_ms - (uint32_t)age_ms
+				     : 0;
+}
+
 void membership_send_target(struct membership *m)
 {
 	Wire__TargetState s = WIRE__TARGET_STATE__INIT;
 
+	membership_update_cold_time(m);
 	/* The coordinator accepts no other frame before its JoinReply. */
 	m->target_unsent = !m->joined;
 	s.target = m->target;
@@ -244,6 +258,7 @@
 	if (m->target)
 		wire__target__free_unpacked(m->target, NULL);
 	m->target = target ? wire_copy_target(target) : NULL;
+	m->target_set_ms = clk_ms();
 	membership_send_target(m);
 	/* Without a target nothing can run: release all slots unasked. */
 	for (uint32_t i = 0; !target && i < m->map.slot_count; i++) {
--- a/membership/membership_discovery.c
+++ b/membership/membership_discovery.c
@@ -95,6 +95,7 @@
 	hello.purpose = 1;
 	hello.term = m->own.term;
 	membership_send(m, FRAME_HELLO, &hello.base);
+	membership_update_cold_time(m);
 	membership_fill_node(m, &node);
 	join.node = &node;
 	join.term = m->own.term;
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -70,6 +70,7 @@
 	struct tcp_conn *conn;	   /* the control connection; may be NULL */
 	struct tcp_conn *old_conn; /* closed; freed at the next tick */
 	int joined;		   /* the coordinator accepted a Join on conn */
+	int64_t target_set_ms;	   /* when target->cold_ms was so much */
 	int record_read_pending;   /* a read of the record is in flight */
 	uint64_t synced_term;	   /* term whose map has arrived in full */
 	int64_t last_tick_ms;
@@ -154,6 +155,8 @@
 
 /* ---- membership.c ---- */
 
+/* Takes the time that has passed off the time for which the target is cold. */
+void membership_update_cold_time(struct membership *m);
 /* Reports the target, or that there is none, once the node has joined. */
 void membership_send_target(struct membership *m);
 
