coord: give a cold target the keys that its rate serves

A target that returned cold got keys by its announced places until its node had reported a rate and a latency. The announcement tells that it is cold; until it has a latency, the mean of the service counts.

/ranges/cold-data-centre: six of twelve targets that take 10/s get keys of at most 10 of 600 requests/s, and 0.6 of their part 80 s after they are warm, with at most 12 slots in a pass. /ranges/all-targets-cold: all keys are assigned.

--- a/membership/coord_conn.c
+++ b/membership/coord_conn.c
@@ -207,6 +207,13 @@
 	}
 }
 
+/* The node states for how long its target stays cold from now on. */
+static void note_cold(struct co_member *m, const Wire__Node *n)
+{
+	if (n->target)
+		m->cold_until_ms = clk_ms() + n->target->cold_ms;
+}
+
 /* Replaces the member's description, and renews its slots' fences if needed. */
 static enum err update_info(struct coord *c, struct co_member *m,
 			    const Wire__Node *n, int keep_target)
@@ -215,6 +222,7 @@
 	Wire__Node info = *n;
 	enum err e = ERR_OK;
 
+	note_cold(m, n);
 	before = before ? wire_copy_target(before) : NULL;
 	/* A new process of the node does not know its target yet. */
 	if (keep_target && !info.target)
@@ -297,6 +305,7 @@
 	if (!m)
 		return ERR_NOMEM;
 	c->next_id++;
+	note_cold(m, &node);
 	m->doc_rev = j->doc_rev;
 	m->map_rev = j->map_rev;
 	k->member = m;
--- a/membership/coord_place.c
+++ b/membership/coord_place.c
@@ -80,18 +80,58 @@
 	       matches_any(s->nodes, m->info->name);
 }
 
+/* Latency of the target's answers in microseconds; 0: unknown. */
+static double known_latency_us(const struct co_member *m)
+{
+	return m->health.report.evidence >= HEALTH_MIN_EVIDENCE
+		       ? m->health.report.latency_us
+		       : 0;
+}
+
+/* Mean over the targets of the service; 0: unknown. */
+static double mean_latency_us(const struct coord *c,
+			      const struct doc_service *s)
+{
+	struct co_member *m, *tmp;
+	double sum = 0;
+	double count = 0;
+
+	HASH_ITER(hh, c->members, m, tmp) {
+		if (known_latency_us(m) <= 0 || !is_eligible(m, s))
+			continue;
+		sum += known_latency_us(m);
+		count++;
+	}
+	return count > 0 ? sum / count : 0;
+}
+
+/*
+ * Returns the requests that the target can run at a time. The announcement
+ * tells that it is cold before its node has reported a rate or any latency.
+ */
+static double target_capacity(const struct coord *c, const struct co_member *m,
+			      const struct doc_service *s, int64_t now_ms)
+{
+	uint32_t places = m->info->target ? m->info->target->concurrency : 0;
+	double per_s = m->rate_limit_per_s;
+	double latency_us = known_latency_us(m);
+
+	if (now_ms < m->cold_until_ms && s->cold_per_s > 0) {
+		if (per_s <= 0 || per_s > s->cold_per_s)
+			per_s = s->cold_per_s;
+		if (latency_us <= 0)
+			latency_us = mean_latency_us(c, s);
+	}
+	return place_usable_places(places, per_s, latency_us);
+}
+
 static void fill_node(const struct coord *c, const struct co_member *m,
 		      const struct doc_service *s, int64_t now_ms,
 		      struct place_node *n)
 {
 	memset(n, 0, sizeof(*n));
 	n->id = m->id;
-	n->capacity = place_usable_places(
-		m->info->target ? m->info->target->concurrency : 0,
-		m->rate_limit_per_s,
-		m->health.report.evidence >= HEALTH_MIN_EVIDENCE
-			? m->health.report.latency_us
-			: 0);
+	n->capacity = target_capacity(c, m, s, now_ms);
 	n->region = g_quark_from_string(m->info->region);
 	n->data_centre = g_quark_from_string(m->info->data_centre);
 	n->eligible = is_eligible(m, s);
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -134,6 +134,7 @@
 	uint32_t standby_rank;
 	struct health_target health; /* health of its target */
 	double rate_limit_per_s; /* requests that its target takes; 0: any */
+	int64_t cold_until_ms; /* its target said that it is cold until then */
 	UT_hash_handle hh;
 };
 
--- a/test/unit/test_ranges.c
+++ b/test/unit/test_ranges.c
@@ -411,6 +411,64 @@
 	fixture_finish(&f);
 }
 
+/*
+ * Guards against keys whose requests a cold target does not take, and against
+ * targets that get many keys at once when they are warm. Load: 600 requests/s
+ * at twelve targets; the six of a data centre return and take 10/s each.
+ */
+static void test_cold_data_centre(void)
+{
+	const double latency_us = 100000;
+	size_t moved;
+	struct fixture f;
+
+	fixture_init(&f, 12);
+	for (size_t i = 0; i < f.slot_count; i++)
+		f.slots[i].load = 600. / (double)f.slot_count;
+	for (size_t i = 0; i < 12; i++)
+		f.nodes[i].capacity = place_usable_places(13, 0, latency_us);
+	run_pass(&f);
+	for (size_t i = 0; i < 6; i++)
+		f.nodes[i].state = PLACE_LOST;
+	run_pass(&f);
+	for (size_t i = 0; i < 6; i++) {
+		f.nodes[i].state = PLACE_LIVE;
+		f.nodes[i].capacity = place_usable_places(13, 10, latency_us);
+	}
+	for (int pass = 0; pass < 10; pass++) {
+		run_pass(&f);
+		for (uint32_t id = 1; id <= 6; id++)
+			g_assert_cmpfloat(sum_load(&f, id), <=, 10);
+	}
+	for (size_t i = 0; i < 6; i++)
+		f.nodes[i].capacity = place_usable_places(13, 0, latency_us);
+	for (int pass = 0; pass < 40; pass++) {
+		moved = run_pass(&f);
+		g_assert_cmpuint(moved, <=, 12);
+	}
+	for (uint32_t id = 1; id <= 6; id++)
+		g_assert_cmpfloat(sum_load(&f, id), >=, 0.6 * 600 / 12);
+	fixture_finish(&f);
+}
+
+/*
+ * Guards against keys without an owner after a power loss: all twelve targets
+ * return cold, and take 120 of 600 requests/s together.
+ */
+static void test_all_targets_cold(void)
+{
+	struct fixture f;
+
+	fixture_init(&f, 12);
+	for (size_t i = 0; i < 12; i++)
+		f.nodes[i].capacity = place_usable_places(13, 10, 20000);
+	run_pass(&f);
+	g_assert_cmpuint(f.moves.unplaced, ==, 0);
+	for (uint32_t id = 1; id <= 12; id++)
+		g_assert_cmpuint(count_slots(&f, id), >=, SLOTS / 12 / 2);
+	fixture_finish(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -428,5 +486,7 @@
 	g_test_add_func("/ranges/no-eligible-target", test_no_eligible_target);
 	g_test_add_func("/ranges/rate-limited-targets",
 			test_rate_limited_targets);
+	g_test_add_func("/ranges/cold-data-centre", test_cold_data_centre);
+	g_test_add_func("/ranges/all-targets-cold", test_all_targets_cold);
 	return g_test_run();
 }
