selector, ingress: few requests for a cold target

Nothing called selector_set_cold. Replies and the map now tell that a target is cold; its room is then its rate times its latency, and a refusal keeps it from being asked for 500 ms.

/selector/cold-data-centre: three of six targets that take 10/s get at most 90 of 900 requests in 3 s.

--- a/placement/selector.c
+++ b/placement/selector.c
@@ -53,6 +53,17 @@
 #define SELECTOR_NETWORK_HALF_LIFE_MS 1500.0
 /* Factor by which the latency of a cold target is assumed to be higher. */
 #define SELECTOR_COLD_FACTOR 2.0
+/*
+ * Least room of a cold target in requests at a time, where its rate times its
+ * latency is less: it gets requests once all others are several times full.
+ */
+#define SELECTOR_COLD_MIN_ROOM 0.25
+/*
+ * Time for which a cold target is avoided after it refused. Its room is used up
+ * by the requests of all ingresses, and each of them would ask again every
+ * SELECTOR_REFUSED_AVOID_MS.
+ */
+#define SELECTOR_COLD_AVOID_MS 500
 /*
  * Largest random increase of a cost, so that ingresses with the same view do
  * not all select the same target.
@@ -163,6 +174,21 @@
 				  : SELECTOR_DEFAULT_LATENCY_MS;
 }
 
+static int is_rate_limited_cold(const struct selector_target *t, int64_t now_ms)
+{
+	return now_ms < t->cold_until_ms && t->cold_per_s > 0;
+}
+
+/* Returns the places of the target that its rate keeps busy while cold. */
+static double usable_places(const struct selector_target *t, double places,
+			    double latency_ms, int64_t now_ms)
+{
+	if (!is_rate_limited_cold(t, now_ms))
+		return places;
+	return fmin(places, fmax(t->cold_per_s * latency_ms / 1000,
+				 SELECTOR_COLD_MIN_ROOM));
+}
+
 static double expected_service_ms(const struct selector_target *t,
 				  const struct selector_kind *kind,
 				  uint32_t announced, int64_t now_ms)
@@ -174,6 +200,7 @@
 
 	if (places < 1)
 		places = 1;
+	places = usable_places(t, places, latency, now_ms);
 	if (now_ms < t->cold_until_ms)
 		latency *= SELECTOR_COLD_FACTOR;
 	/* Even with free places, a busier target is slightly slower. */
@@ -308,7 +335,10 @@
 		update_fail_rate(t, 1, now_ms);
 		break;
 	case SELECTOR_REFUSED:
-		t->avoid_until_ms = now_ms + SELECTOR_REFUSED_AVOID_MS;
+		t->avoid_until_ms =
+			now_ms + (is_rate_limited_cold(t, now_ms)
+					  ? SELECTOR_COLD_AVOID_MS
+					  : SELECTOR_REFUSED_AVOID_MS);
 		break;
 	case SELECTOR_UNREACHABLE:
 		t->avoid_until_ms = now_ms + SELECTOR_UNREACHABLE_AVOID_MS;
@@ -342,3 +372,28 @@
 	if (t)
 		t->cold_until_ms = until_ms;
 }
+
+void selector_set_cold_rate(struct selector *s, uint32_t id, int64_t until_ms,
+			    double per_s)
+{
+	struct selector_target *t = find_or_add_target(s, id);
+
+	if (!t)
+		return;
+	t->cold_until_ms = until_ms;
+	t->cold_per_s = per_s;
+}
+
+void selector_note_announced_cold(struct selector *s, uint32_t id,
+				  int64_t born_ms, uint32_t cold_ms,
+				  double per_s, int64_t now_ms)
+{
+	struct selector_target *t = find_or_add_target(s, id);
+
+	if (!t || (t->announced_born_ms == born_ms &&
+		   t->announced_cold_ms == cold_ms))
+		return;
+	t->announced_born_ms = born_ms;
+	t->announced_cold_ms = cold_ms;
+	selector_set_cold_rate(s, id, now_ms + cold_ms, per_s);
+}
--- a/placement/selector.h
+++ b/placement/selector.h
@@ -75,6 +75,10 @@
 	int64_t network_updated_ms;
 	int64_t avoid_until_ms; /* after it refused or was unreachable */
 	int64_t cold_until_ms;	/* end of its cold start */
+	double cold_per_s;	/* requests that it takes while cold; 0: any */
+	/* The last announcement of a cold start that was noted. */
+	int64_t announced_born_ms;
+	uint32_t announced_cold_ms;
 	UT_hash_handle hh;
 };
 
@@ -125,5 +129,18 @@
 				double ms, int64_t now_ms);
 /* Notes that the target has announced a cold start that ends at until_ms. */
 void selector_set_cold(struct selector *s, uint32_t id, int64_t until_ms);
+/*
+ * Does the same for a target that takes per_s requests a second from all
+ * ingresses together until then; until_ms 0: it is not cold.
+ */
+void selector_set_cold_rate(struct selector *s, uint32_t id, int64_t until_ms,
+			    double per_s);
+/*
+ * Notes what the target announced when it was last cold: its start and for how
+ * long. Only the first call for an announcement has an effect.
+ */
+void selector_note_announced_cold(struct selector *s, uint32_t id,
+				  int64_t born_ms, uint32_t cold_ms,
+				  double per_s, int64_t now_ms);
 
 #endif
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -181,6 +181,11 @@
  * is none.
  */
 uint32_t in_choose_target(struct in_request *q, const struct map *m);
+/*
+ * Notes that the target of the request's owner stays cold for cold_ms, 0: it is
+ * not. Does nothing unless the document limits requests to cold targets.
+ */
+void in_note_cold(struct in_request *q, uint32_t cold_ms);
 
 /* ingress_answer.c */
 
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -384,6 +384,8 @@
 	selector_note_ended(&q->in->selector, q->owner,
 			    get_selector_outcome(reply), l ? &load : NULL,
 			    clk_ms());
+	if (l)
+		in_note_cold(q, l->cold_ms);
 	if (reply->outcome != OUTCOME_ANSWERED)
 		add_failed_target(q);
 }
--- a/routing/ingress_targets.c
+++ b/routing/ingress_targets.c
@@ -49,6 +49,37 @@
 	       !has_failed_at(q, n->id);
 }
 
+/* Requests a second that a cold target of the service takes; 0: any. */
+static double cold_per_s(const struct in_request *q)
+{
+	const struct doc *d = q->in->view->ops->doc(q->in->view);
+	const struct doc_service *s =
+		d ? doc_find_service(d, q->service) : NULL;
+
+	return s ? s->cold_per_s : 0;
+}
+
+void in_note_cold(struct in_request *q, uint32_t cold_ms)
+{
+	double per_s = cold_per_s(q);
+
+	if (per_s > 0)
+		selector_set_cold_rate(&q->in->selector, q->owner,
+				       cold_ms ? clk_ms() + cold_ms : 0, per_s);
+}
+
+/* The map says how long a target was cold when it announced itself. */
+static void note_announced_cold(struct in_request *q, const struct map_node *n)
+{
+	const Wire__Target *t = n->info->target;
+	double per_s = t->cold_ms ? cold_per_s(q) : 0;
+
+	if (per_s > 0)
+		selector_note_announced_cold(&q->in->selector, n->id,
+					     t->born_ms, t->cold_ms, per_s,
+					     clk_ms());
+}
+
 uint32_t in_choose_target(struct in_request *q, const struct map *m)
 {
 	unsigned max = HASH_COUNT(m->nodes);
@@ -63,6 +94,7 @@
 	HASH_ITER(hh, m->nodes, n, next) {
 		if (!is_candidate(q, n))
 			continue;
+		note_announced_cold(q, n);
 		list[count].id = n->id;
 		list[count].distance = distance_of(q, n->info);
 		list[count++].places = n->info->target->concurrency;
--- a/test/unit/test_selector.c
+++ b/test/unit/test_selector.c
@@ -397,6 +397,53 @@
 	simulation_finish(&s);
 }
 
+static unsigned count_sent(const struct simulation *s, size_t first,
+			   size_t count)
+{
+	unsigned n = 0;
+
+	for (size_t i = first; i < first + count; i++)
+		n += s->targets[i].served + s->targets[i].refused +
+		     s->targets[i].requests->len;
+	return n;
+}
+
+/*
+ * Guards against cold targets that have to refuse most of what they get. Load:
+ * 300 requests/s of 100 ms, and three of six targets return cold and take 10/s
+ * each. When all are cold, they still get the requests by equal parts.
+ */
+static void test_cold_data_centre(void)
+{
+	struct simulation s;
+	unsigned before;
+
+	simulation_init(&s);
+	run_load(&s, 1000, 300, 100, 1000);
+	for (uint32_t id = 1; id <= TARGETS / 2; id++)
+		selector_note_announced_cold(&s.selector, id, 1, 6000, 10,
+					     s.now_ms);
+	before = count_sent(&s, 0, TARGETS / 2);
+	run_load(&s, 3000, 300, 100, 1000);
+	g_assert_cmpuint(count_sent(&s, 0, TARGETS / 2) - before, <=,
+			 3 * 3 * 10);
+	/* A reply that says that it is warm ends it, whatever the map says. */
+	selector_set_cold_rate(&s.selector, 1, 0, 10);
+	selector_note_announced_cold(&s.selector, 1, 1, 6000, 10, s.now_ms);
+	before = count_sent(&s, 0, 1);
+	run_load(&s, 1000, 300, 100, 1000);
+	g_assert_cmpuint(count_sent(&s, 0, 1) - before, >, 300 / TARGETS / 2);
+	for (uint32_t id = 1; id <= TARGETS; id++)
+		selector_set_cold_rate(&s.selector, id, s.now_ms + 6000, 10);
+	for (size_t i = 0; i < TARGETS; i++) {
+		before = count_sent(&s, i, 1);
+		run_load(&s, 500, 300, 100, 1000);
+		g_assert_cmpuint(count_sent(&s, i, 1) - before, >,
+				 150 / TARGETS / 2);
+	}
+	simulation_finish(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -407,5 +454,6 @@
 	g_test_add_func("/selector/unreachable", test_unreachable);
 	g_test_add_func("/selector/kinds", test_kinds);
 	g_test_add_func("/selector/cold-start", test_cold_start);
+	g_test_add_func("/selector/cold-data-centre", test_cold_data_centre);
 	return g_test_run();
 }
