--- a/daemon/interface_own.c
+++ b/daemon/interface_own.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define TARGET_MAX_CONCURRENCY 100000
+#define TARGET_MAX_COLD_MS 600000
 
 static const struct {
 	const char *name;
@@ -57,16 +58,17 @@
 			    struct err_info *info)
 {
 	struct sockaddr_in sa;
-	json_int_t port, concurrency, connections = 0;
+	json_int_t port, concurrency, connections = 0, cold_ms = 0;
 	const char *service, *address;
 	json_t *list = NULL;
 	json_error_t error;
 	enum err e;
 
-	if (json_unpack_ex(root, &error, 0, "{s:s,s:s,s:I,s:I,s?I,s?o}",
+	if (json_unpack_ex(root, &error, 0, "{s:s,s:s,s:I,s:I,s?I,s?o,s?I}",
 			   "service", &service, "address", &address, "port",
 			   &port, "concurrency", &concurrency, "connections",
-			   &connections, "checks", &list) < 0)
+			   &connections, "checks", &list, "cold_ms",
+			   &cold_ms) < 0)
 		return err_set(info, ERR_MALFORMED, "%s", error.text);
 	e = check_range(port, 65535, "port", info);
 	if (e == ERR_OK)
@@ -74,6 +76,9 @@
 				"concurrency", info);
 	if (e != ERR_OK)
 		return e;
+	if (cold_ms < 0 || cold_ms > TARGET_MAX_COLD_MS)
+		return err_set(info, ERR_RANGE, "cold_ms must be 0 to %d",
+			       TARGET_MAX_COLD_MS);
 	if (connections < concurrency)
 		connections = concurrency;
 	if (!service[0] || strlen(service) >= sizeof(a->service))
@@ -89,6 +94,7 @@
 	snprintf(a->address, sizeof(a->address), "%s", address);
 	a->port = (unsigned)port;
 	a->concurrency = (uint32_t)concurrency;
+	a->cold_ms = (uint32_t)cold_ms;
 	a->connections = (uint32_t)connections;
 	return ERR_OK;
 }
--- a/standins/common_targetopt.c
+++ b/standins/common_targetopt.c
@@ -12,6 +12,7 @@
 	OPT_QUEUE,
 	OPT_SERVICE_MS,
 	OPT_JITTER,
+	OPT_COLD,
 	OPT_SEED,
 	OPT_CHECKS,
 	OPT_HEALTH_LAG,
@@ -37,6 +38,8 @@
 	  0 },
 	{ "service-jitter-ms", OPT_JITTER, "MS", 0,
 	  "upper limit of a random addition to it (0)", 0 },
+	{ "cold-ms", OPT_COLD, "MS", 0,
+	  "announce it as cold for so long after its start (0)", 0 },
 	{ "seed", OPT_SEED, "N", 0, "seed of the random numbers (1)", 0 },
 	{ "checks", OPT_CHECKS, "LIST", 0,
 	  "reasons to refuse requests: fence,deadline,sender", 0 },
@@ -104,6 +107,9 @@
 		o->jitter_ms =
 			parse_number(state, arg, 0, TARGET_MAX_SERVICE_MS);
 		return 0;
+	case OPT_COLD:
+		o->cold_ms = parse_number(state, arg, 0, 600000);
+		return 0;
 	case OPT_SEED:
 		o->seed = parse_number(state, arg, 0, INT_MAX);
 		return 0;
--- a/standins/target.c
+++ b/standins/target.c
@@ -99,6 +99,7 @@
 	int announced;
 	char *announce_url;
 	char *announce_body;
+	int64_t cold_until_ms;
 	ev_timer announce_timer;
 	ev_timer health_timer;
 	ev_timer stop_timer;
@@ -518,12 +519,37 @@
 
 static const struct httpc_ops announce_ops = { .done = on_announced };
 
+static void make_announcement(struct target *t)
+{
+	const struct target_options *o = &t->opt;
+	int64_t cold_ms = t->cold_until_ms - clk_ms();
+	json_t *checks = json_array();
+	json_t *a;
+
+	if (o->check_fence)
+		json_array_append_new(checks, json_string("fence"));
+	if (o->check_deadline)
+		json_array_append_new(checks, json_string("deadline"));
+	if (o->check_sender)
+		json_array_append_new(checks, json_string("sender"));
+	a = json_pack("{s:s,s:s,s:i,s:i,s:i,s:o}", "service", o->service,
+		      "address", o->address, "port", o->port, "concurrency",
+		      o->concurrency, "connections", o->connections, "checks",
+		      checks);
+	if (cold_ms > 0)
+		json_object_set_new(a, "cold_ms", json_integer(cold_ms));
+	free(t->announce_body);
+	t->announce_body = json_dumps(a, JSON_COMPACT);
+	json_decref(a);
+}
+
 static void announce(struct target *t, const char *method)
 {
 	static const struct httpc_header json = { "Content-Type",
 						  "application/json" };
 	struct httpc_request *q = &t->announcement;
 
+	make_announcement(t);
 	memset(q, 0, sizeof(*q));
 	q->ops = &announce_ops;
 	q->priv = t;
@@ -596,27 +622,6 @@
 		t->withdrawn = 1;
 }
 
-static void make_announcement(struct target *t)
-{
-	const struct target_options *o = &t->opt;
-	json_t *checks = json_array();
-	json_t *a;
-
-	if (o->check_fence)
-		json_array_append_new(checks, json_string("fence"));
-	if (o->check_deadline)
-		json_array_append_new(checks, json_string("deadline"));
-	if (o->check_sender)
-		json_array_append_new(checks, json_string("sender"));
-	a = json_pack("{s:s,s:s,s:i,s:i,s:i,s:o}", "service", o->service,
-		      "address", o->address, "port", o->port, "concurrency",
-		      o->concurrency, "connections", o->connections, "checks",
-		      checks);
-	t->announce_body = json_dumps(a, JSON_COMPACT);
-	t->announce_url = g_strdup_printf("http://%s/announce", o->daemon);
-	json_decref(a);
-}
-
 static void watch_signal(struct target *t, ev_signal *w, int number)
 {
 	ev_signal_init(w, on_signal, number);
@@ -666,7 +671,8 @@
 		       &server_ops, t, info);
 	if (e != ERR_OK)
 		return e;
-	make_announcement(t);
+	t->cold_until_ms = clk_ms() + t->opt.cold_ms;
+	t->announce_url = g_strdup_printf("http://%s/announce", t->opt.daemon);
 	init_timers(t);
 	watch_signal(t, &t->on_term, SIGTERM);
 	watch_signal(t, &t->on_int, SIGINT);
--- a/test/unit/test_doc.c
+++ b/test/unit/test_doc.c
@@ -123,16 +123,19 @@
 		"\"colour\": 3",
 		"services.kiln.colour: unknown key (allowed: route, keyed, "
 		"shards, weights, max_peak_to_mean, auto_pins, moves_per_minute, "
-		"restart_grace_ms, limits, idempotency_key, targets, assign, "
-		"pins)\n");
+		"restart_grace_ms, limits, cold_per_s, idempotency_key, "
+		"targets, assign, pins)\n");
 	/* Such a key was read beside the group, and its list was lost. */
 	expect_problems(
 		"\"targets\": {\"regions\": [\"a\"]}, "
 		"\"targets.regions\": [\"b\"]",
 		"services.kiln.targets.regions: unknown key (allowed: "
 		"route, keyed, shards, weights, max_peak_to_mean, auto_pins, "
-		"moves_per_minute, restart_grace_ms, limits, idempotency_key, "
-		"targets, assign, pins)\n");
+		"moves_per_minute, restart_grace_ms, limits, cold_per_s, "
+		"idempotency_key, targets, assign, pins)\n");
+	expect_problems("\"cold_per_s\": -1",
+			"services.kiln.cold_per_s: -1 is out of range "
+			"(allowed: a number from 0 to 10000)\n");
 	expect_problems(
 		"\"limits\": 3",
 		"services.kiln.limits: is a number (allowed: an object)\n");
