platform: regions of a route and the rate of cold targets

The columns allowedRegions and coldPerS become regions and cold_per_s. The merge of the parts regions and cold targets needed one parameter more in coord_place. test_platform places_and_cold reads both, with none, an empty list and 0.

--- a/membership/coord_place.c
+++ b/membership/coord_place.c
@@ -93,14 +93,15 @@
 
 /* Mean over the targets of the service; 0: unknown. */
 static double mean_latency_us(const struct coord *c,
-			      const struct doc_service *s)
+			      const struct doc_service *s,
+			      const struct doc_owner_regions *regions)
 {
 	struct co_member *m, *tmp;
 	double sum = 0;
 	double count = 0;
 
 	HASH_ITER(hh, c->members, m, tmp) {
-		if (known_latency_us(m) <= 0 || !is_eligible(m, s))
+		if (known_latency_us(m) <= 0 || !is_eligible(m, s, regions))
 			continue;
 		sum += known_latency_us(m);
 		count++;
@@ -113,7 +114,9 @@
  * tells that it is cold before its node has reported a rate or any latency.
  */
 static double target_capacity(const struct coord *c, const struct co_member *m,
-			      const struct doc_service *s, int64_t now_ms)
+			      const struct doc_service *s,
+			      const struct doc_owner_regions *regions,
+			      int64_t now_ms)
 {
 	uint32_t places = m->info->target ? m->info->target->concurrency : 0;
 	double per_s = m->rate_limit_per_s;
@@ -123,7 +126,7 @@
 		if (per_s <= 0 || per_s > s->cold_per_s)
 			per_s = s->cold_per_s;
 		if (latency_us <= 0)
-			latency_us = mean_latency_us(c, s);
+			latency_us = mean_latency_us(c, s, regions);
 	}
 	return place_usable_places(places, per_s, latency_us);
 }
@@ -135,7 +138,7 @@
 {
 	memset(n, 0, sizeof(*n));
 	n->id = m->id;
-	n->capacity = target_capacity(c, m, s, now_ms);
+	n->capacity = target_capacity(c, m, s, regions, now_ms);
 	n->region = g_quark_from_string(m->info->region);
 	n->data_centre = g_quark_from_string(m->info->data_centre);
 	n->eligible = is_eligible(m, s, regions);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -385,6 +385,47 @@
 	kvsrv_put(&f->srv, platform_document.key, text, strlen(text));
 }
 
+/*
+ * Guards against a route that leaves its regions, a cold target without its
+ * limit, and large answers that are not repeated, since their columns are lost.
+ */
+static void test_places_and_cold(void)
+{
+	static const char config[] =
+		"{\"version\":\"0000000c\",\"routes\":{\"columns\":[\"name\","
+		"\"host\",\"pathPrefix\",\"kind\",\"service\","
+		"\"allowedRegions\"],\"rows\":["
+		"[\"r1\",\"a.example\",\"/p/\",\"download\",\"desk\","
+		"[\"east\",\"west\"]],"
+		"[\"r2\",\"a.example\",\"/q/\",\"upload\",\"desk\",[]],"
+		"[\"r3\",\"a.example\",\"/r/\",\"upload\",\"desk\",null]]},"
+		"\"services\":{\"columns\":[\"name\",\"coldPerS\"],\"rows\":["
+		"[\"desk\",10.0],[\"free\",null],[\"zero\",0]]}}";
+	struct doc_sections sections;
+	const struct doc_route *r;
+	struct buf problems;
+	struct doc d;
+
+	buf_init(&problems);
+	g_assert_cmpint(platform_document.read((const uint8_t *)config,
+					       strlen(config), &d, &sections,
+					       &problems),
+			==, ERR_OK);
+	r = doc_find_route(&d, "a.example", "/p/x");
+	g_assert_cmpint(r->kind, ==, DOC_KIND_IDEMPOTENT);
+	g_assert_cmpstr(r->regions[0], ==, "east");
+	g_assert_cmpstr(r->regions[1], ==, "west");
+	g_assert_null(r->regions[2]);
+	g_assert_null(doc_find_route(&d, "a.example", "/q/x")->regions);
+	g_assert_null(doc_find_route(&d, "a.example", "/r/x")->regions);
+	g_assert_cmpfloat(doc_find_service(&d, "desk")->cold_per_s, ==, 10);
+	g_assert_cmpfloat(doc_find_service(&d, "free")->cold_per_s, ==, 0);
+	g_assert_cmpfloat(doc_find_service(&d, "zero")->cold_per_s, ==, 0);
+	doc_finish(&d);
+	doc_sections_finish(&sections);
+	buf_finish(&problems);
+}
+
 /*
  * Guards against wrong translation of the configuration, against an invalid
  * version that replaces the valid one in force, against an older version that
@@ -770,6 +811,7 @@
 	g_test_add_func("/kv/joined_answers", test_joined_answers);
 	g_test_add_func("/kv/late_answer", test_late_answer);
 	g_test_add_func("/kv/too_many_entries", test_too_many_entries);
+	g_test_add_func("/platform/places_and_cold", test_places_and_cold);
 	g_test_add_func("/platform/feed", test_feed);
 	g_test_add_func("/platform/restored_store", test_restored_store);
 	g_test_add_func("/platform/many_routes", test_many_routes);
