config: stops of a data centre, target.empty_ms

A stop named a node only. It now names either a node or a data centre; both or neither is a problem, and a data centre may be named once. The setting bounds how long a target that is emptied gets requests with a key. doc_source can name the keys of orders beside the document.

--- a/config/doc.h
+++ b/config/doc.h
@@ -210,6 +210,13 @@
  */
 struct doc_source {
 	const char *key; /* of the document in the store */
+	/*
+	 * Operators order that a data centre be drained by a key of its own,
+	 * orders followed by its name; its value does not matter. prefix is
+	 * what key and orders start with. Both are NULL if there are no orders.
+	 */
+	const char *prefix;
+	const char *orders;
 	/*
 	 * Translates and validates the value at key. On ERR_OK the caller
 	 * finishes both d and out. d->revision is the number that the operator
--- a/config/doc_diff.c
+++ b/config/doc_diff.c
@@ -52,14 +52,16 @@
 
 /*
  * Writes "PATH[ID]" for an item of a list of objects. ID is the item's key,
- * shards or node, so that an item at another place of the list is not a
- * difference; the index if it has none of them.
+ * shards, node or data centre, so that an item at another place of the list is
+ * not a difference; the index if it has none of them.
  */
 static void format_item_path(struct buf *out, const char *path,
 			     const json_t *item, size_t index)
 {
 	const char *key = json_string_value(json_object_get(item, "key"));
 	const char *node = json_string_value(json_object_get(item, "node"));
+	const char *centre =
+		json_string_value(json_object_get(item, "data_centre"));
 	const json_t *shards = json_object_get(item, "shards");
 
 	if (key)
@@ -72,6 +74,8 @@
 			 json_integer_value(json_array_get(shards, 1)));
 	else if (node)
 		buf_addf(out, "%s[%s]", path, node);
+	else if (centre)
+		buf_addf(out, "%s[data_centre %s]", path, centre);
 	else
 		buf_addf(out, "%s[%zu]", path, index);
 }
--- a/config/doc_parse.c
+++ b/config/doc_parse.c
@@ -18,22 +18,32 @@
 /* There is only one state, so no field of doc_stop stores it. */
 static const char *const stop_states[] = { "drain", NULL };
 
+#define STOP_STATE 2 /* index of the option */
+
 static const struct opt stop_options[] = {
 	{ .name = "node",
 	  .type = OPT_TEXT,
 	  OPT_FIELD(struct doc_stop, node),
-	  .required = 1,
 	  .check = opt_check_name,
 	  .allowed = OPT_ALLOWED_NAME,
 	  .description = "node that is to stop, at most once in the list" },
-	{ .name = "state",
-	  .type = OPT_CHOICE,
-	  .required = 1,
-	  .choices = stop_states,
-	  .description =
-		  "the node's slots move away until the stop is removed" },
+	{ .name = "data_centre",
+	  .type = OPT_TEXT,
+	  OPT_FIELD(struct doc_stop, data_centre),
+	  .check = opt_check_name,
+	  .allowed = OPT_ALLOWED_NAME,
+	  .description = "data centre whose targets are to get nothing more, "
+			 "instead of node; at most once in the list" },
+	[STOP_STATE] = { .name = "state",
+			 .type = OPT_CHOICE,
+			 .required = 1,
+			 .choices = stop_states,
+			 .description = "the slots move away until the stop is "
+					"removed" },
 };
 
+#define STOP_OPTION_COUNT (sizeof(stop_options) / sizeof(stop_options[0]))
+
 void doc_add_problem(struct doc_check *c, enum err e, const char *path,
 		     const char *fmt, ...)
 {
@@ -324,6 +334,22 @@
 	return strcmp(x->name, y->name);
 }
 
+static void check_stop_keys(struct doc_check *c, const json_t *value,
+			    const char *path)
+{
+	int names = (json_object_get(value, "node") != NULL) +
+		    (json_object_get(value, "data_centre") != NULL);
+
+	if (names != 1)
+		doc_add_problem(c, names ? ERR_CONFLICT : ERR_NOT_FOUND, path,
+				"%s (required: one of node, data_centre)",
+				names ? "node and data_centre are both set"
+				      : "node or data_centre is missing");
+	if (!json_object_get(value, stop_options[STOP_STATE].name))
+		doc_add_problem(c, ERR_NOT_FOUND, path,
+				"state is missing (required: state)");
+}
+
 static void read_stop(struct doc_check *c, struct doc_stop *stop,
 		      const json_t *value, const char *path)
 {
@@ -333,12 +359,14 @@
 
 	if (!json_is_object(value)) {
 		doc_add_problem(c, ERR_TYPE, path,
-				"%s (allowed: an object with node and state)",
+				"%s (allowed: an object with node or "
+				"data_centre, and state)",
 				doc_type_name(value));
 		return;
 	}
 	json_object_foreach((json_t *)value, key, item) {
-		const struct opt *o = opt_find(stop_options, 2, key);
+		const struct opt *o =
+			opt_find(stop_options, STOP_OPTION_COUNT, key);
 		struct opt_value v = doc_opt_value(item);
 		char item_path[DOC_PATH_BYTES];
 		struct buf reason;
@@ -347,28 +375,48 @@
 		doc_path_key(item_path, path, key);
 		if (!o) {
 			doc_add_problem(c, ERR_UNKNOWN_KEY, item_path,
-					"unknown key (allowed: node, state)");
+					"unknown key (allowed: node, "
+					"data_centre, state)");
 			continue;
 		}
 		buf_init(&reason);
-		e = opt_store(o, &v, o == stop_options ? (void *)stop : &state,
+		e = opt_store(o, &v,
+			      o == &stop_options[STOP_STATE] ? (void *)&state
+							     : stop,
 			      &reason);
 		if (e != ERR_OK)
 			doc_add_problem(c, e, item_path, "%s",
 					buf_text(&reason));
 		buf_finish(&reason);
 	}
-	for (size_t i = 0; i < 2; i++) {
-		if (!json_object_get(value, stop_options[i].name))
-			doc_add_problem(c, ERR_NOT_FOUND, path,
-					"%s is missing (required: node, state)",
-					stop_options[i].name);
+	check_stop_keys(c, value, path);
+}
+
+/* Checks that no node and no data centre is named twice. */
+static void check_stops_unique(struct doc_check *c, const struct doc *d)
+{
+	const char **names = calloc(d->stop_count + 1, sizeof(*names));
+	size_t nodes = 0, centres = 0;
+
+	if (!names) {
+		doc_add_problem(c, ERR_NOMEM, DOC_STOPS_NAME, "no memory");
+		return;
+	}
+	for (size_t i = 0; i < d->stop_count; i++) {
+		if (d->stops[i].node[0])
+			names[nodes++] = d->stops[i].node;
+	}
+	doc_check_unique(c, DOC_STOPS_NAME, names, nodes);
+	for (size_t i = 0; i < d->stop_count; i++) {
+		if (d->stops[i].data_centre[0])
+			names[centres++] = d->stops[i].data_centre;
 	}
+	doc_check_unique(c, DOC_STOPS_NAME, names, centres);
+	free(names);
 }
 
 static void read_stops(struct doc_check *c, struct doc *d, const json_t *value)
 {
-	const char **names;
 	size_t count;
 
 	if (!value)
@@ -381,9 +429,7 @@
 		return;
 	}
 	d->stops = calloc(count + 1, sizeof(*d->stops));
-	names = calloc(count + 1, sizeof(*names));
-	if (!d->stops || !names) {
-		free(names);
+	if (!d->stops) {
 		doc_add_problem(c, ERR_NOMEM, DOC_STOPS_NAME, "no memory");
 		return;
 	}
@@ -392,11 +438,9 @@
 
 		doc_path_index(path, DOC_STOPS_NAME, i);
 		read_stop(c, &d->stops[i], json_array_get(value, i), path);
-		names[i] = d->stops[i].node;
 	}
 	d->stop_count = count;
-	doc_check_unique(c, DOC_STOPS_NAME, names, count);
-	free(names);
+	check_stops_unique(c, d);
 }
 
 void doc_read_shared(struct doc_check *c, struct doc *d, const json_t *root)
@@ -453,7 +497,7 @@
 	opt_describe(&version_option, "", out);
 	doc_describe_service(out);
 	doc_describe_routes(out);
-	for (size_t i = 0; i < 2; i++)
+	for (size_t i = 0; i < STOP_OPTION_COUNT; i++)
 		opt_describe(&stop_options[i], "stops[].", out);
 }
 
@@ -532,7 +576,7 @@
 int doc_has_stop(const struct doc *d, const char *node)
 {
 	for (size_t i = 0; i < d->stop_count; i++) {
-		if (!strcmp(d->stops[i].node, node))
+		if (d->stops[i].node[0] && !strcmp(d->stops[i].node, node))
 			return 1;
 	}
 	return 0;
@@ -541,7 +585,8 @@
 int doc_has_data_centre_stop(const struct doc *d, const char *data_centre)
 {
 	for (size_t i = 0; i < d->stop_count; i++) {
-		if (!strcmp(d->stops[i].data_centre, data_centre))
+		if (d->stops[i].data_centre[0] &&
+		    !strcmp(d->stops[i].data_centre, data_centre))
 			return 1;
 	}
 	return 0;
--- a/config/settings.c
+++ b/config/settings.c
@@ -145,6 +145,14 @@
 	  .max = 60000,
 	  .description = "a leaving target gets nothing new after this time; "
 			 "0: until its keys have moved" },
+	{ .name = "target.empty_ms",
+	  .type = OPT_TIME,
+	  FIELD(empty_ms),
+	  .min = 0,
+	  .max = 60000,
+	  .description = "the target of a data centre that is emptied gets "
+			 "nothing new after this time; 0: until its keys have "
+			 "moved" },
 	{ .name = "target.adapt_concurrency",
 	  .type = OPT_BOOL,
 	  FIELD(adapt_concurrency),
--- a/config/settings.h
+++ b/config/settings.h
@@ -63,6 +63,12 @@
 	 * those for its own keys until the keys have moved.
 	 */
 	int drain_ms;
+	/*
+	 * The target of a data centre that operators empty gets no requests
+	 * after this time; 0: it gets those for its own keys until the keys
+	 * have moved.
+	 */
+	int empty_ms;
 	/*
 	 * Longest time that a target may hold keys after an announcement; 0:
 	 * targets hold none and rely on the fence of each request.
