doc_feed: orders to empty a data centre

The platform keeps each order as a key under op/evacuate/. One read and one watch of the prefix op/ bring it with the document, so that no store call is added. The highest revision of an era decides, so that a read that was sent before an event does not undo it; a read in another era replaces the set, and so notices keys that were deleted meanwhile.

test_doc_feed passes: orders before the document at the first read, events, a deletion while there is no watch, a restore, an overtaken read, more names than the set holds.

--- a/membership/doc_feed.c
+++ b/membership/doc_feed.c
@@ -76,6 +76,12 @@
 	struct feed_row *rows;
 	uint64_t rest_digest; /* of struct doc_rest */
 	unsigned version;     /* counts those that were begun */
+
+	/* Of the source's orders; valid once has_orders is set. */
+	struct drained orders;
+	int has_orders;
+	int64_t orders_revision; /* of the store when they were so */
+	uint64_t orders_era;	 /* of orders_revision */
 };
 
 static void schedule_read(struct doc_feed *f, int ms)
@@ -398,11 +404,119 @@
 	ev_timer_start(f->loop, &f->step_timer);
 }
 
+/* ---- orders ---- */
+
+/* Returns the data centre of an order's key; NULL if it is another key. */
+static const char *order_name(const struct doc_feed *f, const char *key)
+{
+	const char *prefix = f->source->orders;
+	size_t len = prefix ? strlen(prefix) : 0;
+
+	return len && strncmp(key, prefix, len) == 0 ? key + len : NULL;
+}
+
+static void add_order(struct drained *orders, const char *name,
+		      int64_t mod_revision)
+{
+	enum err e = drained_add(orders, name);
+
+	/* Repeated by each read, so it is limited as the lines of requests. */
+	if (e != ERR_OK)
+		log_request(LOG_WARN, "order_ignored",
+			    "data_centre=%s error=%s mod_revision=%lld",
+			    LOG_Q(name), err_name(e), (long long)mod_revision);
+}
+
+/*
+ * Puts the orders in force that the store had at the revision, which is not
+ * older than that of the present ones.
+ */
+static void set_orders(struct doc_feed *f, const struct drained *orders,
+		       int64_t revision, uint64_t era, const char *by)
+{
+	size_t changes = 0;
+
+	for (size_t i = 0; i < orders->count; i++) {
+		if (drained_has(&f->orders, orders->names[i]))
+			continue;
+		changes++;
+		log_info("data_centre_order",
+			 "data_centre=%s by=%s revision=%lld era=%llu "
+			 "first_read=%d",
+			 LOG_Q(orders->names[i]), by, (long long)revision,
+			 (unsigned long long)era, !f->has_orders);
+	}
+	for (size_t i = 0; i < f->orders.count; i++) {
+		if (drained_has(orders, f->orders.names[i]))
+			continue;
+		changes++;
+		log_info("data_centre_order_ended",
+			 "data_centre=%s by=%s revision=%lld era=%llu",
+			 LOG_Q(f->orders.names[i]), by, (long long)revision,
+			 (unsigned long long)era);
+	}
+	f->orders_revision = revision;
+	f->orders_era = era;
+	if (!changes && f->has_orders)
+		return;
+	f->orders = *orders;
+	f->has_orders = 1;
+	if (f->ops->ordered)
+		f->ops->ordered(&f->orders, f->priv);
+}
+
+/*
+ * The watch may be ahead of a read that was sent before, and behind a read that
+ * was answered before its events.
+ */
+static int is_older_than_orders(const struct doc_feed *f, int64_t revision,
+				uint64_t era)
+{
+	return f->has_orders && era == f->orders_era &&
+	       revision < f->orders_revision;
+}
+
+static void read_orders(struct doc_feed *f, const struct store_range *r)
+{
+	struct drained orders;
+
+	if (!f->source->orders || is_older_than_orders(f, r->revision, r->era))
+		return;
+	drained_init(&orders);
+	for (size_t i = 0; i < r->count; i++) {
+		const char *name = order_name(f, r->kvs[i].key);
+
+		if (name)
+			add_order(&orders, name, r->kvs[i].mod_revision);
+	}
+	set_orders(f, &orders, r->revision, r->era, "read");
+}
+
+/* The driver ends a watch before it delivers events of another era. */
+static void apply_order_event(struct doc_feed *f, const char *name,
+			      const struct store_event *event)
+{
+	struct drained orders = f->orders;
+
+	if (is_older_than_orders(f, event->mod_revision, f->orders_era))
+		return;
+	if (event->value)
+		add_order(&orders, name, event->mod_revision);
+	else
+		drained_remove(&orders, name);
+	set_orders(f, &orders, event->mod_revision, f->orders_era, "event");
+}
+
+/* ---- reads and the watch ---- */
+
 static void on_event(const struct store_event *event, void *priv)
 {
 	struct doc_feed *f = priv;
+	const char *order = order_name(f, event->key);
 
 	f->answered_ms = clk_ms();
+	if (order)
+		apply_order_event(f, order, event);
 	if (event->value && strcmp(event->key, f->source->key) == 0)
 		apply_value(f, event->value, event->value_len,
 			    event->mod_revision);
@@ -423,6 +537,12 @@
 	.ended = on_watch_ended,
 };
 
+/* One read and one watch bring the document and the orders. */
+static const char *read_prefix(const struct doc_feed *f)
+{
+	return f->source->prefix ? f->source->prefix : f->source->key;
+}
+
 static void on_read(enum err e, const struct store_range *r, void *priv)
 {
 	struct doc_feed *f = priv;
@@ -437,6 +557,7 @@
 	}
 	f->answered_ms = f->read_ms;
 	f->retry_ms = FEED_RETRY_FIRST_MS;
+	read_orders(f, r);
 	for (size_t i = 0; i < r->count; i++) {
 		const struct store_kv *kv = &r->kvs[i];
 
@@ -445,7 +566,7 @@
 				    kv->mod_revision);
 	}
 	if (!f->watch)
-		f->watch = f->store->ops->watch(f->store, f->source->key,
+		f->watch = f->store->ops->watch(f->store, read_prefix(f),
 						r->revision, r->era, &watch_ops,
 						f);
 }
@@ -462,7 +583,7 @@
 	f->reading = 1;
 	f->read_ms = clk_ms();
 	/* A range gives the store's revision even if the key is absent. */
-	f->store->ops->range(f->store, f->source->key, 1, on_read, f);
+	f->store->ops->range(f->store, read_prefix(f), 1, on_read, f);
 }
 
 enum err doc_feed_new(struct doc_feed **out, struct ev_loop *loop,
@@ -479,6 +600,7 @@
 	f->ops = ops;
 	f->priv = priv;
 	f->retry_ms = FEED_RETRY_FIRST_MS;
+	drained_init(&f->orders);
 	ev_timer_init(&f->timer, on_timer, 0., 0.);
 	f->timer.data = f;
 	ev_timer_init(&f->step_timer, on_step_timer, 0., 0.);
--- a/membership/doc_feed.h
+++ b/membership/doc_feed.h
@@ -3,6 +3,7 @@
 
 #include "common/cnt.h"
 #include "config/doc.h"
+#include "membership/drained.h"
 #include "store/store.h"
 
 /*
@@ -10,6 +11,11 @@
  * a format that struct doc_source reads: it reads the value, watches it, and
  * reports each version that is valid and newer than the last one, by the number
  * that the operator gave it.
+ *
+ * The same reads and the same watch bring the operators' orders to empty a data
+ * centre, if the source has any. An order is in force while its key is there.
+ * Orders have no number: of what the store tells in one era, the highest
+ * revision decides, and a read in another era replaces all of them.
  */
 
 struct doc_feed;
@@ -18,6 +24,12 @@
 	/* Reports a new version; the callee takes ownership of both. */
 	void (*updated)(struct doc *doc, struct doc_sections *sections,
 			void *priv);
+	/*
+	 * Reports the orders in force: after the first read, before the
+	 * document of that read, and after each change. NULL: the caller needs
+	 * no orders.
+	 */
+	void (*ordered)(const struct drained *orders, void *priv);
 };
 
 /*
--- a/test/unit/test_doc_feed.c
+++ b/test/unit/test_doc_feed.c
@@ -10,23 +10,34 @@
 
 #define KEY "op/config"
 
-/* A store with one key, whose value a test sets, and one watch. */
+/* A store whose answers a test sets, with one watch. */
 struct fake_store {
 	struct store store;
 	struct store_ops ops;
 	const struct store_watch_ops *watch_ops;
 	void *watch_priv;
+	unsigned ranges;
+	struct store_range answer; /* to a read */
+	/* Keeps reads back, for tests that answer them later. */
+	int hold_reads;
+	store_range_fn held_fn;
+	void *held_priv;
 };
 
-static void no_range(struct store *s, const char *key, int prefix,
-		     store_range_fn fn, void *priv)
+static void fake_range(struct store *s, const char *key, int prefix,
+		       store_range_fn fn, void *priv)
 {
-	struct store_range empty = { .revision = 1 };
+	struct fake_store *f = (struct fake_store *)s;
 
-	(void)s;
-	(void)key;
-	(void)prefix;
-	fn(ERR_OK, &empty, priv);
+	g_assert_cmpstr(key, ==, "op/");
+	g_assert_true(prefix);
+	f->ranges++;
+	if (f->hold_reads) {
+		f->held_fn = fn;
+		f->held_priv = priv;
+		return;
+	}
+	fn(ERR_OK, &f->answer, priv);
 }
 
 static struct store_watch *fake_watch(struct store *s, const char *prefix,
@@ -36,9 +47,9 @@
 {
 	struct fake_store *f = (struct fake_store *)s;
 
-	(void)prefix;
 	(void)from_revision;
 	(void)era;
+	g_assert_cmpstr(prefix, ==, "op/");
 	f->watch_ops = ops;
 	f->watch_priv = priv;
 	return (struct store_watch *)f;
@@ -75,8 +86,20 @@
 	struct doc doc; /* the newest that the feed reported */
 	struct doc_sections sections;
 	uint64_t version;
+	unsigned order_reports;
+	struct drained orders; /* as reported last */
+	unsigned updates_at_first_orders;
 };
 
+static void on_ordered(const struct drained *orders, void *priv)
+{
+	struct fixture *f = priv;
+
+	if (!f->order_reports++)
+		f->updates_at_first_orders = f->updates;
+	f->orders = *orders;
+}
+
 static void on_updated(struct doc *doc, struct doc_sections *sections,
 		       void *priv)
 {
@@ -89,18 +112,21 @@
 	f->updates++;
 }
 
-static const struct doc_feed_ops feed_ops = { .updated = on_updated };
+static const struct doc_feed_ops feed_ops = { .updated = on_updated,
+					      .ordered = on_ordered };
 
-static void setup(struct fixture *f)
+/* The first read finds what first has. */
+static void setup_with(struct fixture *f, const struct store_range *first)
 {
 	memset(f, 0, sizeof(*f));
+	f->store.answer = *first;
 	source = platform_document;
 	source.read_row = count_row;
 	source.read = count_whole;
 	rows_read = 0;
 	whole_reads = 0;
 	f->loop = ev_loop_new(0);
-	f->store.ops.range = no_range;
+	f->store.ops.range = fake_range;
 	f->store.ops.watch = fake_watch;
 	f->store.store.ops = &f->store.ops;
 	f->version = 16;
@@ -111,6 +137,13 @@
 	g_assert_nonnull(f->store.watch_ops);
 }
 
+static void setup(struct fixture *f)
+{
+	const struct store_range empty = { .revision = 1, .era = 1 };
+
+	setup_with(f, &empty);
+}
+
 static void teardown(struct fixture *f)
 {
 	doc_feed_free(f->feed);
@@ -343,6 +376,178 @@
 	teardown(&f);
 }
 
+/* ---- orders ---- */
+
+#define ORDER_A "op/evacuate/a"
+#define ORDER_B "op/evacuate/b"
+
+static const struct store_kv order_kvs[] = {
+	{ ORDER_A, (const uint8_t *)"{}", 2, 4 },
+	{ ORDER_B, (const uint8_t *)"", 0, 5 },
+	{ "op/evacuate/", (const uint8_t *)"{}", 2, 2 },
+	{ "op/evacuate/a b", (const uint8_t *)"{}", 2, 2 },
+	{ "op/evacuated", (const uint8_t *)"{}", 2, 2 },
+	{ "op/other", (const uint8_t *)"{}", 2, 2 },
+};
+
+static struct store_range make_range(size_t count, int64_t revision,
+				     uint64_t era)
+{
+	return (struct store_range){ order_kvs, count, revision, era };
+}
+
+static void send_order(struct fixture *f, const char *key, const char *value,
+		       int64_t revision)
+{
+	struct store_event event = { .key = key,
+				     .value = (const uint8_t *)value,
+				     .value_len = value ? strlen(value) : 0,
+				     .mod_revision = revision };
+
+	f->store.watch_ops->event(&event, f->store.watch_priv);
+}
+
+/* Ends the watch; the next read finds range. */
+static void lose_watch(struct fixture *f, struct store_range range)
+{
+	f->store.answer = range;
+	f->store.watch_ops->ended(ERR_STALE, f->store.watch_priv);
+	f->store.watch_ops = NULL;
+	fake_pause(f->loop, 150);
+	g_assert_nonnull(f->store.watch_ops);
+}
+
+static void expect_orders(const struct fixture *f, int a, int b)
+{
+	g_assert_cmpint(drained_has(&f->orders, "a"), ==, a);
+	g_assert_cmpint(drained_has(&f->orders, "b"), ==, b);
+	g_assert_cmpuint(f->orders.count, ==, (size_t)(a + b));
+}
+
+/*
+ * Guards against orders that are known only after the document, when requests
+ * are routed already, against a further call of the store for them, and against
+ * other keys and malformed names that count as orders.
+ */
+static void test_orders_at_start(void)
+{
+	GString *text = make_config(1, "[\"desk\",null]", "");
+	const struct store_kv config = { KEY, (const uint8_t *)text->str,
+					 text->len, 3 };
+	struct store_kv kvs[G_N_ELEMENTS(order_kvs) + 1] = { config };
+	struct store_range first = { kvs, G_N_ELEMENTS(kvs), 6, 1 };
+	struct fixture f;
+
+	memcpy(kvs + 1, order_kvs, sizeof(order_kvs));
+	setup_with(&f, &first);
+	fake_wait(f.loop, &f.updates, 1);
+	g_assert_cmpuint(f.updates_at_first_orders, ==, 0);
+	g_assert_cmpuint(f.order_reports, ==, 1);
+	g_assert_cmpuint(f.store.ranges, ==, 1);
+	expect_orders(&f, 1, 1);
+	g_string_free(text, TRUE);
+	teardown(&f);
+}
+
+/*
+ * Guards against an order that is taken back with another one, that stays after
+ * its key was deleted, or that is reported again without a change.
+ */
+static void test_order_events(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	g_assert_cmpuint(f.order_reports, ==, 1);
+	expect_orders(&f, 0, 0);
+	send_order(&f, ORDER_A, "{}", 2);
+	expect_orders(&f, 1, 0);
+	send_order(&f, ORDER_B, "{}", 3);
+	send_order(&f, ORDER_B, "{\"by\":1}", 4);
+	g_assert_cmpuint(f.order_reports, ==, 3);
+	send_order(&f, ORDER_A, NULL, 5);
+	expect_orders(&f, 0, 1);
+	send_order(&f, "op/evacuate/b!", "{}", 6);
+	send_order(&f, ORDER_A, NULL, 7);
+	g_assert_cmpuint(f.order_reports, ==, 4);
+	send_order(&f, ORDER_B, NULL, 8);
+	expect_orders(&f, 0, 0);
+	teardown(&f);
+}
+
+/* Guards against an order that was deleted while there was no watch. */
+static void test_order_deleted_unseen(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	send_order(&f, ORDER_A, "{}", 4);
+	send_order(&f, ORDER_B, "{}", 5);
+	lose_watch(&f, make_range(1, 9, 1));
+	expect_orders(&f, 1, 0);
+	teardown(&f);
+}
+
+/*
+ * Guards against orders that stay after a restore of the store, whose copy does
+ * not have them and has a lower revision, and against their return.
+ */
+static void test_orders_after_restore(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	send_order(&f, ORDER_A, "{}", 40);
+	lose_watch(&f, make_range(0, 3, 2));
+	expect_orders(&f, 0, 0);
+	send_order(&f, ORDER_B, "{}", 4);
+	expect_orders(&f, 0, 1);
+	teardown(&f);
+}
+
+/*
+ * Guards against a read that was sent before an order and answered after the
+ * event, and against events of a new watch that a later read has overtaken.
+ */
+static void test_order_overtaken(void)
+{
+	struct store_range before = make_range(0, 3, 1);
+	struct fixture f;
+
+	setup(&f);
+	f.store.hold_reads = 1;
+	g_assert_true(doc_feed_poll(f.feed));
+	fake_pause(f.loop, 1);
+	send_order(&f, ORDER_A, "{}", 4);
+	f.store.held_fn(ERR_OK, &before, f.store.held_priv);
+	expect_orders(&f, 1, 0);
+	f.store.hold_reads = 0;
+	f.store.answer = make_range(0, 9, 1);
+	g_assert_true(doc_feed_poll(f.feed));
+	fake_pause(f.loop, 1);
+	expect_orders(&f, 0, 0);
+	send_order(&f, ORDER_B, "{}", 8);
+	expect_orders(&f, 0, 0);
+	teardown(&f);
+}
+
+/* Guards against a set that overflows by what others write to the store. */
+static void test_too_many_orders(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	for (int i = 0; i < 2 * DRAINED_MAX; i++) {
+		char key[64];
+
+		g_snprintf(key, sizeof(key), "op/evacuate/z%d", i);
+		send_order(&f, key, "{}", i + 2);
+	}
+	g_assert_cmpuint(f.orders.count, ==, DRAINED_MAX);
+	g_assert_true(drained_has(&f.orders, "z0"));
+	teardown(&f);
+}
+
 static void cut(const char *text, size_t count, const char *rest)
 {
 	struct json_rows r;
@@ -389,5 +594,13 @@
 	g_test_add_func("/doc_feed/version_while_reading",
 			test_version_while_reading);
 	g_test_add_func("/doc_feed/cut", test_cut);
+	g_test_add_func("/doc_feed/orders_at_start", test_orders_at_start);
+	g_test_add_func("/doc_feed/order_events", test_order_events);
+	g_test_add_func("/doc_feed/order_deleted_unseen",
+			test_order_deleted_unseen);
+	g_test_add_func("/doc_feed/orders_after_restore",
+			test_orders_after_restore);
+	g_test_add_func("/doc_feed/order_overtaken", test_order_overtaken);
+	g_test_add_func("/doc_feed/too_many_orders", test_too_many_orders);
 	return g_test_run();
 }
