membership: orders drain the nodes of a data centre

The member keeps the orders and answers the view from them and from the document; until the first read it does not route. The coordinator counts nodes of such a data centre as draining and moves their keys at the next tick; the status names the data centres.

test_coord passes: by the document and by an order, taken back, both at once so that no node is left. test_ranges: when five of 31 targets drain at once, no other gets more than 1.1 of its share.

--- a/membership/coord.h
+++ b/membership/coord.h
@@ -60,6 +60,11 @@
 	 */
 	void (*offer_document)(struct doc *doc, struct doc_sections *sections,
 			       void *priv);
+	/*
+	 * Returns 1 if operators have ordered, other than by the document, that
+	 * the data centre be emptied. NULL: there are no such orders.
+	 */
+	int (*data_centre_is_drained)(const char *data_centre, void *priv);
 	void *document_priv;
 };
 
@@ -97,6 +102,15 @@
 void coord_on_ask(struct coord *c, const struct dgram_ask *ask,
 		  const struct sockaddr_in *from);
 
+/* Returns 1 if the document or an order empties the data centre. */
+int coord_data_centre_is_drained(const struct coord *c,
+				 const char *data_centre);
+/*
+ * To be called when what data_centre_is_drained returns has changed: keys move
+ * at the next tick.
+ */
+void coord_orders_changed(struct coord *c);
+
 /*
  * Returns the bytes received (in) and sent (out) on all control connections
  * that this coordinator has accepted, closed ones included.
--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -161,11 +161,28 @@
 	}
 }
 
+void coord_orders_changed(struct coord *c)
+{
+	c->placement_due = 1;
+}
+
+int coord_data_centre_is_drained(const struct coord *c, const char *data_centre)
+{
+	const struct coord_config *config = &c->config;
+
+	if (c->has_doc && doc_has_data_centre_stop(&c->doc, data_centre))
+		return 1;
+	return config->data_centre_is_drained &&
+	       config->data_centre_is_drained(data_centre,
+					      config->document_priv);
+}
+
 int co_is_draining(const struct coord *c, const struct co_member *m)
 {
-	if (m->leaving == 1)
+	if (m->leaving == 1 ||
+	    (c->has_doc && doc_has_stop(&c->doc, m->info->name)))
 		return 1;
-	return c->has_doc && doc_has_stop(&c->doc, m->info->name);
+	return coord_data_centre_is_drained(c, m->info->data_centre);
 }
 
 static int64_t unchecked_deadline_wait_ms(const struct co_member *m)
--- a/membership/coord_status.c
+++ b/membership/coord_status.c
@@ -93,6 +93,34 @@
 		"unavailable_ms", (json_int_t)st->unavailable_ms);
 }
 
+static int has_text(const json_t *list, const char *text)
+{
+	size_t i;
+	json_t *item;
+
+	json_array_foreach((json_t *)list, i, item) {
+		if (!strcmp(json_string_value(item), text))
+			return 1;
+	}
+	return 0;
+}
+
+/* Returns the data centres of members that operators empty. */
+static json_t *drained_json(const struct coord *c)
+{
+	json_t *list = json_array();
+	struct co_member *m, *tmp;
+
+	HASH_ITER(hh, c->members, m, tmp) {
+		const char *name = m->info->data_centre;
+
+		if (coord_data_centre_is_drained(c, name) &&
+		    !has_text(list, name))
+			json_array_append_new(list, json_string(name));
+	}
+	return list;
+}
+
 static enum err write_json(json_t *root, struct buf *out)
 {
 	char *text = json_dumps(root, JSON_COMPACT);
@@ -122,15 +150,15 @@
 	for (size_t i = 0; i < c->map.service_count; i++)
 		json_array_append_new(services,
 				      service_json(c, &c->map.services[i]));
-	root = json_pack("{s:I,s:s,s:I,s:I,s:b,s:I,s:o,s:o}", "term",
-			 (json_int_t)c->record.term, "coordinator",
-			 c->config.settings->name, "map_revision",
-			 (json_int_t)c->map.rev, "doc_revision",
-			 (json_int_t)c->doc_rev, "hold",
-			 c->own.phase == OWN_HOLDING ||
-				 c->own.phase == OWN_RELEASING,
-			 "pins", (json_int_t)HASH_COUNT(c->map.pins), "nodes",
-			 nodes, "services", services);
+	root = json_pack(
+		"{s:I,s:s,s:I,s:I,s:b,s:I,s:o,s:o,s:o}", "term",
+		(json_int_t)c->record.term, "coordinator",
+		c->config.settings->name, "map_revision",
+		(json_int_t)c->map.rev, "doc_revision", (json_int_t)c->doc_rev,
+		"hold",
+		c->own.phase == OWN_HOLDING || c->own.phase == OWN_RELEASING,
+		"pins", (json_int_t)HASH_COUNT(c->map.pins), "nodes", nodes,
+		"services", services, "drained_data_centres", drained_json(c));
 	return root ? write_json(root, out) : ERR_NOMEM;
 }
 
--- a/membership/membership.c
+++ b/membership/membership.c
@@ -60,7 +60,7 @@
 {
 	struct membership *m = (struct membership *)v;
 
-	if (!m->has_doc || !m->own.node_id)
+	if (!m->has_doc || !m->own.node_id || m->orders_awaited)
 		return ERR_STALE;
 	if (own_member_in_hold(&m->own, now_ms) ||
 	    !m->config.settings->stale_ms ||
@@ -73,7 +73,8 @@
 {
 	const struct membership *m = (struct membership *)v;
 
-	return m->has_doc && doc_has_data_centre_stop(&m->doc, data_centre);
+	return m->orders_awaited || drained_has(&m->orders, data_centre) ||
+	       (m->has_doc && doc_has_data_centre_stop(&m->doc, data_centre));
 }
 
 static const struct view_ops view_ops = {
@@ -133,6 +134,8 @@
 	m->config = *config;
 	own_member_init(&m->own, config->incarnation);
 	map_init(&m->map);
+	drained_init(&m->orders);
+	m->orders_awaited = config->has_orders;
 	membership_discovery_init(m);
 	doc_job_init(&m->push_job, config->loop, membership_on_push_read, m);
 	ev_timer_init(&m->timer, on_tick, 0., MEMBERSHIP_TICK_S);
@@ -349,6 +352,30 @@
 	return m->doc_confirmed_ms ? clk_ms() - m->doc_confirmed_ms : INT64_MAX;
 }
 
+void membership_set_orders(struct membership *m, const struct drained *orders)
+{
+	m->orders = *orders;
+	m->orders_awaited = 0;
+	m->config.ops->changed(m->config.priv);
+}
+
+int membership_has_order(const struct membership *m, const char *data_centre)
+{
+	return drained_has(&m->orders, data_centre);
+}
+
+size_t membership_count_drained(const struct membership *m)
+{
+	size_t count = m->orders.count;
+
+	for (size_t i = 0; m->has_doc && i < m->doc.stop_count; i++) {
+		const char *name = m->doc.stops[i].data_centre;
+
+		count += name[0] && !drained_has(&m->orders, name);
+	}
+	return count;
+}
+
 uint64_t membership_count_fetches(const struct membership *m)
 {
 	return m->fetches;
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -5,6 +5,7 @@
 #include "config/doc.h"
 #include "config/settings.h"
 #include "membership/dgram.h"
+#include "membership/drained.h"
 #include "membership/record.h"
 #include "ownership/own.h"
 #include "routing/view.h"
@@ -72,6 +73,12 @@
 	struct dgram *dgram;
 	struct cnt *cnt;      /* metrics */
 	uint64_t incarnation; /* identifies this run of the daemon */
+	/*
+	 * The operators' orders come by membership_set_orders. Before the first
+	 * call, this node does not route and treats all data centres as
+	 * drained.
+	 */
+	int has_orders;
 	const struct membership_ops *ops;
 	void *priv;
 };
@@ -112,6 +119,12 @@
  */
 void membership_set_document(struct membership *m, struct doc *doc,
 			     struct doc_sections *sections);
+/* Sets the data centres that operators have ordered to be emptied. */
+void membership_set_orders(struct membership *m, const struct drained *orders);
+/* Returns 1 if such an order, but not the document, empties the data centre. */
+int membership_has_order(const struct membership *m, const char *data_centre);
+/* Returns how many data centres are emptied by orders and by the document. */
+size_t membership_count_drained(const struct membership *m);
 /*
  * Returns the sections of the document in force, and sets doc to it and rev to
  * its revision; returns NULL if there is none.
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -63,6 +63,8 @@
 	uint64_t push_rev;	 /* of that document */
 	/* A coordinator has confirmed that doc_rev was the newest then. */
 	int64_t doc_confirmed_ms;
+	struct drained orders;
+	int orders_awaited; /* membership_set_orders is to come */
 
 	/* The coordinator with the highest term seen; term 0: none known. */
 	struct record coordinator;
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -439,6 +439,121 @@
 	teardown(&f);
 }
 
+static int is_ordered(const char *data_centre, void *priv)
+{
+	const char *ordered = *(const char **)priv;
+
+	return ordered && strcmp(data_centre, ordered) == 0;
+}
+
+/* Counts the slots that are being released to another node. */
+static unsigned count_releasing(struct fixture *f, int64_t now_ms)
+{
+	unsigned count = 0;
+
+	co_place_tick(&f->c, now_ms);
+	for (uint32_t s = 0; s < f->c.map.slot_count; s++)
+		count += f->c.slots[s].releasing && f->c.slots[s].new_owner;
+	return count;
+}
+
+/* Completes the releases, and returns how many slots the node then has. */
+static unsigned complete_releases(struct fixture *f, uint32_t node)
+{
+	unsigned count = 0;
+
+	for (uint32_t s = 0; s < f->c.map.slot_count; s++) {
+		struct co_slot *slot = &f->c.slots[s];
+
+		if (!slot->releasing)
+			continue;
+		slot->releasing = 0;
+		co_queue_slot(&f->c, s, slot->new_owner, "drain");
+		slot->new_owner = 0;
+	}
+	apply_queued_changes(f);
+	for (uint32_t s = 0; s < f->c.map.slot_count; s++)
+		count += f->c.map.slots[s].owner == node;
+	return count;
+}
+
+static void set_document(struct fixture *f, const char *stops)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":1,\"services\":{\"vault\":{\"shards\":32,"
+		"\"route\":{\"prefix\":\"/v/\"}}},\"stops\":[%s]}",
+		stops);
+
+	doc_finish(&f->c.doc);
+	g_assert_cmpint(doc_parse(&f->c.doc, text, strlen(text), NULL), ==,
+			ERR_OK);
+	g_free(text);
+}
+
+/*
+ * Guards against nodes of an emptied data centre that keep their keys, whether
+ * the document or an order empties it, and that lose them after it was taken
+ * back; and against releases to no node if all are emptied.
+ */
+static void test_drained_data_centre(void)
+{
+	static const char stop[] =
+		"{\"data_centre\":\"z1\",\"state\":\"drain\"}";
+	const char *ordered = NULL;
+	Wire__Target targets[3];
+	struct fixture f;
+	int64_t now_ms = 5000;
+
+	setup(&f);
+	f.c.config.data_centre_is_drained = is_ordered;
+	f.c.config.document_priv = &ordered;
+	for (uint32_t id = 1; id <= 3; id++) {
+		struct co_member *m = co_member_find(&f.c, id);
+
+		announce_target(&f, id, &targets[id - 1], "vault", 0);
+		m->info->data_centre = strdup(id == 3 ? "z2" : "z1");
+	}
+	f.c.own.phase = OWN_NORMAL;
+	for (; !f.c.queue.slot_count && now_ms < 15000; now_ms += 100)
+		co_place_tick(&f.c, now_ms);
+	g_assert_cmpuint(f.c.queue.slot_count, ==, 32);
+	apply_queued_changes(&f);
+	g_assert_cmpuint(count_releasing(&f, now_ms += 1000), ==, 0);
+
+	ordered = "z1";
+	coord_orders_changed(&f.c);
+	g_assert_true(co_is_draining(&f.c, co_member_find(&f.c, 1)));
+	g_assert_false(co_is_draining(&f.c, co_member_find(&f.c, 3)));
+	/* At once, not at the next period. */
+	g_assert_cmpuint(count_releasing(&f, ++now_ms), >=, 20);
+	g_assert_cmpuint(complete_releases(&f, 3), ==, 32);
+	g_assert_cmpuint(count_releasing(&f, now_ms += 1000), ==, 0);
+	ordered = NULL;
+	coord_orders_changed(&f.c);
+	for (int i = 0; i < 120; i++) {
+		count_releasing(&f, now_ms += 1000);
+		complete_releases(&f, 3);
+	}
+	g_assert_cmpuint(complete_releases(&f, 1), >=, 8);
+	g_assert_cmpuint(complete_releases(&f, 2), >=, 8);
+
+	set_document(&f, stop);
+	g_assert_true(co_is_draining(&f.c, co_member_find(&f.c, 2)));
+	g_assert_false(co_is_draining(&f.c, co_member_find(&f.c, 3)));
+	g_assert_cmpuint(count_releasing(&f, now_ms += 1000), >=, 16);
+	g_assert_cmpuint(complete_releases(&f, 3), ==, 32);
+	set_document(&f, "");
+	g_assert_false(co_is_draining(&f.c, co_member_find(&f.c, 2)));
+
+	/* Both kinds at once leave no node that could take the slots. */
+	set_document(&f, stop);
+	ordered = "z2";
+	g_assert_cmpuint(count_releasing(&f, now_ms += 1000), ==, 0);
+	for (uint32_t id = 1; id <= 3; id++)
+		co_member_find(&f.c, id)->info->target = NULL;
+	teardown(&f);
+}
+
 /*
  * Guards against slots that stay without an owner because the node that they
  * were released for was lost: a change that names it does not apply to the map,
@@ -814,6 +929,7 @@
 	g_test_add_func("/coord/forget", test_forget);
 	g_test_add_func("/coord/roster_mark", test_roster_mark);
 	g_test_add_func("/coord/first_assignment", test_first_assignment);
+	g_test_add_func("/coord/drained_data_centre", test_drained_data_centre);
 	g_test_add_func("/coord/lost_successor", test_lost_successor);
 	g_test_add_func("/coord/handover", test_handover);
 	g_test_add_func("/coord/sync", test_sync);
--- a/test/unit/test_ranges.c
+++ b/test/unit/test_ranges.c
@@ -108,6 +108,36 @@
 	fixture_finish(&f);
 }
 
+/*
+ * Guards against a target that gets more than its share when a data centre, a
+ * sixth of the targets, is emptied: all its slots move in one pass. Load: 31
+ * targets that serve numbered keys, five of them in one data centre, as in
+ * docs/design/README.md, with slots of uneven load.
+ */
+static void test_drained_data_centre(void)
+{
+	double sum = 0;
+	struct fixture f;
+
+	fixture_init(&f, 31);
+	f.slot_count = DOCUMENT_KEYED_SHARDS;
+	for (size_t i = 0; i < f.slot_count; i++) {
+		f.slots[i].load = (double)(1 + i % 7);
+		sum += f.slots[i].load;
+	}
+	run_pass(&f);
+	for (size_t i = 0; i < 5; i++)
+		f.nodes[6 * i].state = PLACE_DRAINING;
+	run_pass(&f);
+	for (uint32_t n = 1; n <= 31; n++) {
+		if (f.nodes[n - 1].state == PLACE_DRAINING)
+			g_assert_cmpfloat(sum_load(&f, n), ==, 0);
+		else
+			g_assert_cmpfloat(sum_load(&f, n) / (sum / 26), <, 1.1);
+	}
+	fixture_finish(&f);
+}
+
 /* Guards against shares of slots that do not follow the targets' capacity. */
 static void test_capacity(void)
 {
@@ -416,6 +446,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/ranges/hot-neighbours", test_hot_neighbours);
 	g_test_add_func("/ranges/capacity", test_capacity);
+	g_test_add_func("/ranges/drained-data-centre",
+			test_drained_data_centre);
 	g_test_add_func("/ranges/rows", test_rows);
 	g_test_add_func("/ranges/rows-after-moves", test_rows_after_moves);
 	g_test_add_func("/ranges/hot-range", test_hot_range);
