gate, ingress: nothing new for targets that are emptied

Targets in a data centre that operators empty are no candidates of the ingress. The gate there refuses and ends requests without a key, and those with a key once target.empty_ms is over, less the delay in learning and the time to send; it checks again right before sending.

test_gate passes: unkeyed requests refused at once and queued ones ended, the one in flight answered; an order between check and sending; keyed ones until the bound; a daemon that starts while the order is in force. test_ingress passes: no candidate there, and 503 if there is no other.

--- a/routing/gate.c
+++ b/routing/gate.c
@@ -19,8 +19,6 @@
  * waited for the target's rate limit are dispatched.
  */
 #define GATE_QUEUE_SECONDS 0.005
-/* Time for connecting and sending to a target that is leaving. */
-#define GATE_DRAIN_MARGIN_MS 250
 
 static void on_queue_timer(struct ev_loop *loop, ev_timer *w, int events);
 
@@ -235,6 +233,8 @@
 		gate_call_fail(call_from_item(item), OUTCOME_NOT_RUN,
 			       item->deadline_ms <= clk_ms() ? ERR_DEADLINE
 							     : ERR_SHED);
+	if (g->emptying)
+		gate_end_emptied_calls(g);
 	gate_dispatch_queued(g);
 	if (!g->admission.queued)
 		ev_timer_stop(loop, w);
@@ -615,6 +615,8 @@
 
 enum err gate_check_leaving(const struct gate *g, int keyed)
 {
+	if (gate_check_emptying(g, keyed) != ERR_OK)
+		return ERR_NO_TARGET;
 	if (!g->target_leaving)
 		return ERR_OK;
 	if (keyed &&
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -81,6 +81,18 @@
  * gate_set_target_leaving, minus a margin to send them. 0: no limit.
  */
 void gate_set_drain_ms(struct gate *g, int64_t drain_ms);
+/*
+ * Names the data centre of this node. While operators empty it, the target gets
+ * no requests without a key, and those with a key only while this node owns
+ * their slots and at most for empty_ms, minus margins, after this node learnt
+ * of it; 0: without a limit of time. Others end with ERR_NO_TARGET. If this
+ * node has never seen its data centre in use, the time counts as over.
+ * data_centre must stay valid until gate_free.
+ */
+void gate_set_data_centre(struct gate *g, const char *data_centre,
+			  int64_t empty_ms);
+/* To be called when what the view returns has changed. */
+void gate_view_changed(struct gate *g);
 /*
  * Refuses all new requests with ERR_NO_TARGET. Queued requests and those in
  * flight go on.
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -10,11 +10,13 @@
 #include "routing/label.h"
 #include "transport/httpc.h"
 
-/* Internals of the gate, shared by gate.c, gate_call.c and gate_slot.c. */
+/* Internals of the gate, shared by the files gate*.c. */
 
 /* The longest deadline that the document may set: ten minutes. */
 #define GATE_MAX_DEADLINE_MS 600000
 #define GATE_MAX_HEADERS 256
+/* Time for connecting and sending to a target that is to get no more. */
+#define GATE_DRAIN_MARGIN_MS 250
 
 /* A slot that had requests lately or is being released. */
 struct gate_slot {
@@ -71,6 +73,12 @@
 	int target_leaving;	  /* send only requests with a key */
 	int64_t drain_ms;	  /* stop those too after this; 0: never */
 	int64_t leaving_since_ms; /* valid while target_leaving is set */
+	/* See gate_empty.c. */
+	const char *data_centre; /* of this node; NULL: not known */
+	int64_t empty_ms;	 /* of gate_set_data_centre */
+	int emptying;		 /* operators empty it, when last checked */
+	int seen_in_use;	 /* a document was in force and they did not */
+	int64_t emptying_since_ms; /* valid while emptying is set; 0: long */
 	/* What the target's answers say of it; see gate_target_state.c. */
 	int rate_limit_named;	     /* they name a limit, which may be 0 */
 	double rate_limit_per_s;     /* valid while rate_limit_named is set */
@@ -116,11 +124,19 @@
 void gate_dispatch_queued(struct gate *g);
 
 /*
- * Returns ERR_NO_TARGET if the target is leaving and gets no more requests with
- * a key (keyed is 1) or without one (0), else ERR_OK.
+ * Returns ERR_NO_TARGET if the target is leaving, or operators empty its data
+ * centre, and it gets no more requests with a key (keyed is 1) or without one
+ * (0); else ERR_OK.
  */
 enum err gate_check_leaving(const struct gate *g, int keyed);
 
+/* gate_empty.c */
+
+/* As gate_check_leaving, for a data centre that operators empty. */
+enum err gate_check_emptying(const struct gate *g, int keyed);
+/* Ends the queued calls that gate_check_emptying refuses. */
+void gate_end_emptied_calls(struct gate *g);
+
 /* gate_call.c */
 
 /*
--- a/routing/ingress_targets.c
+++ b/routing/ingress_targets.c
@@ -43,10 +43,12 @@
 /* Returns 1 if the request may be sent to the node's target. */
 static int is_candidate(const struct in_request *q, const struct map_node *n)
 {
+	struct view *v = q->in->view;
 	const Wire__Target *t = n->info->target;
 
 	return t && strcmp(t->service, q->service) == 0 &&
-	       !has_failed_at(q, n->id);
+	       !has_failed_at(q, n->id) &&
+	       !v->ops->data_centre_is_drained(v, n->info->data_centre);
 }
 
 uint32_t in_choose_target(struct in_request *q, const struct map *m)
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -710,6 +710,146 @@
 	teardown(&f);
 }
 
+/* Submits a request without a key, of a service that has none. */
+static void submit_unkeyed(struct fixture *f, struct fake_reply *r,
+			   uint64_t attempt)
+{
+	Wire__Forward m = fake_forward(attempt, "POST");
+
+	m.service = "desk";
+	m.key = "";
+	memset(r, 0, sizeof(*r));
+	gate_submit(f->gate, &m, fake_on_reply, r);
+}
+
+/* Changes which data centre the view says is drained. */
+static void set_drained(struct fixture *f, const char *data_centre)
+{
+	f->view.drained_data_centre = data_centre;
+	gate_view_changed(f->gate);
+}
+
+/*
+ * Guards against requests without a key that reach a target whose data centre
+ * is emptied, also queued ones; against a request in flight that is broken off;
+ * and against a target that stays unused after the order was taken back.
+ */
+static void test_emptying_without_keys(void)
+{
+	struct fake_reply running, queued, r;
+	Wire__Target a;
+	struct fixture f;
+
+	setup(&f, 1);
+	a = fake_announcement(&f.target, 1);
+	a.service = "desk";
+	gate_set_target(f.gate, &a);
+	gate_set_data_centre(f.gate, "z1", 0);
+	set_drained(&f, "z2");
+	f.target.mode = FAKE_SILENT;
+	submit_unkeyed(&f, &running, 1);
+	submit_unkeyed(&f, &queued, 2);
+	fake_wait(f.loop, &f.target.runs, 1);
+	set_drained(&f, "z1");
+	g_assert_cmpuint(queued.count, ==, 1);
+	g_assert_cmpint(queued.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpint(queued.error, ==, ERR_NO_TARGET);
+	submit_unkeyed(&f, &r, 3);
+	g_assert_cmpuint(r.count, ==, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpint(r.error, ==, ERR_NO_TARGET);
+	fake_write(f.target.last_fd, FAKE_OK);
+	fake_wait(f.loop, &running.count, 1);
+	g_assert_cmpint(running.outcome, ==, OUTCOME_ANSWERED);
+	g_assert_cmpuint(f.target.runs, ==, 1);
+	set_drained(&f, NULL);
+	f.target.mode = FAKE_ANSWER;
+	submit_unkeyed(&f, &r, 4);
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	teardown(&f);
+}
+
+/*
+ * Guards against an order that comes between the first check and the sending:
+ * the connection is made after gate_submit returns.
+ */
+static void test_emptying_before_send(void)
+{
+	struct fake_reply r;
+	Wire__Target a;
+	struct fixture f;
+
+	setup(&f, 1);
+	a = fake_announcement(&f.target, 1);
+	a.service = "desk";
+	gate_set_target(f.gate, &a);
+	gate_set_data_centre(f.gate, "z1", 0);
+	submit_unkeyed(&f, &r, 1);
+	g_assert_cmpuint(r.count, ==, 0);
+	set_drained(&f, "z1");
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpint(r.error, ==, ERR_NO_TARGET);
+	g_assert_cmpuint(f.target.runs, ==, 0);
+	teardown(&f);
+}
+
+/*
+ * Guards against keys that nobody serves while they move away, and against
+ * requests with a key that reach the target after the bound, also queued ones.
+ */
+static void test_emptying_with_keys(void)
+{
+	struct fake_reply running, queued, r;
+	struct fixture f;
+
+	setup(&f, 1);
+	/* 300 ms are left of it, without the margins. */
+	gate_set_data_centre(f.gate, "z1", 2050);
+	set_drained(&f, NULL);
+	set_drained(&f, "z1");
+	submit_and_wait(&f, &r, 1, "POST");
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	f.target.mode = FAKE_SILENT;
+	submit(&f, &running, 2, "POST");
+	submit(&f, &queued, 3, "POST");
+	fake_wait(f.loop, &queued.count, 1);
+	g_assert_cmpint(queued.error, ==, ERR_NO_TARGET);
+	g_assert_cmpuint(running.count, ==, 0);
+	gate_cancel(f.gate, 2);
+	submit_and_wait(&f, &r, 4, "POST");
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpint(r.error, ==, ERR_NO_TARGET);
+	/* Without a bound, the node serves its keys until they have moved. */
+	gate_set_data_centre(f.gate, "z1", 0);
+	submit(&f, &r, 5, "POST");
+	g_assert_cmpuint(r.count, ==, 0);
+	teardown(&f);
+}
+
+/*
+ * Guards against a daemon that starts long after the order and counts the time
+ * for requests with a key from its own start.
+ */
+static void test_emptying_at_start(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+
+	setup(&f, 1);
+	gate_set_data_centre(f.gate, "z1", 60000);
+	f.view.drained_data_centre = "z1";
+	expect_not_run(&f, ERR_NO_TARGET);
+	gate_view_changed(f.gate);
+	expect_not_run(&f, ERR_NO_TARGET);
+	set_drained(&f, NULL);
+	set_drained(&f, "z1");
+	submit_and_wait(&f, &r, 1, "POST");
+	g_assert_cmpint(r.outcome, ==, OUTCOME_ANSWERED);
+	teardown(&f);
+}
+
 /* Guards against a full queue that blocks, or sheds without Retry-After. */
 static void test_shed(void)
 {
@@ -1048,6 +1188,12 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gate/emptying_without_keys",
+			test_emptying_without_keys);
+	g_test_add_func("/gate/emptying_before_send",
+			test_emptying_before_send);
+	g_test_add_func("/gate/emptying_with_keys", test_emptying_with_keys);
+	g_test_add_func("/gate/emptying_at_start", test_emptying_at_start);
 	g_test_add_func("/gate/pass_through", test_pass_through);
 	g_test_add_func("/gate/dead_connection_post",
 			test_dead_connection_post);
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -991,6 +991,73 @@
 	teardown(&f);
 }
 
+/* Describes node id of the map, with a target of the service "desk". */
+static void set_desk_node(struct fixture *f, uint32_t id, char *name,
+			  char *data_centre, unsigned peer_port)
+{
+	Wire__MapDelta d = WIRE__MAP_DELTA__INIT;
+	Wire__Node node = WIRE__NODE__INIT, *nodes = &node;
+	Wire__Target target = fake_announcement(&f->target, 8);
+
+	target.service = "desk";
+	node.id = id;
+	node.name = name;
+	node.address = "127.0.0.1";
+	node.peer_port = peer_port;
+	node.data_centre = data_centre;
+	node.target = &target;
+	d.base_rev = f->view.map.rev;
+	d.rev = f->view.map.rev + 1;
+	d.n_nodes = 1;
+	d.nodes = &nodes;
+	g_assert_cmpint(map_apply(&f->view.map, &d), ==, ERR_OK);
+}
+
+/*
+ * Guards against requests without a key that go to a target in a data centre
+ * that is emptied, also the one beside the caller, and against callers that
+ * wait although no other data centre has a target.
+ */
+static void test_drained_data_centre(void)
+{
+	struct remote_node o;
+	unsigned peer_port;
+	Wire__Target a;
+	struct fixture f;
+	int64_t begin_ms;
+	struct caller c;
+
+	setup(&f);
+	remote_node_init(&o, &f);
+	peer_port = map_find_node(&f.view.map, 2)->info->peer_port;
+	set_desk_node(&f, 2, "n02", "z2", peer_port);
+	set_desk_node(&f, 1, "n01", "z1", 0);
+	a = fake_announcement(&f.target, 8);
+	a.service = "desk";
+	gate_set_target(f.gate, &a);
+	gate_set_target(o.gate, &a);
+	strcpy(f.view.part.service, "desk");
+	strcpy(f.view.service.name, "desk");
+	f.view.service.keyed = 0;
+	for (int drained = 0; drained < 2; drained++) {
+		f.view.drained_data_centre = drained ? "z1" : "z2";
+		for (int i = 0; i < 8; i++) {
+			start(&f, &c, "GET", "/kiln/a");
+			expect(&f, &c, 200, "answered");
+			g_assert_true(has_header(
+				&c, drained ? "Monsoonpin-Owner: n02"
+					    : "Monsoonpin-Owner: n01"));
+			finish(&c);
+		}
+	}
+	set_desk_node(&f, 2, "n02", "z1", peer_port);
+	begin_ms = clk_ms();
+	expect_get(&f, "/kiln/a", 503, "not-run");
+	g_assert_cmpint(clk_ms() - begin_ms, <, 2500);
+	remote_node_finish(&o);
+	teardown(&f);
+}
+
 /*
  * Guards against retries beyond the budget: the requests at a lost owner were
  * sent to its successor whatever the budgets said, and a retry that the owner's
@@ -1234,6 +1301,8 @@
 	g_test_add_func("/ingress/attempt_errors", test_attempt_errors);
 	g_test_add_func("/ingress/lost_owner", test_lost_owner);
 	g_test_add_func("/ingress/route_timeout", test_route_timeout);
+	g_test_add_func("/ingress/drained_data_centre",
+			test_drained_data_centre);
 	g_test_add_func("/ingress/reroute_budget", test_reroute_budget);
 	g_test_add_func("/ingress/quiesce", test_quiesce);
 	g_test_add_func("/ingress/request_at_end", test_request_at_end);
