daemon: pass orders on, and let silent watches be noticed

The coordinator's replies confirm the document, on which nodes with a silent watch rely, but tell nothing of orders. For 2 s after orders changed, the coordinator confirms nothing, so that such a node reads the store after 1.4 s. The gauge drained_data_centres counts the orders and stops that the node knows.

--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -110,6 +110,8 @@
 		membership_count_fetches(n->membership));
 	cnt_gauge(&n->cnt, "control_silent_ms", "",
 		  (uint64_t)membership_control_silent_ms(n->membership));
+	cnt_gauge(&n->cnt, "drained_data_centres", "",
+		  membership_count_drained(n->membership));
 	source_age_ms = n->feed ? doc_feed_age_ms(n->feed) : INT64_MAX;
 	if (source_age_ms != INT64_MAX)
 		cnt_gauge(&n->cnt, "document_source_age_ms", "",
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -16,6 +16,8 @@
 {
 	struct node *n = priv;
 
+	if (n->gate)
+		gate_view_changed(n->gate);
 	if (n->ingress)
 		ingress_view_changed(n->ingress);
 }
@@ -382,14 +384,38 @@
 				sections);
 }
 
+static void on_orders(const struct drained *orders, void *priv)
+{
+	struct node *n = priv;
+
+	n->orders_changed_ms = clk_ms();
+	membership_set_orders(n->membership, orders);
+	coord_orders_changed(n->coord);
+}
+
 static const struct doc_feed_ops feed_ops = {
 	.updated = on_document,
+	.ordered = on_orders,
 };
 
+static int data_centre_has_order(const char *data_centre, void *priv)
+{
+	return membership_has_order(((struct node *)priv)->membership,
+				    data_centre);
+}
+
+/*
+ * A node relies on the coordinator while its own watch is silent, but no reply
+ * tells it of orders. For some time after they have changed, the coordinator
+ * therefore confirms nothing, so that such a node reads by itself.
+ */
 static int64_t get_document_age_ms(void *priv)
 {
 	struct node *n = priv;
 
+	if (n->orders_changed_ms &&
+	    clk_ms() - n->orders_changed_ms < NODE_ORDERS_UNCONFIRMED_MS)
+		return INT64_MAX;
 	return n->feed ? doc_feed_age_ms(n->feed) : INT64_MAX;
 }
 
@@ -409,6 +435,11 @@
 	return ERR_OK;
 }
 
+static int has_orders(const struct node *n)
+{
+	return n->interface->document && n->interface->document->orders;
+}
+
 static enum err start_coordination(struct node *n, struct err_info *info)
 {
 	struct membership_config mc = {
@@ -418,6 +449,7 @@
 		.dgram = &n->dgram,
 		.cnt = &n->cnt,
 		.incarnation = n->incarnation,
+		.has_orders = has_orders(n),
 		.ops = &membership_ops,
 		.priv = n,
 	};
@@ -432,6 +464,8 @@
 		.document_age_ms =
 			n->interface->document ? get_document_age_ms : NULL,
 		.offer_document = n->interface->document ? on_document : NULL,
+		.data_centre_is_drained =
+			has_orders(n) ? data_centre_has_order : NULL,
 		.document_priv = n,
 	};
 
@@ -456,6 +490,8 @@
 		return err_set(info, ERR_NOMEM, "routing");
 	gate_set_adaptive(n->gate, n->settings->adapt_concurrency);
 	gate_set_drain_ms(n->gate, n->settings->drain_ms);
+	gate_set_data_centre(n->gate, n->settings->data_centre,
+			     n->settings->empty_ms);
 	peers_set_bandwidth(n->peers,
 			    (uint32_t)(n->settings->link_mbps * 1000));
 	return ingress_new(&n->ingress, n->loop, n->settings,
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -55,6 +55,12 @@
  * for the read.
  */
 #define NODE_DOCUMENT_STALE_MS 1400
+/*
+ * How long the coordinator does not confirm the document after the operators'
+ * orders have changed: longer than NODE_DOCUMENT_STALE_MS and a node's tick, so
+ * that each node whose watch is silent reads the store once.
+ */
+#define NODE_ORDERS_UNCONFIRMED_MS 2000
 /*
  * A stop with a notice period (stop.notice_ms) ends this long, and the time of
  * the longest step of the event loop seen lately, before the end of the grace
@@ -137,6 +143,7 @@
 	const struct interface *interface;
 	struct store *store;
 	struct doc_feed *feed; /* reads the platform's document; may be NULL */
+	int64_t orders_changed_ms; /* when the feed reported orders; 0: never */
 	struct dgram dgram;
 	struct membership *membership;
 	struct coord *coord;
