--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -60,6 +60,8 @@
 	const char *author;		       /* of changes */
 	int wait_ms; /* timeout until a change is in force; 0: do not wait */
 	int json;    /* print results as JSON */
+	/* The argument of drain and undrain names a data centre, not a node. */
+	int data_centre;
 	char *const *args; /* of the verb */
 	struct ev_loop *loop;
 	struct store *store; /* NULL if the verb needs none */
@@ -74,6 +76,7 @@
 #define CTL_TAKES_WAIT 2U
 /* The verb reads or writes the document in mpinctl's own format. */
 #define CTL_OWN_DOCUMENT 4U
+#define CTL_TAKES_DATA_CENTRE 8U
 
 struct ctl_verb {
 	const char *name;
@@ -229,11 +232,12 @@
 /* stops.c */
 
 /*
- * Adds (drain 1) or removes (drain 0) the planned stop of the node and commits
- * the change, again if it lost a race against a change of other sections.
- * Prints and returns the result as ctl_report_commit.
+ * Adds (drain 1) or removes (drain 0) the planned stop of the node, or of the
+ * data centre if c->data_centre is set, and commits the change, again if it
+ * lost a race against a change of other sections. Prints and returns the result
+ * as ctl_report_commit.
  */
-enum ctl_exit ctl_edit_stops(struct ctl *c, const char *node, int drain);
+enum ctl_exit ctl_edit_stops(struct ctl *c, const char *name, int drain);
 
 /* coord.c */
 
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define CHANGE_OPTIONS (CTL_TAKES_AUTHOR | CTL_TAKES_WAIT | CTL_OWN_DOCUMENT)
+#define STOP_OPTIONS (CHANGE_OPTIONS | CTL_TAKES_DATA_CENTRE)
 
 static const struct ctl_interface interface_platform = {
 	"platform",
@@ -30,9 +31,9 @@
 	{ "apply", "FILE", 1, 1, CHANGE_OPTIONS, "put a document into force",
 	  ctl_apply },
 	{ "status", "", 0, 1, 0, "show nodes and services", ctl_status },
-	{ "drain", "NODE", 1, 1, CHANGE_OPTIONS, "plan a stop of a node",
+	{ "drain", "NODE", 1, 1, STOP_OPTIONS, "plan a stop of a node",
 	  ctl_drain },
-	{ "undrain", "NODE", 1, 1, CHANGE_OPTIONS, "end a planned stop",
+	{ "undrain", "NODE", 1, 1, STOP_OPTIONS, "end a planned stop",
 	  ctl_undrain },
 	{ "forget", "NODE", 1, 1, 0,
 	  "give up a silent node that may hold its slots", ctl_forget },
@@ -47,6 +48,7 @@
 	KEY_PREFIX,
 	KEY_AUTHOR,
 	KEY_WAIT,
+	KEY_DATA_CENTRE,
 	KEY_JSON,
 	KEY_INTERFACE,
 };
@@ -66,6 +68,8 @@
 	{ "wait-s", KEY_WAIT, "SECONDS", 0,
 	  "Time until a change must be in force; 0: do not wait (default: 6)",
 	  0 },
+	{ "data-centre", KEY_DATA_CENTRE, NULL, 0,
+	  "NODE of drain and undrain is the name of a data centre", 0 },
 	{ 0 }
 };
 
@@ -164,6 +168,8 @@
 			   "%s: the document of interface %s is not "
 			   "mpinctl's to change",
 			   cmd->verb->name, c->interface->name);
+	if (cmd->given_options & ~cmd->verb->options & CTL_TAKES_DATA_CENTRE)
+		argp_error(state, "%s takes no --data-centre", cmd->verb->name);
 	if (cmd->given_options & ~cmd->verb->options)
 		argp_error(state, "%s takes no --author and no --wait-s",
 			   cmd->verb->name);
@@ -208,6 +214,10 @@
 		cmd->c->wait_ms = parse_wait(arg, state);
 		cmd->given_options |= CTL_TAKES_WAIT;
 		return 0;
+	case KEY_DATA_CENTRE:
+		cmd->c->data_centre = 1;
+		cmd->given_options |= CTL_TAKES_DATA_CENTRE;
+		return 0;
 	case ARGP_KEY_ARG:
 		if (!cmd->verb)
 			select_verb(cmd, arg, state);
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -119,6 +119,11 @@
 	size_t i;
 	json_t *item;
 
+	json_array_foreach(json_object_get(status, "drained_data_centres"), i,
+			   item) {
+		lines += printf("attention: data centre %s is drained\n",
+				json_string_value(item)) > 0;
+	}
 	if (in_hold(status))
 		lines += printf("attention: hold, nothing moves\n") > 0;
 	if (!json_array_size(nodes))
--- a/ctl/stops.c
+++ b/ctl/stops.c
@@ -19,17 +19,24 @@
 	return json_loadb(stops->text, stops->len, 0, NULL);
 }
 
-/* Returns the index of the node's stop; the number of stops if it has none. */
-static size_t find_stop(const json_t *stops, const char *node)
+/* The member of a stop that names what is to stop. */
+static const char *name_member(const struct ctl *c)
+{
+	return c->data_centre ? "data_centre" : "node";
+}
+
+/* Returns the index of the stop; the number of stops if there is none. */
+static size_t find_stop(const json_t *stops, const char *member,
+			const char *name)
 {
 	size_t i;
 
 	for (i = 0; i < json_array_size(stops); i++) {
-		const json_t *name =
-			json_object_get(json_array_get(stops, i), "node");
+		const json_t *value =
+			json_object_get(json_array_get(stops, i), member);
 
-		if (json_is_string(name) &&
-		    !strcmp(json_string_value(name), node))
+		if (json_is_string(value) &&
+		    !strcmp(json_string_value(value), name))
 			break;
 	}
 	return i;
@@ -46,13 +53,14 @@
 }
 
 /*
- * Adds or removes the stop of the node. ERR_NOT_FOUND: the stop to be removed
- * does not exist.
+ * Adds or removes the stop that names name in this member. ERR_NOT_FOUND: the
+ * stop to be removed does not exist.
  */
-static enum err edit_stops(struct doc_sections *s, const char *node, int drain)
+static enum err edit_stops(struct doc_sections *s, const char *member,
+			   const char *name, int drain)
 {
 	json_t *stops = load_stops(s);
-	size_t i = find_stop(stops, node);
+	size_t i = find_stop(stops, member, name);
 	int present = i < json_array_size(stops);
 	enum err e;
 
@@ -67,8 +75,8 @@
 	if (!drain)
 		json_array_remove(stops, i);
 	else if (!present)
-		json_array_append_new(stops, json_pack("{s:s, s:s}", "node",
-						       node, "state", "drain"));
+		json_array_append_new(stops, json_pack("{s:s, s:s}", member,
+						       name, "state", "drain"));
 	e = store_stops(s, stops);
 	json_decref(stops);
 	return e;
@@ -95,7 +103,7 @@
  */
 static enum ctl_exit prepare_sections(const struct ctl *c,
 				      const struct ctl_doc *base,
-				      const char *node, int drain,
+				      const char *name, int drain,
 				      struct doc_sections *next)
 {
 	struct buf problems;
@@ -103,11 +111,11 @@
 	enum err e = copy_sections(next, &base->sections);
 
 	if (e == ERR_OK)
-		e = edit_stops(next, node, drain);
+		e = edit_stops(next, name_member(c), name, drain);
 	if (e != ERR_OK) {
 		ctl_error(e == ERR_NOT_FOUND ? "%s is not in the stops"
 					     : "the stops cannot be edited",
-			  node);
+			  name);
 		return CTL_FAILED;
 	}
 	buf_init(&problems);
@@ -125,7 +133,7 @@
  * Edits and commits the document once. Sets retry to 1 if the commit lost a
  * race against a change of other sections; then nothing was printed.
  */
-static enum ctl_exit try_once(struct ctl *c, const char *node, int drain,
+static enum ctl_exit try_once(struct ctl *c, const char *name, int drain,
 			      int last, int *retry)
 {
 	struct doc_sections next = { 0 };
@@ -136,7 +144,7 @@
 	*retry = 0;
 	if (result != CTL_DONE)
 		return result;
-	result = prepare_sections(c, &base, node, drain, &next);
+	result = prepare_sections(c, &base, name, drain, &next);
 	if (result == CTL_DONE) {
 		ctl_commit(c, &base, &next, &commit);
 		*retry = commit.exit == CTL_RACE && !commit.stops_changed &&
@@ -150,18 +158,19 @@
 	return result;
 }
 
-enum ctl_exit ctl_edit_stops(struct ctl *c, const char *node, int drain)
+enum ctl_exit ctl_edit_stops(struct ctl *c, const char *name, int drain)
 {
 	enum ctl_exit result = CTL_DONE;
 	int retry = 1;
 
-	if (!opt_check_name(node) || strlen(node) >= DOC_NAME_BYTES) {
-		ctl_error("node name is not allowed (allowed: 1 to %d "
+	if (!opt_check_name(name) || strlen(name) >= DOC_NAME_BYTES) {
+		ctl_error("%s name is not allowed (allowed: 1 to %d "
 			  "bytes, " OPT_ALLOWED_NAME ")",
+			  c->data_centre ? "data centre" : "node",
 			  DOC_NAME_BYTES - 1);
 		return CTL_INVALID;
 	}
 	for (int i = 1; retry && i <= MAX_TRIES; i++)
-		result = try_once(c, node, drain, i == MAX_TRIES, &retry);
+		result = try_once(c, name, drain, i == MAX_TRIES, &retry);
 	return result;
 }
