test/run: emptying, emptying-silent-watch

Two runs with processes: an order empties a data centre under load while the coordinator is killed right after it and a daemon there restarts, and the targets are used again when it is taken back; and nodes whose watches went silent learn of an order.

--- a/test/run/lib-platform.sh
+++ b/test/run/lib-platform.sh
@@ -14,7 +14,8 @@
 "limits":{"maxHeaderBytes":16384}}'
 
 # start_daemon I SERVICE: daemon_settings, if set, is added to the settings;
-# announce_ms and hold_max_ms replace the default times. The daemon reaches the
+# announce_ms and hold_max_ms replace the default times, data_centre the default
+# one; target_settings are added to those of the target. The daemon reaches the
 # store through the port store_port, if set.
 start_daemon() {
 	local base=$((PORT + 1 + 8 * $1))
@@ -22,7 +23,7 @@
 		[node]
 		name = "n$1"
 		region = "r"
-		data_centre = "z"
+		data_centre = "${data_centre:-z}"
 		service = "$2"
 		interface = "platform"
 		[listen]
@@ -38,6 +39,7 @@
 		announce_ms = "${announce_ms:-200ms}"
 		hold_max_ms = "${hold_max_ms:-2s}"
 		adapt_concurrency = false
+		${target_settings:-}
 		[limits]
 		stale_ms = 0
 		${daemon_settings:-}
