selector: choose among targets by weight where settings ask for it

Nodes that had seen the same reports all chose the target with the lowest cost. With selector_set_spread, two targets are drawn by capacity and the cheaper one is taken; other regions are drawn only as the nearer targets fill.

--- a/placement/selector.c
+++ b/placement/selector.c
@@ -77,6 +77,12 @@
 		HASH_DEL(s->kinds, k);
 		free(k);
 	}
+	free(s->options);
+}
+
+void selector_set_spread(struct selector *s, int on)
+{
+	s->spread = on;
 }
 
 static struct selector_kind *find_kind(const struct selector *s, uint32_t id)
@@ -163,17 +169,30 @@
 				  : SELECTOR_DEFAULT_LATENCY_MS;
 }
 
+static double fail_cost_ms(const struct selector_target *t, int64_t now_ms)
+{
+	return SELECTOR_FAIL_COST_MS * decay(t->fail_rate,
+					     now_ms - t->fail_updated_ms,
+					     SELECTOR_FAIL_HALF_LIFE_MS);
+}
+
+static double expected_places(const struct selector_target *t,
+			      uint32_t announced)
+{
+	double places = t->load.places ? t->load.places : announced;
+
+	return places < 1 ? 1 : places;
+}
+
 static double expected_service_ms(const struct selector_target *t,
 				  const struct selector_kind *kind,
 				  uint32_t announced, int64_t now_ms)
 {
 	double latency = expected_latency_ms(t, kind);
-	double places = t->load.places ? t->load.places : announced;
+	double places = expected_places(t, announced);
 	double load = expected_load(t, now_ms);
 	double ms;
 
-	if (places < 1)
-		places = 1;
 	if (now_ms < t->cold_until_ms)
 		latency *= SELECTOR_COLD_FACTOR;
 	/* Even with free places, a busier target is slightly slower. */
@@ -181,9 +200,7 @@
 	if (load + 1 > places)
 		ms += SELECTOR_QUEUE_FACTOR * latency * (load + 1 - places) /
 		      places;
-	return ms + SELECTOR_FAIL_COST_MS * decay(t->fail_rate,
-						  now_ms - t->fail_updated_ms,
-						  SELECTOR_FAIL_HALF_LIFE_MS);
+	return ms + fail_cost_ms(t, now_ms);
 }
 
 static double expected_network_ms(const struct selector_target *t, size_t bytes,
@@ -197,19 +214,29 @@
 		     SELECTOR_NETWORK_HALF_LIFE_MS);
 }
 
+static const struct selector_target *
+find_target_or_unknown(const struct selector *s, uint32_t id)
+{
+	static const struct selector_target unknown = { 0 };
+	const struct selector_target *t = find_target(s, id);
+
+	return t ? t : &unknown;
+}
+
+static double distance_cost_ms(enum selector_distance distance, size_t bytes)
+{
+	return distance_costs[distance].base_ms +
+	       distance_costs[distance].per_kb_ms * (double)bytes / 1024.;
+}
+
 static double candidate_cost(struct selector *s,
 			     const struct selector_candidate *k,
 			     const struct selector_kind *kind, size_t bytes,
 			     int64_t now_ms)
 {
-	static const struct selector_target unknown = { 0 };
-	const struct selector_target *t = find_target(s, k->id);
-	double ms =
-		distance_costs[k->distance].base_ms +
-		distance_costs[k->distance].per_kb_ms * (double)bytes / 1024.;
+	const struct selector_target *t = find_target_or_unknown(s, k->id);
+	double ms = distance_cost_ms(k->distance, bytes);
 
-	if (!t)
-		t = &unknown;
 	ms += expected_service_ms(t, kind, k->places, now_ms);
 	ms += expected_network_ms(t, bytes, now_ms);
 	if (now_ms < t->avoid_until_ms)
@@ -217,6 +244,71 @@
 	return ms;
 }
 
+/* Targets of one data centre are drawn together, whether on this VM or not. */
+static unsigned spread_ring(enum selector_distance distance)
+{
+	switch (distance) {
+	case SELECTOR_SAME_VM:
+	case SELECTOR_SAME_DATA_CENTRE:
+		return 0;
+	case SELECTOR_SAME_REGION:
+		return 1;
+	default:
+		return 2;
+	}
+}
+
+static void fill_option(struct spread_option *o, struct selector *s,
+			const struct selector_candidate *k,
+			const struct selector_kind *kind, size_t bytes,
+			int64_t now_ms)
+{
+	const struct selector_target *t = find_target_or_unknown(s, k->id);
+
+	o->ring = spread_ring(k->distance);
+	o->cost_ms = candidate_cost(s, k, kind, bytes, now_ms);
+	o->distance_ms = distance_cost_ms(k->distance, bytes);
+	o->latency_ms = expected_latency_ms(t, kind);
+	o->penalty_ms =
+		fail_cost_ms(t, now_ms) + expected_network_ms(t, bytes, now_ms);
+	if (now_ms < t->avoid_until_ms)
+		o->penalty_ms += SELECTOR_FAIL_COST_MS;
+	if (now_ms < t->cold_until_ms)
+		o->penalty_ms += (SELECTOR_COLD_FACTOR - 1) * o->latency_ms;
+	o->places = expected_places(t, k->places);
+	o->load = expected_load(t, now_ms);
+}
+
+/* Returns 0 if there is no memory for the options. */
+static int reserve_options(struct selector *s, size_t count)
+{
+	struct spread_option *options;
+
+	if (count <= s->option_count)
+		return 1;
+	options = realloc(s->options, count * sizeof(*options));
+	if (!options)
+		return 0;
+	s->options = options;
+	s->option_count = count;
+	return 1;
+}
+
+static size_t pick_spread(struct selector *s,
+			  const struct selector_candidate *list, size_t count,
+			  const struct selector_kind *kind, size_t bytes,
+			  int64_t now_ms, double random, double *cost_ms)
+{
+	size_t chosen;
+
+	for (size_t i = 0; i < count; i++)
+		fill_option(&s->options[i], s, &list[i], kind, bytes, now_ms);
+	chosen = spread_choose(s->options, count, random);
+	if (cost_ms)
+		*cost_ms = chosen < count ? s->options[chosen].cost_ms : 0;
+	return chosen;
+}
+
 size_t selector_pick(struct selector *s, const struct selector_candidate *list,
 		     size_t count, uint32_t kind_id, size_t bytes,
 		     int64_t now_ms, double random, double *cost_ms)
@@ -226,6 +318,9 @@
 	size_t best = SIZE_MAX;
 	double best_cost = 0;
 
+	if (s->spread && reserve_options(s, count))
+		return pick_spread(s, list, count, kind, bytes, now_ms, random,
+				   cost_ms);
 	for (size_t i = 0; i < count; i++) {
 		double cost = candidate_cost(s, &list[i], kind, bytes, now_ms);
 		/* A different random number for each candidate. */
--- a/placement/selector.h
+++ b/placement/selector.h
@@ -1,6 +1,8 @@
 #ifndef PLACEMENT_SELECTOR_H
 #define PLACEMENT_SELECTOR_H
 
+#include "placement/spread.h"
+
 #include <stdint.h>
 #include <uthash.h>
 
@@ -81,6 +83,9 @@
 struct selector {
 	struct selector_target *targets;
 	struct selector_kind *kinds;
+	int spread;		       /* see selector_set_spread */
+	struct spread_option *options; /* memory of selector_pick */
+	size_t option_count;	       /* for which there is memory */
 };
 
 /* One target that may serve the request. */
@@ -94,14 +99,21 @@
 void selector_init(struct selector *s);
 /* Frees what is known of the targets. */
 void selector_finish(struct selector *s);
+/*
+ * Sets how selector_pick chooses. on: by weight, see placement/spread.h, so
+ * that many ingresses with the same view share the targets; off, as after
+ * selector_init: the lowest expected cost.
+ */
+void selector_set_spread(struct selector *s, int on);
 
 /*
- * Returns the index in list of the candidate with the lowest expected cost for
- * a request that transfers `bytes` with its answer; SIZE_MAX if the list is
- * empty. kind: kind of the request, 0 if unknown; the targets' latencies are
- * then compared over all kinds, so that targets which happen to run short
- * requests look faster than others. random is in [0, 1) and varies the costs
- * slightly. *cost_ms, unless cost_ms is NULL, is set to that cost: the expected
+ * Returns the index in list of the candidate with the lowest expected cost, or
+ * with selector_set_spread one that is drawn by weight, for a request that
+ * transfers `bytes` with its answer; SIZE_MAX if the list is empty. kind: kind
+ * of the request, 0 if unknown; the targets' latencies are then compared over
+ * all kinds, so that targets which happen to run short requests look faster
+ * than others. random is in [0, 1) and varies the costs slightly, or determines
+ * the draw. *cost_ms, unless cost_ms is NULL, is set to that cost: the expected
  * time with the penalties for distance and failures.
  */
 size_t selector_pick(struct selector *s, const struct selector_candidate *list,
