--- a/config/settings.c
+++ b/config/settings.c
@@ -154,6 +154,7 @@
 	{ .name = "balance.spread",
 	  .type = OPT_BOOL,
 	  FIELD(spread),
+	  .reloadable = 1,
 	  .description = "for services without keys, choose among the targets "
 			 "with room by weight instead of the best one" },
 	{ .name = "limits.protect_calls",
--- a/routing/ingress_targets.c
+++ b/routing/ingress_targets.c
@@ -67,6 +67,7 @@
 		list[count].distance = distance_of(q, n->info);
 		list[count++].places = n->info->target->concurrency;
 	}
+	selector_set_spread(&q->in->selector, q->in->settings->spread);
 	best = selector_pick(&q->in->selector, list, count, q->forward.route,
 			     expected_transfer_bytes(q), clk_ms(),
 			     g_random_double(), NULL);
