--- a/bench/run.sh
+++ b/bench/run.sh
@@ -51,6 +51,7 @@
 run_parallel 14-day-restarts "$build/bench/day" restarts
 run_parallel 16-day-no-grace "$build/bench/day" no_grace
 run_parallel 20-shift "$build/bench/shift"
+run_parallel 25-spread "$build/bench/spread"
 run_parallel 60-retry "$build/bench/retry"
 run_parallel 50-overload "$build/bench/overload"
 run_parallel 30-ways "$build/bench/slot_assignment"
