ingress: count and log how choices by weight are spread

Nothing showed where requests without keys went. With balance.spread, the counters in_chosen (by distance) and in_other_target_answered, and a line targets_chosen at most once a second for each service, say so. /ingress/spread passes: a request that finds no target at its node is answered in another region, is counted once, and the next second's line has both choices.

--- a/placement/selector.c
+++ b/placement/selector.c
@@ -437,3 +437,11 @@
 	if (t)
 		t->cold_until_ms = until_ms;
 }
+
+int64_t selector_report_age_ms(const struct selector *s, uint32_t id,
+			       int64_t now_ms)
+{
+	const struct selector_target *t = find_target(s, id);
+
+	return t && t->load_ms ? now_ms - t->load_ms : -1;
+}
--- a/placement/selector.h
+++ b/placement/selector.h
@@ -135,6 +135,12 @@
  */
 void selector_note_network_time(struct selector *s, uint32_t id, size_t bytes,
 				double ms, int64_t now_ms);
+/*
+ * Returns the age in milliseconds of the last load that the target reported;
+ * -1: none.
+ */
+int64_t selector_report_age_ms(const struct selector *s, uint32_t id,
+			       int64_t now_ms);
 /* Notes that the target has announced a cold start that ends at until_ms. */
 void selector_set_cold(struct selector *s, uint32_t id, int64_t until_ms);
 
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -40,6 +40,8 @@
 	struct retry_share
 		retry_share; /* this node's part of the fleet's retry budget */
 	double answer_bytes; /* moving average of the size of answer bodies */
+	/* Choices since the last line, see ingress_spread.c; NULL: none yet. */
+	struct in_spread *spread;
 	UT_hash_handle hh;
 };
 
@@ -182,6 +184,14 @@
  */
 uint32_t in_choose_target(struct in_request *q, const struct map *m);
 
+/* ingress_spread.c */
+
+/*
+ * Counts the choice of a target by weight (settings->spread). Writes a line on
+ * the choices at most once a second for each service.
+ */
+void in_note_choice(struct in_request *q, const struct selector_candidate *k);
+
 /* ingress_answer.c */
 
 /* Logs that the caller closed its connection before the answer. */
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -68,6 +68,7 @@
 	}
 	HASH_ITER(hh, in->service_states, s, after) {
 		HASH_DEL(in->service_states, s);
+		free(s->spread);
 		free(s);
 	}
 }
@@ -407,6 +408,9 @@
 		b = get_budget(q);
 		if (b)
 			retry_budget_answered(b);
+		if (!q->keyed && q->failed_target_count &&
+		    q->in->settings->spread)
+			count_event(q, "in_other_target_answered");
 		in_answer_reply(q, reply);
 		break;
 	case OUTCOME_NOT_RUN:
--- a/routing/ingress_targets.c
+++ b/routing/ingress_targets.c
@@ -72,6 +72,8 @@
 			     expected_transfer_bytes(q), clk_ms(),
 			     g_random_double(), NULL);
 	id = best < count ? list[best].id : 0;
+	if (id && q->in->settings->spread)
+		in_note_choice(q, &list[best]);
 	free(list);
 	return id;
 }
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -1,5 +1,6 @@
 #include "common/clk.h"
 #include "limits/retry_budget.h"
+#include "protocol/wire.h"
 #include "routing/gate.h"
 #include "routing/ingress.h"
 #include "routing/ingress_priv.h"
@@ -261,18 +262,23 @@
 	teardown(&f);
 }
 
-/* The last line of an event that was logged; "" if there was none. */
+/* The last lines of two events that were logged; "" if there was none. */
 static char refused_line[1024];
+static char chosen_line[1024];
 
 static GLogWriterOutput keep_refused_line(GLogLevelFlags flags,
 					  const GLogField *fields, gsize count,
 					  gpointer data)
 {
 	for (gsize i = 0; i < count; i++) {
-		if (strcmp(fields[i].key, "MESSAGE") == 0 &&
-		    strstr(fields[i].value, "event=request_refused "))
+		if (strcmp(fields[i].key, "MESSAGE") != 0)
+			continue;
+		if (strstr(fields[i].value, "event=request_refused "))
 			g_strlcpy(refused_line, fields[i].value,
 				  sizeof(refused_line));
+		if (strstr(fields[i].value, "event=targets_chosen "))
+			g_strlcpy(chosen_line, fields[i].value,
+				  sizeof(chosen_line));
 	}
 	return g_log_writer_default(flags, fields, count, data);
 }
@@ -890,6 +896,69 @@
 	teardown(&f);
 }
 
+/* Takes the keys from the service, and gives node 1 a target of it. */
+static void set_unkeyed(struct fake_view *v, const Wire__Target *a)
+{
+	map_finish(&v->map);
+	map_init(&v->map);
+	v->map.rev = 10;
+	fake_set_node(v, 1, "n01", 0);
+	map_find_node(&v->map, 1)->info->target = wire_copy_target(a);
+	v->service.keyed = 0;
+}
+
+/*
+ * Guards against choices by weight that are not counted, a reload without
+ * effect, and a refusal that ends a request while another target has room.
+ * Load: one request at a time; the target beside this node is gone, one in
+ * another region idles.
+ */
+static void test_spread(void)
+{
+	struct fixture f;
+	struct remote_node o;
+	Wire__Node *far;
+	Wire__Target a;
+	unsigned port;
+
+	setup(&f);
+	remote_node_init(&o, &f);
+	port = map_find_node(&f.view.map, 2)->info->peer_port;
+	a = fake_announcement(&f.target, 8);
+	set_unkeyed(&o.view, &a);
+	set_unkeyed(&f.view, &a);
+	fake_set_node(&f.view, 2, "n02", port);
+	far = map_find_node(&f.view.map, 2)->info;
+	far->target = wire_copy_target(&a);
+	far->data_centre = strdup("d2");
+	far->region = strdup("r2");
+	gate_set_target(f.gate, NULL);
+	expect_get(&f, "/kiln/a", 200, "answered");
+	g_assert_cmpuint(counter(&f, "in_other_target"), ==, 1);
+	g_assert_cmpuint(counter(&f, "in_other_target_answered"), ==, 0);
+	g_assert_cmpuint(cnt_get(&f.cnt, "in_chosen", "distance=\"vm\""), ==,
+			 0);
+	/* The node no longer avoids the target that was gone. */
+	fake_pause(f.loop, 500);
+	f.settings.spread = 1;
+	expect_get(&f, "/kiln/a", 200, "answered");
+	g_assert_cmpuint(counter(&f, "in_other_target_answered"), ==, 1);
+	g_assert_cmpuint(cnt_get(&f.cnt, "in_chosen", "distance=\"vm\""), ==,
+			 1);
+	g_assert_cmpuint(
+		cnt_get(&f.cnt, "in_chosen", "distance=\"other_region\""), ==,
+		1);
+	/* The line of the first second is written with the next choice. */
+	g_assert_cmpstr(chosen_line, ==, "");
+	fake_pause(f.loop, 1100);
+	expect_get(&f, "/kiln/a", 200, "answered");
+	g_assert_nonnull(strstr(chosen_line, " service=kiln "));
+	g_assert_nonnull(strstr(chosen_line, " choices=2 targets=2 most=1 "
+					     "other_region=1 no_report=0 "));
+	remote_node_finish(&o);
+	teardown(&f);
+}
+
 /*
  * Guards against a proper request that is ended as a wrong one (400, 404, 413)
  * for what is wrong between the daemons: the owner's map lacks the service, or
@@ -1231,6 +1300,7 @@
 	g_test_add_func("/ingress/shed", test_shed);
 	g_test_add_func("/ingress/target_sheds", test_target_sheds);
 	g_test_add_func("/ingress/remote", test_remote);
+	g_test_add_func("/ingress/spread", test_spread);
 	g_test_add_func("/ingress/attempt_errors", test_attempt_errors);
 	g_test_add_func("/ingress/lost_owner", test_lost_owner);
 	g_test_add_func("/ingress/route_timeout", test_route_timeout);
