--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -41,6 +41,8 @@
 	struct retry_share
 		retry_share; /* this node's part of the fleet's retry budget */
 	double answer_bytes; /* moving average of the size of answer bodies */
+	/* Choices since the last line, see ingress_spread.c; NULL: none yet. */
+	struct in_spread *spread;
 	UT_hash_handle hh;
 };
 
@@ -211,6 +213,14 @@
  */
 int in_regions_refuse(const struct in_request *q, const struct map *m);
 
+/* ingress_spread.c */
+
+/*
+ * Counts the choice of a target by weight (settings->spread). Writes a line on
+ * the choices at most once a second for each service.
+ */
+void in_note_choice(struct in_request *q, const struct selector_candidate *k);
+
 /* ingress_answer.c */
 
 /* Logs that the caller closed its connection before the answer. */
