admission: calls go before other requests, within a share

A call was shed because it would miss its full value, although the run that waits for it would be served by an answer within the time limit. Calls now have no soft deadline, go first, and have two thirds of the places while others wait.

--- a/limits/admission.c
+++ b/limits/admission.c
@@ -221,20 +221,24 @@
 }
 
 /*
- * Returns the queued item that a new one of this rank goes before, or NULL if
- * it goes to the end. *ahead: number of items before it.
+ * Returns the queued item that a new one goes before, or NULL if it goes to
+ * the end. *ahead: number of items before it.
  */
 static struct admission_item *
 find_queue_position(const struct admission *a,
-		    const struct admission_rank *rank, int64_t now_ms,
+		    const struct admission_item *item, int64_t now_ms,
 		    uint32_t *ahead)
 {
 	struct admission_item *other;
 
 	*ahead = 0;
 	DL_FOREACH(a->head, other) {
-		if (runs_before(rank, &other->rank, now_ms))
+		if (item->is_call != other->is_call) {
+			if (item->is_call)
+				return other;
+		} else if (runs_before(&item->rank, &other->rank, now_ms)) {
 			return other;
+		}
 		(*ahead)++;
 	}
 	return NULL;
@@ -260,6 +264,21 @@
 	       (double)item->rank.soft_deadline_ms;
 }
 
+/* Do calls have all the places to wait that they may have? */
+static int calls_fill_their_queue(const struct admission *a)
+{
+	return a->queued_calls >= a->queue * ADMISSION_CALL_SHARE;
+}
+
+/* Do calls have all the places to run that they may have while others wait? */
+static int calls_fill_their_share(const struct admission *a)
+{
+	/* A single place goes to both in turn. */
+	if (a->limit == 1)
+		return a->started_call;
+	return a->running_calls + 1 > a->limit * ADMISSION_CALL_SHARE;
+}
+
 int admission_would_shed_after(const struct admission *a,
 			       const struct admission_rank *rank,
 			       int64_t now_ms, int64_t deadline_ms,
@@ -288,7 +307,7 @@
 	}
 	if (has_capacity(a, now_ms) && a->queued == 0)
 		return 0;
-	before = find_queue_position(a, rank, now_ms, &ahead);
+	before = find_queue_position(a, &item, now_ms, &ahead);
 	if (a->queued >= a->queue && (!before || !a->queue))
 		return 1;
 	/*
@@ -318,12 +337,14 @@
 		item->state = ADMISSION_RUNNING;
 		item->started_ms = item->arrived_ms;
 		a->running++;
+		a->running_calls += item->is_call != 0;
 		rate_limit_take(&a->rate, item->arrived_ms);
 		update_full_since(a, item->arrived_ms);
 		return ADMISSION_RUN;
 	}
 	item->state = ADMISSION_QUEUED;
 	a->queued++;
+	a->queued_calls += item->is_call != 0;
 	if (before)
 		DL_PREPEND_ELEM(a->head, before, item);
 	else
@@ -331,10 +352,12 @@
 	return ADMISSION_QUEUE;
 }
 
-enum admission_decision
-admission_submit_ranked(struct admission *a, struct admission_item *item,
-			const char *tenant, int64_t now_ms, int64_t deadline_ms,
-			const struct admission_rank *rank)
+/* Sets up and submits an item whose is_call is set. */
+static enum admission_decision submit_item(struct admission *a,
+					   struct admission_item *item,
+					   const char *tenant, int64_t now_ms,
+					   int64_t deadline_ms,
+					   const struct admission_rank *rank)
 {
 	int runs = has_capacity(a, now_ms) && a->queued == 0;
 	struct admission_item *before;
@@ -351,7 +374,9 @@
 	item->displaced = 0;
 	if (now_ms >= deadline_ms)
 		return ADMISSION_SHED;
-	before = find_queue_position(a, rank, now_ms, &ahead);
+	if (!runs && item->is_call && calls_fill_their_queue(a))
+		return ADMISSION_SHED;
+	before = find_queue_position(a, item, now_ms, &ahead);
 	if (!runs && a->queued >= a->queue && (!before || !a->queue))
 		return ADMISSION_SHED;
 	if (!runs && would_be_late(a, item, ahead, now_ms))
@@ -371,6 +396,27 @@
 	return admit_item(a, item, t, before, runs);
 }
 
+enum admission_decision
+admission_submit_ranked(struct admission *a, struct admission_item *item,
+			const char *tenant, int64_t now_ms, int64_t deadline_ms,
+			const struct admission_rank *rank)
+{
+	item->is_call = 0;
+	return submit_item(a, item, tenant, now_ms, deadline_ms, rank);
+}
+
+enum admission_decision
+admission_submit_call(struct admission *a, struct admission_item *item,
+		      const char *tenant, int64_t now_ms, int64_t deadline_ms,
+		      const struct admission_rank *rank)
+{
+	struct admission_rank call = *rank;
+
+	call.soft_deadline_ms = INT64_MAX;
+	item->is_call = 1;
+	return submit_item(a, item, tenant, now_ms, deadline_ms, &call);
+}
+
 enum admission_decision admission_submit(struct admission *a,
 					 struct admission_item *item,
 					 const char *tenant, int64_t now_ms,
@@ -410,6 +456,7 @@
 		return;
 	update_average(&a->service_ms, took_ms);
 	a->running--;
+	a->running_calls -= item->is_call != 0;
 	/* A queued item takes the place at once, so it stays full. */
 	if (!a->queued)
 		update_full_since(a, now_ms);
@@ -422,22 +469,42 @@
 	update_average(&k->service_ms, took_ms);
 }
 
-struct admission_item *admission_next(struct admission *a, int64_t now_ms)
+/*
+ * Returns the first queued request that may run, NULL if there is none. With
+ * others_only, calls are passed over.
+ */
+static struct admission_item *first_runnable(const struct admission *a,
+					     int others_only, int64_t now_ms)
 {
 	struct admission_item *item;
 
-	if (!has_capacity(a, now_ms))
-		return NULL;
 	DL_FOREACH(a->head, item) {
 		/* admission_expire returns the others. */
-		if (item->deadline_ms > now_ms && !item->displaced)
+		if (item->deadline_ms > now_ms && !item->displaced &&
+		    !(others_only && item->is_call))
 			break;
 	}
+	return item;
+}
+
+struct admission_item *admission_next(struct admission *a, int64_t now_ms)
+{
+	struct admission_item *item = NULL;
+
+	if (!has_capacity(a, now_ms))
+		return NULL;
+	if (a->queued_calls && calls_fill_their_share(a))
+		item = first_runnable(a, 1, now_ms);
+	if (!item)
+		item = first_runnable(a, 0, now_ms);
 	if (!item)
 		return NULL;
 	DL_DELETE(a->head, item);
 	a->queued--;
+	a->queued_calls -= item->is_call != 0;
 	a->running++;
+	a->running_calls += item->is_call != 0;
+	a->started_call = item->is_call;
 	item->state = ADMISSION_RUNNING;
 	item->started_ms = now_ms;
 	rate_limit_take(&a->rate, now_ms);
@@ -451,6 +518,9 @@
 {
 	const struct admission_item *first = a->head;
 
+	/* Calls have no soft deadline and say nothing of the others' wait. */
+	while (first->is_call && first->next)
+		first = first->next;
 	if (item->rank.soft_deadline_ms == INT64_MAX ||
 	    item->rank.soft_deadline_ms >
 		    now_ms + (int64_t)(expected_service_ms(a, &item->rank) / 2))
@@ -479,6 +549,7 @@
 		return;
 	DL_DELETE(a->head, item);
 	a->queued--;
+	a->queued_calls -= item->is_call != 0;
 	release_place(a, item);
 }
 
--- a/limits/admission.h
+++ b/limits/admission.h
@@ -32,9 +32,21 @@
 	ADMISSION_SHED,	 /* refused; see admission_retry_after_ms */
 };
 
+/*
+ * Largest part of the places for calls while other requests wait. Where calls
+ * need 46 to 69 of 108 places and others 39 to 58 (at the mean and at the peak
+ * of a wave), the calls have all that they need and the others two thirds; a
+ * fault that multiplies the calls leaves the others a third of the places. The
+ * share is one of places, not of requests begun: calls are four times as short,
+ * and of three calls for each other request begun a third would be shed at that
+ * peak.
+ */
+#define ADMISSION_CALL_SHARE (2. / 3)
+
 /*
  * Queued requests are ordered by priority, then those whose soft deadline has
- * not passed before those whose has, then by soft deadline.
+ * not passed before those whose has, then by soft deadline. Calls are before
+ * all others.
  */
 struct admission_rank {
 	uint32_t priority;	  /* 0 is the highest */
@@ -64,6 +76,7 @@
 	int64_t started_ms; /* when it began to run; 0: not yet */
 	int64_t deadline_ms;
 	struct admission_rank rank;
+	int is_call; /* submitted by admission_submit_call */
 	struct admission_tenant *tenant;
 	enum admission_state state;
 	/*
@@ -88,6 +101,11 @@
 	struct rate_limit rate; /* of the requests that begin to run */
 	uint32_t running;
 	uint32_t queued;
+	/* Parts of the two above. */
+	uint32_t running_calls;
+	uint32_t queued_calls;
+	/* The last queued request that began to run was a call. */
+	int started_call;
 	double service_ms;     /* moving average over all kinds; 0: unknown */
 	int64_t full_since_ms; /* since when running >= limit; 0: it is not */
 	struct admission_item *head;
@@ -144,6 +162,15 @@
 admission_submit_ranked(struct admission *a, struct admission_item *item,
 			const char *tenant, int64_t now_ms, int64_t deadline_ms,
 			const struct admission_rank *rank);
+/*
+ * Does the same for a call. Its soft deadline does not count: the run that
+ * waits for it is served by an answer at any time before its deadline. It is
+ * also shed if calls have their share of the places to wait.
+ */
+enum admission_decision
+admission_submit_call(struct admission *a, struct admission_item *item,
+		      const char *tenant, int64_t now_ms, int64_t deadline_ms,
+		      const struct admission_rank *rank);
 /*
  * Returns 1 if a request whose body arrives only after_ms after now_ms would
  * probably be shed then or miss its soft deadline, else 0. The deadline is a
@@ -168,8 +195,8 @@
 /*
  * Removes and returns a queued request that is no longer worth running: its
  * deadline has passed, it was displaced, or it would miss its soft deadline
- * while that of the first one in the queue has not passed. Returns NULL if
- * there is none; call it until then.
+ * while that of the first one in the queue that is not a call has not passed.
+ * Returns NULL if there is none; call it until then.
  */
 struct admission_item *admission_expire(struct admission *a, int64_t now_ms);
 /* Removes a cancelled item from the queue; does nothing if it is not queued. */
