gate, ingress: protect calls if limits.protect_calls is set

The gate learns the routes of calls and states them in its replies, the ingress beside the calling target counts how its calls end, and the gate there begins less new work.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -455,6 +455,7 @@
 		      n->settings->name, n->incarnation) != ERR_OK)
 		return err_set(info, ERR_NOMEM, "routing");
 	gate_set_adaptive(n->gate, n->settings->adapt_concurrency);
+	gate_set_protect_calls(n->gate, n->settings->protect_calls);
 	gate_set_drain_ms(n->gate, n->settings->drain_ms);
 	peers_set_bandwidth(n->peers,
 			    (uint32_t)(n->settings->link_mbps * 1000));
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -104,6 +104,7 @@
 		call_free(c);
 	}
 	httpc_finish(&g->http_client);
+	gate_protect_free(g);
 	gate_slots_finish(g);
 	admission_finish(&g->admission);
 	attempts_finish(&g->attempts);
@@ -147,7 +148,7 @@
 
 /* Fills the parts that all replies have; load must live as long as reply. */
 static void fill_reply(struct gate *g, Wire__ForwardReply *reply,
-		       Wire__TargetLoad *load, uint64_t attempt)
+		       Wire__TargetLoad *load, const Wire__Forward *f)
 {
 	wire__target_load__init(load);
 	load->running = g->in_flight;
@@ -155,9 +156,10 @@
 	load->places = admission_usable_places(&g->admission);
 	load->latency_us = (uint32_t)g->health.latency_us;
 	reply->load = load;
-	reply->attempt = attempt;
+	load->route_is_call = gate_protect_is_call(g, f);
+	reply->attempt = f->attempt;
 	reply->map_rev = g->view->ops->map(g->view)->rev;
-	if (reply->error == ERR_SHED)
+	if (reply->error == ERR_SHED && !reply->retry_after_ms)
 		reply->retry_after_ms =
 			admission_retry_after_ms(&g->admission, clk_ms());
 }
@@ -180,7 +182,7 @@
 	if (was_in_flight)
 		g->in_flight--;
 	reply->arrived = c->sent_ns != 0;
-	fill_reply(g, reply, &load, c->f->attempt);
+	fill_reply(g, reply, &load, c->f);
 	load.took_us = (uint32_t)((clk_ns() - c->arrived_ns) / 1000);
 	load.kind_latency_us = (uint32_t)(admission_kind_service_ms(
 						  &g->admission, c->f->route) *
@@ -326,7 +328,7 @@
 
 	reply.outcome = outcome;
 	reply.error = error;
-	fill_reply(g, &reply, &load, f->attempt);
+	fill_reply(g, &reply, &load, f);
 	count_outcome(g, f, &reply);
 	fn(&reply, priv);
 }
@@ -444,15 +446,31 @@
 	return rank;
 }
 
-static void admit_call(struct gate_call *c)
+static enum admission_decision submit_to_admission(struct gate_call *c)
 {
 	struct gate *g = c->g;
 	int64_t now_ms = clk_ms();
 	struct admission_rank rank = get_rank(c->f, now_ms);
 
 	update_admission_limits(g, c->f->service);
-	switch (admission_submit_ranked(&g->admission, &c->item, c->f->tenant,
-					now_ms, c->deadline_ms, &rank)) {
+	if (gate_protect_is_call(g, c->f))
+		return admission_submit_call(&g->admission, &c->item,
+					     c->f->tenant, now_ms,
+					     c->deadline_ms, &rank);
+	return admission_submit_ranked(&g->admission, &c->item, c->f->tenant,
+				       now_ms, c->deadline_ms, &rank);
+}
+
+static void admit_call(struct gate_call *c)
+{
+	struct gate *g = c->g;
+
+	gate_protect_note_request(g, c->f);
+	if (!gate_protect_may_begin(g, c->f)) {
+		gate_protect_refuse(c);
+		return;
+	}
+	switch (submit_to_admission(c)) {
 	case ADMISSION_RUN:
 		gate_call_start(c);
 		break;
@@ -465,6 +483,8 @@
 		break;
 	case ADMISSION_SHED:
 		g->shed++;
+		if (gate_protect_is_call(g, c->f))
+			cnt_add(g->cnt, "gate_calls_shed", "", 1);
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_SHED);
 		break;
 	}
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -70,6 +70,18 @@
  * allows, up to that number.
  */
 void gate_set_adaptive(struct gate *g, int adaptive);
+/*
+ * Selects whether calls, which are requests that targets make while they run
+ * others, go before other requests, and whether less new work is begun while
+ * the calls of the own target find no room. Off by default.
+ */
+void gate_set_protect_calls(struct gate *g, int protect);
+/*
+ * Notes that a call of the own target to another service has ended. found_room:
+ * it was answered without a failure; everywhere: if not, several targets
+ * refused it. Does nothing unless calls are protected.
+ */
+void gate_note_call_ended(struct gate *g, int found_room, int everywhere);
 /*
  * The target is about to leave. It gets no new requests without a key; those
  * that are queued end with ERR_NO_TARGET. Requests with a key go on while this
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -96,6 +96,8 @@
 	struct health health;	  /* recent results of the target */
 	uint32_t shed;		  /* since the last gate_take_stats */
 	int64_t load_since_ms;	  /* time of the last gate_take_load */
+	/* Owned; NULL: calls are treated as other requests. */
+	struct gate_protect *protect;
 };
 
 /* gate.c */
@@ -135,6 +137,17 @@
  */
 void gate_call_mark_abandoned(const struct gate_call *c);
 
+/* gate_protect.c; without gate_set_protect_calls no request is a call. */
+
+/* Notes a request of which it may be learnt whether its route is a call. */
+void gate_protect_note_request(struct gate *g, const Wire__Forward *f);
+int gate_protect_is_call(const struct gate *g, const Wire__Forward *f);
+/* Returns 0 if the request is new work that must not begin now. */
+int gate_protect_may_begin(struct gate *g, const Wire__Forward *f);
+/* Ends a call for which gate_protect_may_begin returned 0. */
+void gate_protect_refuse(struct gate_call *c);
+void gate_protect_free(struct gate *g);
+
 /* gate_target_state.c */
 
 /* The headers in which an answer states the target's state; NULL: none. */
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -115,6 +115,7 @@
 		return;
 	cnt_add(in->cnt, "in_abandoned", "", 1);
 	in_log_abandoned(r->priv);
+	in_calls_note_end(r->priv, 0);
 	in_cancel_attempt(r->priv);
 	in_request_free(r->priv);
 	httpd_answer_text(r, 504, "text/plain", "abandoned\n");
--- a/routing/ingress_answer.c
+++ b/routing/ingress_answer.c
@@ -227,6 +227,7 @@
 	add_router_headers(&h, q, OUTCOME_ANSWERED);
 	add_connection_close(&h, q, 0);
 	count_answer(q, OUTCOME_ANSWERED, ERR_OK);
+	in_calls_note_end(q, reply->status < 500);
 	log_request_end(q, OUTCOME_ANSWERED, ERR_OK, reply->status);
 	if (length) {
 		httpd_answer_head(q->http, reply->status, h.list, h.count,
@@ -310,6 +311,8 @@
 	log_request_end(q, outcome, error, status);
 	if (status < 500)
 		log_refused(q, error, status);
+	else
+		in_calls_note_end(q, 0);
 	snprintf(body, sizeof(body), "%s %s\n", outcome_name(outcome),
 		 err_name(error));
 	add_router_headers(&h, q, outcome);
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -53,6 +53,15 @@
 	IN_PAUSED,  /* the timer starts the next attempt */
 };
 
+/* Most routes of calls that the own target makes. */
+#define IN_MAX_CALL_ROUTES 16
+
+/* Routes that the gates of their targets have marked as calls. */
+struct in_calls {
+	uint32_t routes[IN_MAX_CALL_ROUTES];
+	size_t count;
+};
+
 /* A request of a caller that has not been answered. */
 struct in_request {
 	struct ingress *in;
@@ -115,6 +124,7 @@
 	struct in_budget *budgets;
 	struct in_service_state *service_states;
 	struct selector selector;
+	struct in_calls calls;
 	struct in_request *requests;
 	unsigned open_requests; /* requests whose answer has not been sent */
 	unsigned max_open_requests;
@@ -182,6 +192,13 @@
  */
 uint32_t in_choose_target(struct in_request *q, const struct map *m);
 
+/* ingress_calls.c; without limits.protect_calls no route is a call. */
+
+/* Notes what a reply says of the request's route. */
+void in_calls_note_load(struct in_request *q, const Wire__TargetLoad *load);
+/* Tells the own gate how a request ended if it is a call of the target. */
+void in_calls_note_end(struct in_request *q, int found_room);
+
 /* ingress_answer.c */
 
 /* Logs that the caller closed its connection before the answer. */
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -279,6 +279,10 @@
 
 static void on_not_run(struct in_request *q, const Wire__ForwardReply *reply)
 {
+	if (reply->refused_by_all) {
+		fail_request(q, reply->error, reply->retry_after_ms);
+		return;
+	}
 	if (!q->keyed && reply->error != ERR_DEADLINE &&
 	    reply->error != ERR_MALFORMED && reply->error != ERR_TOO_LARGE) {
 		retry_elsewhere(q, reply);
@@ -367,6 +371,7 @@
 		load.latency_us = l->latency_us;
 		load.kind = q->forward.route;
 		load.kind_latency_us = l->kind_latency_us;
+		in_calls_note_load(q, l);
 	}
 	if (reply->outcome == OUTCOME_ANSWERED)
 		record_answer_size(q, reply->body.len);
