return_order: tell refused callers to return one after the other

Refused callers were told the expected wait times a jitter of 0.7 to 1.5, so that those refused at one moment came back nearly together. With limits.protect_calls each gets a slice of 50 ms with room at the rate of service, by rank, and none if the request could not be served in time then. test_return_order: 2,700 callers refused in one second at 500/s come back over 5.4 s, at most 51 in each 100 ms. test_limits (28), test_gate (31), test_ingress (27), test_joined (10) and test_dialect (13) pass unchanged.

--- a/routing/gate.c
+++ b/routing/gate.c
@@ -148,7 +148,8 @@
 
 /* Fills the parts that all replies have; load must live as long as reply. */
 static void fill_reply(struct gate *g, Wire__ForwardReply *reply,
-		       Wire__TargetLoad *load, const Wire__Forward *f)
+		       Wire__TargetLoad *load, const Wire__Forward *f,
+		       int64_t left_ms)
 {
 	wire__target_load__init(load);
 	load->running = g->in_flight;
@@ -159,9 +160,13 @@
 	load->route_is_call = gate_protect_is_call(g, f);
 	reply->attempt = f->attempt;
 	reply->map_rev = g->view->ops->map(g->view)->rev;
-	if (reply->error == ERR_SHED && !reply->retry_after_ms)
+	if (reply->error != ERR_SHED)
+		return;
+	if (!reply->retry_after_ms)
 		reply->retry_after_ms =
 			admission_retry_after_ms(&g->admission, clk_ms());
+	reply->retry_after_ms = gate_protect_retry_after_ms(
+		g, f, reply->retry_after_ms, left_ms);
 }
 
 void gate_call_end(struct gate_call *c, Wire__ForwardReply *reply)
@@ -182,7 +187,7 @@
 	if (was_in_flight)
 		g->in_flight--;
 	reply->arrived = c->sent_ns != 0;
-	fill_reply(g, reply, &load, c->f);
+	fill_reply(g, reply, &load, c->f, c->deadline_ms - now);
 	load.took_us = (uint32_t)((clk_ns() - c->arrived_ns) / 1000);
 	load.kind_latency_us = (uint32_t)(admission_kind_service_ms(
 						  &g->admission, c->f->route) *
@@ -328,7 +333,7 @@
 
 	reply.outcome = outcome;
 	reply.error = error;
-	fill_reply(g, &reply, &load, f);
+	fill_reply(g, &reply, &load, f, f->deadline_ms);
 	count_outcome(g, f, &reply);
 	fn(&reply, priv);
 }
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -146,6 +146,14 @@
 int gate_protect_may_begin(struct gate *g, const Wire__Forward *f);
 /* Ends a call for which gate_protect_may_begin returned 0. */
 void gate_protect_refuse(struct gate_call *c);
+/*
+ * Returns when the caller of a refused request with left_ms until its time
+ * limit should come back, at least after wait_ms, in milliseconds. left_ms: it
+ * could not be served in time then. wait_ms without gate_set_protect_calls,
+ * and without a key, where the ingress decides.
+ */
+uint32_t gate_protect_retry_after_ms(struct gate *g, const Wire__Forward *f,
+				     uint32_t wait_ms, int64_t left_ms);
 void gate_protect_free(struct gate *g);
 
 /* gate_target_state.c */
--- a/routing/gate_protect.c
+++ b/routing/gate_protect.c
@@ -2,6 +2,7 @@
 #include "common/log.h"
 #include "limits/call_pressure.h"
 #include "limits/call_routes.h"
+#include "limits/return_order.h"
 #include "routing/gate_priv.h"
 
 #include <math.h>
@@ -28,6 +29,7 @@
 struct gate_protect {
 	struct call_routes routes;
 	struct call_pressure pressure;
+	struct return_order returns;
 	struct service_share shares[PROTECT_MAX_SERVICES];
 	size_t share_count;
 	uint64_t shares_rev; /* revision of the map that they are of */
@@ -48,6 +50,7 @@
 	}
 	call_routes_init(&g->protect->routes);
 	call_pressure_init(&g->protect->pressure);
+	return_order_init(&g->protect->returns);
 }
 
 void gate_protect_free(struct gate *g)
@@ -227,14 +230,38 @@
 	return 0;
 }
 
+uint32_t gate_protect_retry_after_ms(struct gate *g, const Wire__Forward *f,
+				     uint32_t wait_ms, int64_t left_ms)
+{
+	const struct admission *a = &g->admission;
+	struct return_request q = {
+		.service_ms = admission_kind_service_ms(a, f->route),
+		.earliest_ms = wait_ms,
+		.priority = f->priority,
+		.left_ms = left_ms,
+	};
+	uint32_t ms;
+
+	/* Without a key the ingress decides, after it has tried others. */
+	if (!g->protect || !f->key[0])
+		return wait_ms;
+	/* Work is counted in milliseconds of a place to run. */
+	q.work = q.service_ms > 0 ? q.service_ms : a->service_ms;
+	ms = return_order_assign(&g->protect->returns, &q,
+				 admission_usable_places(a), clk_ms());
+	if (ms)
+		return ms;
+	return left_ms > 0 ? (uint32_t)left_ms : 1;
+}
+
 void gate_protect_refuse(struct gate_call *c)
 {
 	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
 
 	reply.outcome = OUTCOME_NOT_RUN;
 	reply.error = ERR_SHED;
-	/* Failures older than the window are forgotten. */
-	reply.retry_after_ms = CALL_PRESSURE_WINDOW_MS;
+	/* The share has changed by then. */
+	reply.retry_after_ms = CALL_PRESSURE_WINDOW_MS / 2;
 	reply.refused_by_all =
 		call_pressure_is_common(&c->g->protect->pressure, clk_ms());
 	gate_call_end(c, &reply);
--- a/routing/ingress_answer.c
+++ b/routing/ingress_answer.c
@@ -228,6 +228,7 @@
 	add_connection_close(&h, q, 0);
 	count_answer(q, OUTCOME_ANSWERED, ERR_OK);
 	in_calls_note_end(q, reply->status < 500);
+	in_return_note_answer(q);
 	log_request_end(q, OUTCOME_ANSWERED, ERR_OK, reply->status);
 	if (length) {
 		httpd_answer_head(q->http, reply->status, h.list, h.count,
@@ -321,7 +322,7 @@
 	if (q->in->dialect->request_id && q->forward.request_id[0])
 		add_header(&h, q->in->dialect->request_id,
 			   q->forward.request_id);
-	if (status == 503)
+	if (status == 503 && in_return_after_ms(q, error, &retry_after_ms))
 		add_retry_after(&h, q->in->dialect, retry_after_ms);
 	send_answer(q, status, &h, body, strlen(body));
 }
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -2,6 +2,7 @@
 #define ROUTING_INGRESS_PRIV_H
 
 #include "limits/retry_budget.h"
+#include "limits/return_order.h"
 #include "limits/retry_share.h"
 #include "placement/selector.h"
 #include "routing/ingress.h"
@@ -62,6 +63,24 @@
 	size_t count;
 };
 
+/* Most routes with rates of their own. */
+#define IN_MAX_RETURN_ROUTES 16
+
+/* When callers that this ingress refuses are told to return, for one route. */
+struct in_return_route {
+	uint32_t route;
+	struct return_order order;
+	double per_s; /* answers, moving average */
+	unsigned answers;
+	int64_t since_ms; /* since when answers counts */
+};
+
+struct in_returns {
+	struct in_return_route routes[IN_MAX_RETURN_ROUTES];
+	size_t count;
+	size_t next; /* to be replaced, or used, next */
+};
+
 /* A request of a caller that has not been answered. */
 struct in_request {
 	struct ingress *in;
@@ -125,6 +144,7 @@
 	struct in_service_state *service_states;
 	struct selector selector;
 	struct in_calls calls;
+	struct in_returns returns;
 	struct in_request *requests;
 	unsigned open_requests; /* requests whose answer has not been sent */
 	unsigned max_open_requests;
@@ -199,6 +219,19 @@
 /* Tells the own gate how a request ended if it is a call of the target. */
 void in_calls_note_end(struct in_request *q, int found_room);
 
+/* ingress_return.c */
+
+/* Counts an answer of a target. */
+void in_return_note_answer(struct in_request *q);
+/*
+ * Decides when the caller of a request that ends with 503 is told to return.
+ * *ms: the time that a gate or target named, 0 if none did. Without
+ * limits.protect_calls it stays as it is. Returns 0 if the caller is told none,
+ * because the request could not be served in time then.
+ */
+int in_return_after_ms(const struct in_request *q, enum err error,
+		       uint32_t *ms);
+
 /* ingress_answer.c */
 
 /* Logs that the caller closed its connection before the answer. */
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -97,8 +97,12 @@
 static void fail_request(struct in_request *q, enum err error,
 			 uint32_t retry_after_ms)
 {
-	/* Jitter, so that callers refused together do not return together. */
-	if (retry_after_ms && q->in->dialect->fractional_retry_after)
+	/*
+	 * Jitter, so that callers refused together do not return together. With
+	 * limits.protect_calls, gates give them different times.
+	 */
+	if (retry_after_ms && !q->in->settings->protect_calls &&
+	    q->in->dialect->fractional_retry_after)
 		retry_after_ms = (uint32_t)(retry_after_ms *
 					    g_random_double_range(0.7, 1.5));
 	in_answer_error(q, q->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
