test_ingress: own calls, and Retry-After only in time

Two tests: calls of the own target are recognised by what the gate has learnt and their failures counted; a 503 has no Retry-After where the request could not be served in time, and has one otherwise and without limits.protect_calls.

--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -1209,6 +1209,87 @@
 	ev_loop_destroy(loop);
 }
 
+/* Node 1 is of FAKE_SERVICE, node 2 of "oven". */
+static void add_targets(struct fake_view *v)
+{
+	static char *const services[] = { FAKE_SERVICE, "oven" };
+	static char *const names[] = { "n01", "n02" };
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(services); i++) {
+		Wire__MapDelta d = WIRE__MAP_DELTA__INIT;
+		Wire__Node node = WIRE__NODE__INIT, *nodes = &node;
+		Wire__Target target = WIRE__TARGET__INIT;
+
+		target.service = services[i];
+		target.address = "127.0.0.1";
+		node.id = i + 1;
+		node.name = names[i];
+		node.address = "127.0.0.1";
+		node.target = &target;
+		d.base_rev = v->map.rev;
+		d.rev = v->map.rev + 1;
+		d.n_nodes = 1;
+		d.nodes = &nodes;
+		g_assert_cmpint(map_apply(&v->map, &d), ==, ERR_OK);
+	}
+}
+
+/*
+ * Guards against calls of the own target that the ingress does not recognise by
+ * what the gate has learnt, or whose failures it does not count. With a share
+ * of a half, 14 requests show a call.
+ */
+static void test_own_calls(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	add_targets(&f.view);
+	strcpy(f.settings.service, "oven");
+	f.settings.protect_calls = 1;
+	gate_set_protect_calls(f.gate, 1);
+	for (unsigned i = 0; i < 13; i++)
+		expect_get(&f, "/kiln/a", 200, "answered");
+	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls", ""), ==, 0);
+	expect_get(&f, "/kiln/a", 200, "answered");
+	expect_get(&f, "/kiln/a", 200, "answered");
+	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls", ""), ==, 2);
+	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls_failed", ""), ==, 0);
+	f.target.answer = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
+	expect_get(&f, "/kiln/a", 500, "answered");
+	f.view.may_route_result = ERR_STALE;
+	expect_get(&f, "/kiln/a", 503, "not-run");
+	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls_failed", ""), ==, 2);
+	teardown(&f);
+}
+
+/*
+ * Guards against a Retry-After for a request that could not be served in time
+ * then, and against a 503 that has none although it could.
+ */
+static void test_retry_after_in_time(void)
+{
+	struct fixture f;
+	struct caller c;
+
+	setup(&f);
+	f.view.may_route_result = ERR_STALE;
+	for (int protect = 0; protect <= 1; protect++) {
+		f.settings.protect_calls = protect;
+		start_with_deadline(&f, &c, "GET", "500");
+		expect(&f, &c, 503, "not-run");
+		/* A third of the time left is less than 200 ms. */
+		g_assert_cmpint(has_header(&c, "Retry-After: "), ==, !protect);
+		finish(&c);
+		start_with_deadline(&f, &c, "GET", "5000");
+		expect(&f, &c, 503, "not-run");
+		g_assert_true(has_header(&c, "Retry-After: 1\n"));
+		finish(&c);
+	}
+	g_assert_cmpuint(cnt_get(&f.cnt, "in_no_retry_after", ""), ==, 1);
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1238,6 +1319,9 @@
 	g_test_add_func("/ingress/quiesce", test_quiesce);
 	g_test_add_func("/ingress/request_at_end", test_request_at_end);
 	g_test_add_func("/ingress/free_with_requests", test_free_with_requests);
+	g_test_add_func("/ingress/own-calls", test_own_calls);
+	g_test_add_func("/ingress/retry-after-in-time",
+			test_retry_after_in_time);
 	g_test_add_func("/httpd/finish_with_arrival", test_finish_with_arrival);
 	g_test_add_func("/httpd/busy_loop", test_busy_loop);
 	return g_test_run();
