--- a/daemon/node.c
+++ b/daemon/node.c
@@ -489,6 +489,7 @@
 		      n->settings->name, n->incarnation) != ERR_OK)
 		return err_set(info, ERR_NOMEM, "routing");
 	gate_set_adaptive(n->gate, n->settings->adapt_concurrency);
+	gate_set_protect_calls(n->gate, n->settings->protect_calls);
 	gate_set_drain_ms(n->gate, n->settings->drain_ms);
 	gate_set_data_centre(n->gate, n->settings->data_centre,
 			     n->settings->empty_ms);
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -103,6 +103,7 @@
 		call_free(c);
 	}
 	httpc_finish(&g->http_client);
+	gate_protect_free(g);
 	gate_slots_finish(g);
 	admission_finish(&g->admission);
 	answer_line_finish(&g->answer_line);
@@ -147,7 +148,8 @@
 
 /* Fills the parts that all replies have; load must live as long as reply. */
 static void fill_reply(struct gate *g, Wire__ForwardReply *reply,
-		       Wire__TargetLoad *load, uint64_t attempt)
+		       Wire__TargetLoad *load, const Wire__Forward *f,
+		       int64_t left_ms)
 {
 	wire__target_load__init(load);
 	load->running = g->in_flight;
@@ -156,11 +158,16 @@
 	load->latency_us = (uint32_t)g->health.latency_us;
 	load->cold_ms = gate_cold_ms(g);
 	reply->load = load;
-	reply->attempt = attempt;
+	load->route_is_call = gate_protect_is_call(g, f);
+	reply->attempt = f->attempt;
 	reply->map_rev = g->view->ops->map(g->view)->rev;
-	if (reply->error == ERR_SHED)
+	if (reply->error != ERR_SHED)
+		return;
+	if (!reply->retry_after_ms)
 		reply->retry_after_ms =
 			admission_retry_after_ms(&g->admission, clk_ms());
+	reply->retry_after_ms = gate_protect_retry_after_ms(
+		g, f, reply->retry_after_ms, left_ms);
 }
 
 void gate_call_end(struct gate_call *c, Wire__ForwardReply *reply)
@@ -185,7 +192,7 @@
 	if (reply->outcome == OUTCOME_ANSWERED)
 		answer_line_note(&g->answer_line, c->f->route, reply->body.len);
 	reply->arrived = c->sent_ns != 0;
-	fill_reply(g, reply, &load, c->f->attempt);
+	fill_reply(g, reply, &load, c->f, c->deadline_ms - now);
 	load.took_us = (uint32_t)((clk_ns() - c->arrived_ns) / 1000);
 	load.kind_latency_us = (uint32_t)(admission_kind_service_ms(
 						  &g->admission, c->f->route) *
@@ -335,7 +342,7 @@
 
 	reply.outcome = outcome;
 	reply.error = error;
-	fill_reply(g, &reply, &load, f->attempt);
+	fill_reply(g, &reply, &load, f, f->deadline_ms);
 	count_outcome(g, f, &reply);
 	fn(&reply, priv);
 }
@@ -454,7 +461,7 @@
 	return rank;
 }
 
-static void admit_call(struct gate_call *c)
+static enum admission_decision submit_to_admission(struct gate_call *c)
 {
 	struct gate *g = c->g;
 	int64_t now_ms = clk_ms();
@@ -462,8 +469,24 @@
 
 	update_admission_limits(g, c->f->service);
 	c->large_answer = answer_line_begin(&g->answer_line, c->f->route);
-	switch (admission_submit_ranked(&g->admission, &c->item, c->f->tenant,
-					now_ms, c->deadline_ms, &rank)) {
+	if (gate_protect_is_call(g, c->f))
+		return admission_submit_call(&g->admission, &c->item,
+					     c->f->tenant, now_ms,
+					     c->deadline_ms, &rank);
+	return admission_submit_ranked(&g->admission, &c->item, c->f->tenant,
+				       now_ms, c->deadline_ms, &rank);
+}
+
+static void admit_call(struct gate_call *c)
+{
+	struct gate *g = c->g;
+
+	gate_protect_note_request(g, c->f);
+	if (!gate_protect_may_begin(g, c->f)) {
+		gate_protect_refuse(c);
+		return;
+	}
+	switch (submit_to_admission(c)) {
 	case ADMISSION_RUN:
 		gate_call_start(c);
 		break;
@@ -476,6 +499,8 @@
 		break;
 	case ADMISSION_SHED:
 		g->shed++;
+		if (gate_protect_is_call(g, c->f))
+			cnt_add(g->cnt, "gate_calls_shed", "", 1);
 		gate_call_fail(c, OUTCOME_NOT_RUN, ERR_SHED);
 		break;
 	}
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -110,6 +110,8 @@
 	struct health health;	  /* recent results of the target */
 	uint32_t shed;		  /* since the last gate_take_stats */
 	int64_t load_since_ms;	  /* time of the last gate_take_load */
+	/* Owned; NULL: calls are treated as other requests. */
+	struct gate_protect *protect;
 };
 
 /* gate.c */
@@ -157,6 +159,25 @@
  */
 void gate_call_mark_abandoned(const struct gate_call *c);
 
+/* gate_protect.c; without gate_set_protect_calls no request is a call. */
+
+/* Notes a request of which it may be learnt whether its route is a call. */
+void gate_protect_note_request(struct gate *g, const Wire__Forward *f);
+int gate_protect_is_call(const struct gate *g, const Wire__Forward *f);
+/* Returns 0 if the request is new work that must not begin now. */
+int gate_protect_may_begin(struct gate *g, const Wire__Forward *f);
+/* Ends a call for which gate_protect_may_begin returned 0. */
+void gate_protect_refuse(struct gate_call *c);
+/*
+ * Returns when the caller of a refused request with left_ms until its time
+ * limit should come back, at least after wait_ms, in milliseconds. left_ms: it
+ * could not be served in time then. wait_ms without gate_set_protect_calls,
+ * and without a key, where the ingress decides.
+ */
+uint32_t gate_protect_retry_after_ms(struct gate *g, const Wire__Forward *f,
+				     uint32_t wait_ms, int64_t left_ms);
+void gate_protect_free(struct gate *g);
+
 /* gate_target_state.c */
 
 /* The headers in which an answer states the target's state; NULL: none. */
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -98,8 +98,12 @@
 static void fail_request(struct in_request *q, enum err error,
 			 uint32_t retry_after_ms)
 {
-	/* Jitter, so that callers refused together do not return together. */
-	if (retry_after_ms && q->in->dialect->fractional_retry_after)
+	/*
+	 * Jitter, so that callers refused together do not return together. With
+	 * limits.protect_calls, gates give them different times.
+	 */
+	if (retry_after_ms && !q->in->settings->protect_calls &&
+	    q->in->dialect->fractional_retry_after)
 		retry_after_ms = (uint32_t)(retry_after_ms *
 					    g_random_double_range(0.7, 1.5));
 	in_answer_error(q, q->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
@@ -280,6 +284,10 @@
 
 static void on_not_run(struct in_request *q, const Wire__ForwardReply *reply)
 {
+	if (reply->refused_by_all) {
+		fail_request(q, reply->error, reply->retry_after_ms);
+		return;
+	}
 	if (!q->keyed && reply->error != ERR_DEADLINE &&
 	    reply->error != ERR_MALFORMED && reply->error != ERR_TOO_LARGE) {
 		retry_elsewhere(q, reply);
@@ -368,6 +376,7 @@
 		load.latency_us = l->latency_us;
 		load.kind = q->forward.route;
 		load.kind_latency_us = l->kind_latency_us;
+		in_calls_note_load(q, l);
 	}
 	if (reply->outcome == OUTCOME_ANSWERED)
 		record_answer_size(q, reply->body.len);
