gate: targets count as cold after an order to empty them has ended

They may have become cold meanwhile, and their next announcement comes up to 870 ms later; until then they would get all requests at once. test_gate cold_after_emptying fails without the limit.

--- a/routing/gate_empty.c
+++ b/routing/gate_empty.c
@@ -10,6 +10,11 @@
  * the node reads after NODE_DOCUMENT_STALE_MS (daemon/node.h).
  */
 #define GATE_EMPTY_LEARN_MS 1500
+/*
+ * Targets may have become cold while they were emptied. Until the next
+ * announcement, which is due every 870 ms and may be late, they count as cold.
+ */
+#define GATE_RETURN_COLD_MS 1500
 
 void gate_set_data_centre(struct gate *g, const char *data_centre,
 			  int64_t empty_ms)
@@ -81,6 +86,8 @@
 	if (!drained) {
 		log_info("emptying_ended", "data_centre=%s",
 			 LOG_Q(g->data_centre));
+		if (gate_cold_ms(g) < GATE_RETURN_COLD_MS)
+			gate_set_cold(g, GATE_RETURN_COLD_MS);
 		return;
 	}
 	g->emptying_since_ms = g->seen_in_use ? clk_ms() : 0;
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -1274,6 +1274,32 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against targets that became cold while their data centre was emptied
+ * and get all requests between the end of the order and their announcement.
+ */
+static void test_cold_after_emptying(void)
+{
+	enum { CALLS = 40 };
+	struct fake_reply r[CALLS];
+	struct fixture f;
+
+	setup(&f, 30);
+	f.view.service.cold_per_s = 20;
+	gate_set_adaptive(f.gate, 0);
+	announce(&f, 30, 0);
+	gate_set_data_centre(f.gate, "z1", 0);
+	set_drained(&f, NULL);
+	set_drained(&f, "z1");
+	set_drained(&f, NULL);
+	g_assert_cmpuint(submit_many(&f, r, 1, CALLS), ==, CALLS - 16);
+	g_assert_cmpuint(f.target.runs, ==, 0);
+	g_assert_cmpfloat(gate_take_stats(f.gate).rate_limit_per_s, ==, 20);
+	gate_set_cold(f.gate, 0);
+	fake_wait(f.loop, &f.target.runs, 16);
+	teardown(&f);
+}
+
 /* Guards against a limit where the document states none. */
 static void test_cold_without_limit(void)
 {
@@ -1298,6 +1324,7 @@
 			test_emptying_before_send);
 	g_test_add_func("/gate/emptying_with_keys", test_emptying_with_keys);
 	g_test_add_func("/gate/emptying_at_start", test_emptying_at_start);
+	g_test_add_func("/gate/cold_after_emptying", test_cold_after_emptying);
 	g_test_add_func("/gate/pass_through", test_pass_through);
 	g_test_add_func("/gate/dead_connection_post",
 			test_dead_connection_post);
