--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -60,6 +60,7 @@
 	const char *author;		       /* of changes */
 	int wait_ms; /* timeout until a change is in force; 0: do not wait */
 	int json;    /* print results as JSON */
+	int offline; /* do not compare with the document in the store */
 	char *const *args; /* of the verb */
 	struct ev_loop *loop;
 	struct store *store; /* NULL if the verb needs none */
@@ -74,6 +75,7 @@
 #define CTL_TAKES_WAIT 2U
 /* The verb reads or writes the document in mpinctl's own format. */
 #define CTL_OWN_DOCUMENT 4U
+#define CTL_TAKES_OFFLINE 8U
 
 struct ctl_verb {
 	const char *name;
@@ -93,6 +95,7 @@
  * error, and returns the exit status of mpinctl.
  */
 enum ctl_exit ctl_validate(struct ctl *c);
+enum ctl_exit ctl_check(struct ctl *c);
 enum ctl_exit ctl_diff(struct ctl *c);
 enum ctl_exit ctl_apply(struct ctl *c);
 enum ctl_exit ctl_status(struct ctl *c);
@@ -101,6 +104,15 @@
 enum ctl_exit ctl_forget(struct ctl *c);
 enum ctl_exit ctl_explain(struct ctl *c);
 
+/* validate.c */
+
+/*
+ * Parses a document of the format that the interface has in the store. Results
+ * and problems as doc_parse.
+ */
+enum err ctl_parse_document(const struct ctl *c, const struct buf *text,
+			    struct doc *d, struct buf *problems);
+
 /* io.c: calls to the store and the coordinator; they block. */
 
 /*
@@ -185,6 +197,8 @@
  * document back if a node has one.
  */
 enum ctl_exit ctl_doc_read_for_change(struct ctl *c, struct ctl_doc *d);
+/* Prints a warning if the head was written before the store was restored. */
+void ctl_doc_warn_from_copy(const struct ctl_doc *d);
 void ctl_doc_finish(struct ctl_doc *d);
 
 /* commit.c */
--- a/ctl/diff.c
+++ b/ctl/diff.c
@@ -44,11 +44,7 @@
 	}
 	result = ctl_doc_read(c, &base);
 	if (result == CTL_DONE) {
-		if (base.head.era && base.era && base.head.era != base.era)
-			ctl_error(
-				"the store was restored from a copy: its "
-				"revision %llu may lack changes since the copy",
-				(unsigned long long)base.head.revision);
+		ctl_doc_warn_from_copy(&base);
 		result = print_difference(c, &base, &next);
 		ctl_doc_finish(&base);
 	}
--- a/ctl/document.c
+++ b/ctl/document.c
@@ -122,6 +122,15 @@
 	}
 }
 
+void ctl_doc_warn_from_copy(const struct ctl_doc *d)
+{
+	if (!d->head.era || !d->era || d->head.era == d->era)
+		return;
+	ctl_error("the store was restored from a copy: its revision %llu may "
+		  "lack changes since the copy",
+		  (unsigned long long)d->head.revision);
+}
+
 void ctl_doc_finish(struct ctl_doc *d)
 {
 	doc_head_finish(&d->head);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -25,6 +25,8 @@
 
 const struct ctl_verb ctl_verbs[] = {
 	{ "validate", "FILE", 1, 0, 0, "check a document", ctl_validate },
+	{ "check", "FILE", 1, 0, CTL_TAKES_OFFLINE,
+	  "look for entries of a document without effect", ctl_check },
 	{ "diff", "FILE", 1, 1, CTL_OWN_DOCUMENT,
 	  "compare the store's document with FILE", ctl_diff },
 	{ "apply", "FILE", 1, 1, CHANGE_OPTIONS, "put a document into force",
@@ -49,6 +51,7 @@
 	KEY_WAIT,
 	KEY_JSON,
 	KEY_INTERFACE,
+	KEY_OFFLINE,
 };
 
 static const struct argp_option options[] = {
@@ -66,6 +69,8 @@
 	{ "wait-s", KEY_WAIT, "SECONDS", 0,
 	  "Time until a change must be in force; 0: do not wait (default: 6)",
 	  0 },
+	{ "offline", KEY_OFFLINE, NULL, 0,
+	  "Do not compare with the store's document", 0 },
 	{ 0 }
 };
 
@@ -164,6 +169,8 @@
 			   "%s: the document of interface %s is not "
 			   "mpinctl's to change",
 			   cmd->verb->name, c->interface->name);
+	if (cmd->given_options & ~cmd->verb->options & CTL_TAKES_OFFLINE)
+		argp_error(state, "%s takes no --offline", cmd->verb->name);
 	if (cmd->given_options & ~cmd->verb->options)
 		argp_error(state, "%s takes no --author and no --wait-s",
 			   cmd->verb->name);
@@ -208,6 +215,10 @@
 		cmd->c->wait_ms = parse_wait(arg, state);
 		cmd->given_options |= CTL_TAKES_WAIT;
 		return 0;
+	case KEY_OFFLINE:
+		cmd->c->offline = 1;
+		cmd->given_options |= CTL_TAKES_OFFLINE;
+		return 0;
 	case ARGP_KEY_ARG:
 		if (!cmd->verb)
 			select_verb(cmd, arg, state);
--- a/ctl/validate.c
+++ b/ctl/validate.c
@@ -14,9 +14,8 @@
 	return CTL_DONE;
 }
 
-/* Parses a document of the format that the interface has in the store. */
-static enum err parse_document(const struct ctl *c, const struct buf *text,
-			       struct doc *d, struct buf *problems)
+enum err ctl_parse_document(const struct ctl *c, const struct buf *text,
+			    struct doc *d, struct buf *problems)
 {
 	const struct doc_source *source = c->interface->document;
 	struct doc_sections sections;
@@ -42,7 +41,7 @@
 	buf_init(&text);
 	if (ctl_read_file(c->args[0], &text) == ERR_OK) {
 		buf_text(&text);
-		if (parse_document(c, &text, &d, &problems) == ERR_OK) {
+		if (ctl_parse_document(c, &text, &d, &problems) == ERR_OK) {
 			result = print_valid(c, &d);
 			doc_finish(&d);
 		} else {
--- a/test/run/ctl-validate.sh
+++ b/test/run/ctl-validate.sh
@@ -23,4 +23,4 @@
 ctl validate
 ctl validate good.json extra
 ctl validate good.json --wait-s 3
-ctl check good.json
+ctl inspect good.json
