--- a/ctl/main.c
+++ b/ctl/main.c
@@ -26,6 +26,8 @@
 
 const struct ctl_verb ctl_verbs[] = {
 	{ "validate", "FILE", 1, 0, 0, "check a document", ctl_validate },
+	{ "check", "FILE", 1, 0, CTL_TAKES_OFFLINE,
+	  "look for entries of a document without effect", ctl_check },
 	{ "diff", "FILE", 1, 1, CTL_OWN_DOCUMENT,
 	  "compare the store's document with FILE", ctl_diff },
 	{ "apply", "FILE", 1, 1, CHANGE_OPTIONS, "put a document into force",
@@ -51,6 +53,7 @@
 	KEY_DATA_CENTRE,
 	KEY_JSON,
 	KEY_INTERFACE,
+	KEY_OFFLINE,
 };
 
 static const struct argp_option options[] = {
@@ -70,6 +73,8 @@
 	  0 },
 	{ "data-centre", KEY_DATA_CENTRE, NULL, 0,
 	  "NODE of drain and undrain is the name of a data centre", 0 },
+	{ "offline", KEY_OFFLINE, NULL, 0,
+	  "Do not compare with the store's document", 0 },
 	{ 0 }
 };
 
@@ -170,6 +175,8 @@
 			   cmd->verb->name, c->interface->name);
 	if (cmd->given_options & ~cmd->verb->options & CTL_TAKES_DATA_CENTRE)
 		argp_error(state, "%s takes no --data-centre", cmd->verb->name);
+	if (cmd->given_options & ~cmd->verb->options & CTL_TAKES_OFFLINE)
+		argp_error(state, "%s takes no --offline", cmd->verb->name);
 	if (cmd->given_options & ~cmd->verb->options)
 		argp_error(state, "%s takes no --author and no --wait-s",
 			   cmd->verb->name);
@@ -217,6 +224,9 @@
 	case KEY_DATA_CENTRE:
 		cmd->c->data_centre = 1;
 		cmd->given_options |= CTL_TAKES_DATA_CENTRE;
+	case KEY_OFFLINE:
+		cmd->c->offline = 1;
+		cmd->given_options |= CTL_TAKES_OFFLINE;
 		return 0;
 	case ARGP_KEY_ARG:
 		if (!cmd->verb)
