--- a/test/run/ctl-apply.sh
+++ b/test/run/ctl-apply.sh
@@ -15,6 +15,12 @@
 ctl diff two.json
 ctl undrain n03 --wait-s 0 --json
 ctl diff two.json
+ctl drain --data-centre z1 --wait-s 0
+ctl drain --data-centre z1 --wait-s 0
+ctl undrain z1
+ctl diff two.json
+ctl undrain --data-centre z1 --wait-s 0
+ctl status --data-centre
 ctl apply two.json --author ''
 ctl status
 ctl explain kiln passau-1
