--- a/ctl/main.c
+++ b/ctl/main.c
@@ -224,6 +224,7 @@
 	case KEY_DATA_CENTRE:
 		cmd->c->data_centre = 1;
 		cmd->given_options |= CTL_TAKES_DATA_CENTRE;
+		return 0;
 	case KEY_OFFLINE:
 		cmd->c->offline = 1;
 		cmd->given_options |= CTL_TAKES_OFFLINE;
