ingress: bound the large answers that are held for callers

limits.max_held_bytes bounds a connection: 200 callers that read 540 KB slowly make a node hold all of them. With limits.max_answer_bytes, a request of a route with large answers reserves the largest of them before it is begun, and is refused (503, not-run) without room. Nothing that was begun is cut off.

--- a/config/settings.c
+++ b/config/settings.c
@@ -243,6 +243,15 @@
 	  .default_number = 1048576,
 	  .description = "bytes of bodies and answers that one connection "
 			 "holds; further requests stay unread" },
+	{ .name = "limits.max_answer_bytes",
+	  .type = OPT_INT,
+	  FIELD(max_answer_bytes),
+	  .min = 0,
+	  .max = 1073741824,
+	  .default_number = 0,
+	  .description = "bytes of answers that are held for all callers; "
+			 "routes with large answers are refused beyond it; "
+			 "0: no limit" },
 	{ .name = "limits.max_body_bytes",
 	  .type = OPT_INT,
 	  FIELD(max_body_bytes),
--- a/config/settings.h
+++ b/config/settings.h
@@ -99,9 +99,10 @@
 	int max_pipeline; /* unanswered requests of one connection */
 	/* Bodies and answers that one connection holds at a time. */
 	int max_held_bytes;
-	int max_body_bytes; /* upper bound for the document's limits */
-	int max_in_flight;  /* requests in the ingress at one time */
-	double link_mbps;   /* rate of the VM's network link; 0: not known */
+	int max_answer_bytes; /* 0: no limit */
+	int max_body_bytes;   /* upper bound for the document's limits */
+	int max_in_flight;    /* requests in the ingress at one time */
+	double link_mbps;     /* rate of the VM's network link; 0: not known */
 	/*
 	 * Requests are refused if the coordinator has not confirmed the map
 	 * (which node owns which keys) and the document for so long; 0: never.
--- a/routing/ingress.c
+++ b/routing/ingress.c
@@ -1,5 +1,6 @@
 #include "routing/ingress_priv.h"
 #include "common/clk.h"
+#include "common/log.h"
 #include "common/step.h"
 
 #include <stdlib.h>
@@ -9,6 +10,8 @@
 
 /* Keep-alive connections of callers are closed after this idle time. */
 #define IN_IDLE_SECONDS 60
+/* Retry-After of requests refused since callers read their answers slowly. */
+#define IN_ANSWERS_FULL_MS 1000
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -39,6 +42,7 @@
 void in_request_free(struct in_request *q)
 {
 	ev_timer_stop(q->in->loop, &q->timer);
+	byte_budget_give_back(&q->in->answers, q->answer_room);
 	DL_DELETE(q->in->requests, q);
 	q->http->priv = NULL;
 	free(q->headers);
@@ -54,6 +58,28 @@
 	return doc ? ERR_OK : ERR_STALE;
 }
 
+/*
+ * Reserves room for the answer. What is begun has to be answered whole, so that
+ * callers who read slowly are only kept from beginning more.
+ */
+static enum err take_answer_room(struct in_request *q)
+{
+	struct ingress *in = q->in;
+	int full = !byte_budget_take(&in->answers, q->forward.route,
+				     in->http.held_bytes, &q->answer_room);
+
+	if (full != in->answers_full)
+		log_info(full ? "answers_full" : "answers_have_room",
+			 "held=%zu reserved=%zu limit=%zu open=%u",
+			 in->http.held_bytes, in->answers.reserved,
+			 in->answers.limit, in->open_requests);
+	in->answers_full = full;
+	if (!full)
+		return ERR_OK;
+	cnt_add(in->cnt, "in_answers_full", "", 1);
+	return ERR_SHED;
+}
+
 static void on_request(struct httpd_request *r, void *priv)
 {
 	struct ingress *in = priv;
@@ -74,6 +100,11 @@
 		return;
 	}
 	in_count_request(q);
+	e = take_answer_room(q);
+	if (e != ERR_OK) {
+		in_answer_error(q, OUTCOME_NOT_RUN, e, IN_ANSWERS_FULL_MS);
+		return;
+	}
 	in_start_attempt(q);
 }
 
@@ -163,6 +194,7 @@
 	in->dialect = dialect;
 	in->settings = settings;
 	selector_init(&in->selector);
+	byte_budget_init(&in->answers, (size_t)settings->max_answer_bytes);
 	in->view = view;
 	in->gate = gate;
 	in->peers = peers;
@@ -196,6 +228,7 @@
 	httpd_finish(&in->http);
 	in_free_retry_state(in);
 	selector_finish(&in->selector);
+	byte_budget_finish(&in->answers);
 	labels_finish(&in->labels);
 	free(in);
 }
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -3,6 +3,7 @@
 
 #include "limits/retry_budget.h"
 #include "limits/retry_share.h"
+#include "limits/byte_budget.h"
 #include "placement/selector.h"
 #include "routing/ingress.h"
 #include "routing/label.h"
@@ -91,7 +92,8 @@
 	uint32_t owner;	  /* node of the last attempt; 0: none */
 	char owner_name[64];
 	unsigned attempt_count;
-	int may_have_run; /* by an earlier attempt with unknown outcome */
+	size_t answer_room; /* reserved in ingress.answers */
+	int may_have_run;   /* by an earlier attempt with unknown outcome */
 	/*
 	 * Which check found the request not acceptable, a constant of
 	 * ingress_parse.c or a name of the HTTP parser; NULL: none did.
@@ -115,6 +117,8 @@
 	struct in_budget *budgets;
 	struct in_service_state *service_states;
 	struct selector selector;
+	struct byte_budget answers; /* large ones of requests that were begun */
+	int answers_full;	    /* the last request was refused for them */
 	struct in_request *requests;
 	unsigned open_requests; /* requests whose answer has not been sent */
 	unsigned max_open_requests;
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -368,8 +368,11 @@
 		load.kind = q->forward.route;
 		load.kind_latency_us = l->kind_latency_us;
 	}
-	if (reply->outcome == OUTCOME_ANSWERED)
+	if (reply->outcome == OUTCOME_ANSWERED) {
 		record_answer_size(q, reply->body.len);
+		byte_budget_note(&q->in->answers, q->forward.route,
+				 reply->body.len);
+	}
 	q->target_sends += reply->arrived || reply->outcome == OUTCOME_UNKNOWN;
 	if (!q->selector_in_flight)
 		return;
--- a/test/unit/test_limits.c
+++ b/test/unit/test_limits.c
@@ -1,3 +1,4 @@
+#include "limits/byte_budget.h"
 #include "limits/admission.h"
 #include "limits/retry_budget.h"
 #include "limits/adaptive_limit.h"
@@ -1125,6 +1126,48 @@
 	g_assert_cmpuint(load.bad_retry_after, ==, 0);
 }
 
+/*
+ * Guards against answers of 540 KB for 200 callers that do not read them, which
+ * a budget of 16 MiB has to keep from being begun, and against small answers
+ * that are refused with them.
+ */
+static void test_byte_budget(void)
+{
+	enum { LARGE = 1, SMALL = 2, BYTES = 540 * 1024 };
+	const size_t limit = 16 * 1024 * 1024;
+	struct byte_budget b;
+	size_t held = 0, taken;
+	unsigned begun = 0;
+
+	byte_budget_init(&b, limit);
+	/* Before its first answer, a kind may take more than is known. */
+	while (byte_budget_take(&b, LARGE, 0, &taken))
+		begun++;
+	g_assert_cmpuint(begun, ==, 16);
+	byte_budget_give_back(&b, 16 * BYTE_BUDGET_UNKNOWN_BYTES);
+	byte_budget_note(&b, LARGE, BYTES);
+	byte_budget_note(&b, SMALL, 900);
+	byte_budget_note(&b, LARGE, 40000);
+	begun = 0;
+	for (int caller = 0; caller < 200; caller++) {
+		if (!byte_budget_take(&b, LARGE, held, &taken))
+			continue;
+		byte_budget_give_back(&b, taken);
+		held += BYTES;
+		begun++;
+	}
+	g_assert_cmpuint(held, <=, limit + BYTES);
+	g_assert_cmpuint(begun, >=, 29);
+	g_assert_true(byte_budget_take(&b, SMALL, held, &taken));
+	g_assert_cmpuint(taken, ==, 0);
+	g_assert_true(byte_budget_take(&b, LARGE, 0, &taken));
+	g_assert_cmpuint(b.reserved, ==, taken);
+	byte_budget_finish(&b);
+	byte_budget_init(&b, 0);
+	g_assert_true(byte_budget_take(&b, LARGE, SIZE_MAX / 2, &taken));
+	byte_budget_finish(&b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1152,6 +1195,7 @@
 			test_admission_would_shed_after);
 	g_test_add_func("/rate_limit/bucket", test_rate_limit);
 	g_test_add_func("/admission/rate", test_admission_rate);
+	g_test_add_func("/byte_budget/slow-callers", test_byte_budget);
 	g_test_add_func("/cold_limit/bound", test_cold_limit);
 	g_test_add_func("/admission/cold", test_admission_cold);
 	g_test_add_func("/admission/usable-places",
--- a/transport/httpd.h
+++ b/transport/httpd.h
@@ -73,6 +73,7 @@
 	int head_done;	   /* head has its last line */
 	struct buf answer; /* body, or what a stream has not sent yet */
 	size_t sent;	   /* bytes of head and answer that were sent */
+	size_t held;	   /* bytes of answer, counted in httpd.held_bytes */
 	struct httpd_request *prev;
 	struct httpd_request *next;
 };
@@ -145,7 +146,8 @@
 	int stopping;  /* httpd_finish has begun */
 	char *scratch; /* for one read */
 	char date[40];
-	time_t date_s; /* time of date */
+	time_t date_s;	   /* time of date */
+	size_t held_bytes; /* of all answers that were not sent whole */
 	unsigned conn_count;
 	struct httpd_conn *conns;
 	struct httpd_conn
--- a/transport/httpd_answer.c
+++ b/transport/httpd_answer.c
@@ -263,6 +263,8 @@
 	if (e == ERR_OK && body_len && !has_no_body(status) &&
 	    strcmp(r->method, "HEAD") != 0)
 		e = buf_add(&r->answer, body, body_len);
+	r->held = r->answer.len;
+	r->server->held_bytes += r->held;
 	if (e != ERR_OK)
 		fail_answer(r);
 }
--- a/transport/httpd_parse.c
+++ b/transport/httpd_parse.c
@@ -31,6 +31,7 @@
 
 void httpd_request_free(struct httpd_request *r)
 {
+	r->server->held_bytes -= r->held;
 	buf_finish(&r->text);
 	buf_finish(&r->body);
 	buf_finish(&r->arguments);
