--- a/standins/common_targetopt.h
+++ b/standins/common_targetopt.h
@@ -18,7 +18,7 @@
 	int queue;	    /* most requests that wait; more are refused */
 	int service_ms;	    /* time that one request runs */
 	int jitter_ms;	    /* upper limit of a random addition to service_ms */
-	int cold_ms; /* announced as cold for so long after the start */
+	int cold_ms;	    /* announced as cold for so long after the start */
 	int seed;
 	int stutter_percent; /* answers with bytes of others (common_stutter.h)
 			      */
