selector: targets that refuse at once do not look idle, if spread is on

Its own refusals now count as failures; those of the gate, which is merely full, do not. test_spread turns-away shows the part that it gets.

--- a/placement/selector.c
+++ b/placement/selector.c
@@ -430,6 +430,15 @@
 	case SELECTOR_FAILED:
 		update_fail_rate(t, 1, now_ms);
 		break;
+	case SELECTOR_TURNED_AWAY:
+		/*
+		 * A target in trouble that refuses at once looks idle and would
+		 * get ever more requests. The gate keeps a sound one from being
+		 * full, so that its own refusals are rare.
+		 */
+		if (s->spread)
+			update_fail_rate(t, 1, now_ms);
+		/* fallthrough */
 	case SELECTOR_REFUSED:
 		t->avoid_until_ms =
 			now_ms + (is_rate_limited_cold(t, now_ms)
--- a/placement/selector.h
+++ b/placement/selector.h
@@ -29,7 +29,8 @@
 enum selector_outcome {
 	SELECTOR_ANSWERED,
 	SELECTOR_FAILED,      /* no answer, or one that reports a failure */
-	SELECTOR_REFUSED,     /* the target had no room for it */
+	SELECTOR_REFUSED,     /* the gate had no room for it */
+	SELECTOR_TURNED_AWAY, /* the target itself refused it */
 	SELECTOR_UNREACHABLE, /* the target cannot be reached, or has left */
 	SELECTOR_ABANDONED,   /* the caller left; not the target's doing */
 };
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -344,8 +344,9 @@
 	if (reply->outcome == OUTCOME_UNKNOWN)
 		return SELECTOR_FAILED;
 	switch (reply->error) {
-	case ERR_SHED:
 	case ERR_TARGET_REFUSED:
+		return SELECTOR_TURNED_AWAY;
+	case ERR_SHED:
 	case ERR_DEADLINE:
 		return SELECTOR_REFUSED;
 	default:
--- a/test/unit/test_spread.c
+++ b/test/unit/test_spread.c
@@ -262,6 +262,32 @@
 	fleet_finish(&f);
 }
 
+/*
+ * Guards against a target in trouble that refuses at once, so that it looks
+ * idle, and gets several times its part. Load: 28 targets half full; one
+ * refused the last four requests of each chooser. Without spread, it counts as
+ * before.
+ */
+static void test_turns_away(void)
+{
+	struct fleet f;
+
+	for (int spread = 0; spread < 2; spread++) {
+		fleet_init(&f, MAX_TARGETS, spread);
+		for (size_t i = 0; i < f.count; i++)
+			report(&f, i, i == 4 ? 0 : PLACES / 2, 1);
+		for (int i = 0; i < 4; i++)
+			report_outcome(&f, 4, 0, 1, SELECTOR_TURNED_AWAY);
+		choose_all(&f, 4);
+		if (spread)
+			g_assert_cmpuint(f.sent[4], <,
+					 CHOOSERS * 4 / MAX_TARGETS / 2);
+		else
+			g_assert_cmpuint(f.sent[4], >, CHOOSERS);
+		fleet_finish(&f);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -273,5 +299,6 @@
 	g_test_add_func("/spread/failing", test_failing);
 	g_test_add_func("/spread/region", test_region);
 	g_test_add_func("/spread/few", test_few);
+	g_test_add_func("/spread/turns-away", test_turns_away);
 	return g_test_run();
 }
