gate: no request with a key after an old order on a VM that is new

A node that has never seen its data centre in use took the order as given at time 0 of the clock, which is the start of the VM. A daemon on a VM that had been up for less than target.empty_ms sent requests with a key to the target until then, although it cannot know how old the order is. Time 0 now means that it is not known.

test_gate emptying_at_start, with a target.empty_ms above the VM's uptime, got outcome unknown from the target instead of not-run before the change and passes with it; test_gate passes (san).

--- a/routing/gate_empty.c
+++ b/routing/gate_empty.c
@@ -43,8 +43,8 @@
 		return ERR_OK;
 	if (!keyed)
 		return ERR_NO_TARGET;
-	if (!g->empty_ms ||
-	    (g->emptying && clk_ms() - g->emptying_since_ms < keyed_ms(g)))
+	if (!g->empty_ms || (g->emptying_since_ms &&
+			     clk_ms() - g->emptying_since_ms < keyed_ms(g)))
 		return ERR_OK;
 	return ERR_NO_TARGET;
 }
@@ -83,6 +83,7 @@
 	if (drained == g->emptying)
 		return;
 	g->emptying = drained;
+	g->emptying_since_ms = drained && g->seen_in_use ? clk_ms() : 0;
 	if (!drained) {
 		log_info("emptying_ended", "data_centre=%s",
 			 LOG_Q(g->data_centre));
@@ -90,7 +91,6 @@
 			gate_set_cold(g, GATE_RETURN_COLD_MS);
 		return;
 	}
-	g->emptying_since_ms = g->seen_in_use ? clk_ms() : 0;
 	log_info("emptying",
 		 "data_centre=%s seen_in_use=%d empty_ms=%lld keyed_ms=%lld "
 		 "in_flight=%u queued=%u",
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -830,7 +830,8 @@
 
 /*
  * Guards against a daemon that starts long after the order and counts the time
- * for requests with a key from its own start.
+ * for requests with a key from its own start, or from that of a VM which has
+ * been up for less than this time.
  */
 static void test_emptying_at_start(void)
 {
@@ -838,7 +839,7 @@
 	struct fixture f;
 
 	setup(&f, 1);
-	gate_set_data_centre(f.gate, "z1", 60000);
+	gate_set_data_centre(f.gate, "z1", clk_ms() + 60000);
 	f.view.drained_data_centre = "z1";
 	expect_not_run(&f, ERR_NO_TARGET);
 	gate_view_changed(f.gate);
