doc_feed: orders beyond the bound count once others are taken back

Of more than DRAINED_MAX orders, some are ignored. When a watched event took one of the others back, those ignored stayed without effect until the watch ended, and differed from node to node by the order of events. The feed now reads again after such an event.

test_doc_feed too_many_orders takes one order back and expects those of the store; it failed before the change and passes with it; test_doc_feed passes (san).

--- a/membership/doc_feed.c
+++ b/membership/doc_feed.c
@@ -80,6 +80,7 @@
 	/* Of the source's orders; valid once has_orders is set. */
 	struct drained orders;
 	int has_orders;
+	int orders_left_out;	 /* the store has more than the set holds */
 	int64_t orders_revision; /* of the store when they were so */
 	uint64_t orders_era;	 /* of orders_revision */
 };
@@ -415,11 +416,13 @@
 	return len && strncmp(key, prefix, len) == 0 ? key + len : NULL;
 }
 
-static void add_order(struct drained *orders, const char *name,
-		      int64_t mod_revision)
+static void add_order(struct doc_feed *f, struct drained *orders,
+		      const char *name, int64_t mod_revision)
 {
 	enum err e = drained_add(orders, name);
 
+	if (e == ERR_TOO_LARGE)
+		f->orders_left_out = 1;
 	/* Repeated by each read, so it is limited as the lines of requests. */
 	if (e != ERR_OK)
 		log_request(LOG_WARN, "order_ignored",
@@ -480,14 +483,21 @@
 {
 	struct drained orders;
 
-	if (!f->source->orders || is_older_than_orders(f, r->revision, r->era))
+	if (!f->source->orders)
 		return;
+	if (is_older_than_orders(f, r->revision, r->era)) {
+		/* An event may have made room for one of them meanwhile. */
+		if (f->orders_left_out)
+			schedule_read(f, FEED_RETRY_FIRST_MS);
+		return;
+	}
+	f->orders_left_out = 0;
 	drained_init(&orders);
 	for (size_t i = 0; i < r->count; i++) {
 		const char *name = order_name(f, r->kvs[i].key);
 
 		if (name)
-			add_order(&orders, name, r->kvs[i].mod_revision);
+			add_order(f, &orders, name, r->kvs[i].mod_revision);
 	}
 	set_orders(f, &orders, r->revision, r->era, "read");
 }
@@ -501,9 +511,9 @@
 	if (is_older_than_orders(f, event->mod_revision, f->orders_era))
 		return;
 	if (event->value)
-		add_order(&orders, name, event->mod_revision);
-	else
-		drained_remove(&orders, name);
+		add_order(f, &orders, name, event->mod_revision);
+	else if (drained_remove(&orders, name) && f->orders_left_out)
+		schedule_read(f, 0);
 	set_orders(f, &orders, event->mod_revision, f->orders_era, "event");
 }
 
--- a/test/unit/test_doc_feed.c
+++ b/test/unit/test_doc_feed.c
@@ -531,7 +531,10 @@
 	teardown(&f);
 }
 
-/* Guards against a set that overflows by what others write to the store. */
+/*
+ * Guards against a set that overflows by what others write to the store, and
+ * against an order that stays without effect after others have made room.
+ */
 static void test_too_many_orders(void)
 {
 	struct fixture f;
@@ -545,6 +548,10 @@
 	}
 	g_assert_cmpuint(f.orders.count, ==, DRAINED_MAX);
 	g_assert_true(drained_has(&f.orders, "z0"));
+	f.store.answer = make_range(1, 3 * DRAINED_MAX, 1);
+	send_order(&f, "op/evacuate/z0", NULL, 3 * DRAINED_MAX);
+	fake_pause(f.loop, 1);
+	expect_orders(&f, 1, 0);
 	teardown(&f);
 }
 
