membership: the wait for the first orders is no order that ends

Before the first read of the orders, all data centres count as drained. A document or map that came earlier made the gate log an order and then its end, and so take a warm target for cold for 1.7 s; and a new process that became coordinator saw no order at all, so that it could give keys to a data centre that is emptied. The view's changes are reported from the first orders on, and the coordinator takes all data centres for drained before.

test_membership orders_awaited failed before the change and passes with it; test_membership passes (san).

--- a/membership/membership.c
+++ b/membership/membership.c
@@ -73,7 +73,7 @@
 {
 	const struct membership *m = (struct membership *)v;
 
-	return m->orders_awaited || drained_has(&m->orders, data_centre) ||
+	return membership_has_order(m, data_centre) ||
 	       (m->has_doc && doc_has_data_centre_stop(&m->doc, data_centre));
 }
 
@@ -367,16 +367,22 @@
 	return m->doc_confirmed_ms ? clk_ms() - m->doc_confirmed_ms : INT64_MAX;
 }
 
+void membership_notify_changed(struct membership *m)
+{
+	if (!m->orders_awaited)
+		m->config.ops->changed(m->config.priv);
+}
+
 void membership_set_orders(struct membership *m, const struct drained *orders)
 {
 	m->orders = *orders;
 	m->orders_awaited = 0;
-	m->config.ops->changed(m->config.priv);
+	membership_notify_changed(m);
 }
 
 int membership_has_order(const struct membership *m, const char *data_centre)
 {
-	return drained_has(&m->orders, data_centre);
+	return m->orders_awaited || drained_has(&m->orders, data_centre);
 }
 
 size_t membership_count_drained(const struct membership *m)
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -28,7 +28,10 @@
 struct membership;
 
 struct membership_ops {
-	/* The map or the document changed. */
+	/*
+	 * The map, the document or the orders changed. Not called while
+	 * has_orders is set and the first orders are still to come.
+	 */
 	void (*changed)(void *priv);
 	/* A change of the map names this node as the owner of the slot. */
 	void (*slot_gained)(uint32_t slot, void *priv);
@@ -121,7 +124,10 @@
 			     struct doc_sections *sections);
 /* Sets the data centres that operators have ordered to be emptied. */
 void membership_set_orders(struct membership *m, const struct drained *orders);
-/* Returns 1 if such an order, but not the document, empties the data centre. */
+/*
+ * Returns 1 if such an order, but not the document, empties the data centre, or
+ * the first orders are still to come.
+ */
 int membership_has_order(const struct membership *m, const char *data_centre);
 /* Returns how many data centres are emptied by orders and by the document. */
 size_t membership_count_drained(const struct membership *m);
--- a/membership/membership_priv.h
+++ b/membership/membership_priv.h
@@ -157,6 +157,11 @@
 
 /* ---- membership.c ---- */
 
+/*
+ * Calls ops->changed, except before the first orders: all data centres count as
+ * drained then, which is no order whose end would follow.
+ */
+void membership_notify_changed(struct membership *m);
 /* Takes the time that has passed off the time for which the target is cold. */
 void membership_update_cold_time(struct membership *m);
 /* Reports the target, or that there is none, once the node has joined. */
--- a/membership/membership_sync.c
+++ b/membership/membership_sync.c
@@ -134,7 +134,7 @@
 		 (unsigned long long)m->doc_rev, m->sections.count);
 	/* Asks at once, so that the coordinator learns the revision. */
 	m->own.next_ask_ms = m->own.node_id ? clk_ms() : INT64_MAX;
-	m->config.ops->changed(m->config.priv);
+	membership_notify_changed(m);
 }
 
 const struct doc_sections *membership_document(const struct membership *m,
@@ -203,7 +203,7 @@
 		for (size_t i = 0; i < gained_count; i++)
 			m->config.ops->slot_gained(gained[i], m->config.priv);
 		resume_after_takeover(m);
-		m->config.ops->changed(m->config.priv);
+		membership_notify_changed(m);
 	} else if (e != ERR_STALE) {
 		log_error("map_refused", "error=%s revision=%llu", err_name(e),
 			  (unsigned long long)d->rev);
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -197,6 +197,51 @@
 	g_assert_cmpint(membership_document_age_ms(&m), <, 60000);
 }
 
+static void count_change(void *priv)
+{
+	(*(unsigned *)priv)++;
+}
+
+static void set_document(struct membership *m, uint64_t revision)
+{
+	static const char text[] =
+		"{\"version\":1,\"services\":{\"desk\":{\"keyed\":false}}}";
+	struct doc_sections sections = { 0 };
+	struct doc d;
+
+	g_assert_cmpint(doc_parse(&d, text, strlen(text), NULL), ==, ERR_OK);
+	d.revision = revision;
+	membership_set_document(m, &d, &sections);
+}
+
+/*
+ * Guards against a node that starts and takes the wait for the first orders for
+ * an order that ends, which limits a warm target as if it were cold; and
+ * against a coordinator that gives keys to a data centre before it knows
+ * whether an order empties it.
+ */
+static void test_orders_awaited(void)
+{
+	static const struct membership_ops ops = { .changed = count_change };
+	struct drained orders;
+	unsigned changes = 0;
+	struct membership m = { .config = { .ops = &ops, .priv = &changes },
+				.orders_awaited = 1 };
+
+	set_document(&m, 1);
+	g_assert_cmpuint(changes, ==, 0);
+	g_assert_true(membership_has_order(&m, "z1"));
+	drained_init(&orders);
+	g_assert_cmpint(drained_add(&orders, "z2"), ==, ERR_OK);
+	membership_set_orders(&m, &orders);
+	g_assert_cmpuint(changes, ==, 1);
+	g_assert_false(membership_has_order(&m, "z1"));
+	g_assert_true(membership_has_order(&m, "z2"));
+	set_document(&m, 2);
+	g_assert_cmpuint(changes, ==, 2);
+	doc_finish(&m.doc);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -205,5 +250,6 @@
 	g_test_add_func("/record/malformed", test_record_malformed);
 	g_test_add_func("/dgram/datagrams", test_datagrams);
 	g_test_add_func("/membership/document_age", test_document_age);
+	g_test_add_func("/membership/orders_awaited", test_orders_awaited);
 	return g_test_run();
 }
