gate: the end of an order does not shorten a cold time that is longer

The remaining time was taken from gate_cold_ms, which is 0 while the document states no limit. Where the document that ends the order also sets cold_per_s, a target that had announced a minute counted as cold for 1.7 s.

test_gate cold_through_emptying failed before the change and passes with it; test_gate passes (40 tests, san).

--- a/routing/gate_empty.c
+++ b/routing/gate_empty.c
@@ -87,7 +87,7 @@
 	if (!drained) {
 		log_info("emptying_ended", "data_centre=%s",
 			 LOG_Q(g->data_centre));
-		if (gate_cold_ms(g) < GATE_RETURN_COLD_MS)
+		if (g->cold_until_ms < clk_ms() + GATE_RETURN_COLD_MS)
 			gate_set_cold(g, GATE_RETURN_COLD_MS);
 		return;
 	}
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -1301,6 +1301,26 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a cold target whose time is cut short when an order ends, if
+ * the document states its limit only from then on.
+ */
+static void test_cold_through_emptying(void)
+{
+	struct fixture f;
+
+	setup(&f, 30);
+	announce(&f, 30, 60000);
+	gate_set_data_centre(f.gate, "z1", 0);
+	set_drained(&f, NULL);
+	set_drained(&f, "z1");
+	f.view.service.cold_per_s = 20;
+	set_drained(&f, NULL);
+	fake_pause(f.loop, 1800);
+	g_assert_cmpfloat(gate_take_stats(f.gate).rate_limit_per_s, ==, 20);
+	teardown(&f);
+}
+
 /* Guards against a limit where the document states none. */
 static void test_cold_without_limit(void)
 {
@@ -1326,6 +1346,8 @@
 	g_test_add_func("/gate/emptying_with_keys", test_emptying_with_keys);
 	g_test_add_func("/gate/emptying_at_start", test_emptying_at_start);
 	g_test_add_func("/gate/cold_after_emptying", test_cold_after_emptying);
+	g_test_add_func("/gate/cold_through_emptying",
+			test_cold_through_emptying);
 	g_test_add_func("/gate/pass_through", test_pass_through);
 	g_test_add_func("/gate/dead_connection_post",
 			test_dead_connection_post);
