gate: keep the outcome of a repeated attempt that would be late

Since answers can be late on a slow line, gate_check_offer is also made of requests whose body is there. It did not look at the attempts that are known, so that a repetition of an attempt that runs, and whose answer would be late, was refused as not-run. It now ends such a repetition as gate_submit does: unknown if the attempt may have run.

--- a/routing/gate.c
+++ b/routing/gate.c
@@ -558,9 +558,15 @@
 {
 	int64_t now_ms = clk_ms();
 	struct admission_rank rank = get_rank(f, now_ms);
+	struct attempt *t = attempts_find(&g->attempts, f->attempt);
 	uint32_t slot = MAP_NO_SLOT;
-	enum err e = check_admissible(g, f, &slot);
+	enum err e;
 
+	if (t) {
+		refuse_known_attempt(g, f, t, fn, priv);
+		return 0;
+	}
+	e = check_admissible(g, f, &slot);
 	if (e == ERR_OK) {
 		update_admission_limits(g, f->service);
 		if (!admission_would_shed_after(&g->admission, &rank, now_ms,
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -154,7 +154,8 @@
 /*
  * Checks a request before its body is transferred, which takes after_ms.
  * Returns 1 if the body may be sent. Else returns 0 after fn has received the
- * refusal, and the body need not be sent.
+ * refusal, and the body need not be sent. An attempt that is already known ends
+ * as in gate_submit.
  */
 int gate_check_offer(struct gate *g, const Wire__Forward *f, int64_t after_ms,
 		     gate_reply_fn fn, void *priv);
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -422,6 +422,28 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a request that runs and is called not-run, because a check
+ * that its answer would come too late is made of it again.
+ */
+static void test_repeated_attempt_is_late(void)
+{
+	Wire__Forward m = fake_forward(1, "POST");
+	struct fake_reply a, b = { 0 };
+	struct fixture f;
+
+	setup(&f, 4);
+	f.target.mode = FAKE_SILENT;
+	submit(&f, &a, 1, "POST");
+	fake_wait(f.loop, &f.target.runs, 1);
+	g_assert_false(gate_check_offer(f.gate, &m, m.deadline_ms + 1,
+					fake_on_reply, &b));
+	g_assert_cmpuint(b.count, ==, 1);
+	g_assert_cmpint(b.outcome, ==, OUTCOME_UNKNOWN);
+	g_assert_cmpint(b.error, ==, ERR_CONFLICT);
+	teardown(&f);
+}
+
 #define MANY_SLOTS 4096
 /*
  * A daemon with a tenth of a processor that is busy for this long stands still
@@ -1343,6 +1365,8 @@
 	g_test_add_func("/gate/guard_attempt", test_guard_attempt);
 #endif
 	g_test_add_func("/gate/repeated_attempt", test_repeated_attempt);
+	g_test_add_func("/gate/repeated_attempt_is_late",
+			test_repeated_attempt_is_late);
 	g_test_add_func("/gate/release_many", test_release_many);
 	g_test_add_func("/gate/release", test_release);
 	g_test_add_func("/gate/release_of_pin", test_release_of_pin);
