peer: count answers that wait for the line as not yet sent

A daemon that stops exits once no bytes of its links are unacknowledged. A large answer that waits for its turn on a slow line is not on a link yet and was not counted: the daemon exited, and the caller of a request that had run got the outcome unknown. peers_unacknowledged_bytes now counts the waiting answers of senders that have a link; the limit of 3 s (NODE_UNSENT_TIMEOUT_MS) holds as before.

--- a/routing/peer.h
+++ b/routing/peer.h
@@ -56,8 +56,9 @@
 		   gate_reply_fn fn, void *priv);
 /*
  * Returns how many bytes, mostly replies, were sent on accepted links and have
- * not been acknowledged by the other daemon's kernel. A daemon that exits
- * waits until this is 0, so that its last replies are not lost.
+ * not been acknowledged by the other daemon's kernel, or wait for their turn on
+ * this node's slow line. A daemon that exits waits until this is 0, so that its
+ * last replies are not lost.
  */
 size_t peers_unacknowledged_bytes(const struct peers *p);
 /*
--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -436,6 +436,19 @@
 	return 0;
 }
 
+/* Bytes of the large answers that wait for the line. */
+static size_t waiting_bytes(const struct inbound *in)
+{
+	const struct kept_reply *k;
+	size_t bytes = 0;
+
+	DL_FOREACH(in->kept_replies, k) {
+		if (k->item.waiting)
+			bytes += k->item.bytes;
+	}
+	return bytes;
+}
+
 size_t peers_unacknowledged_bytes(const struct peers *p)
 {
 	const struct inbound *in;
@@ -443,7 +456,8 @@
 
 	DL_FOREACH(p->inbound, in) {
 		if (in->conn)
-			bytes += tcp_unacknowledged(in->conn);
+			bytes += tcp_unacknowledged(in->conn) +
+				 waiting_bytes(in);
 	}
 	return bytes;
 }
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -891,6 +891,80 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a daemon that exits while an answer waits for the line: its
+ * caller would get the outcome unknown although the request has run.
+ */
+static void test_waiting_answer_is_unacknowledged(void)
+{
+	struct large_reply first, waiting;
+	struct fixture f;
+
+	setup_slow_line(&f);
+	f.target.mode = FAKE_SILENT;
+	answer_with(&f, &first, 1, 4 * LARGE_BYTES);
+	answer_with(&f, &waiting, 2, LARGE_BYTES);
+	fake_wait(f.loop, &first.count, 1);
+	fake_pause(f.loop, 50);
+	g_assert_cmpuint(waiting.count, ==, 0);
+	g_assert_nonnull(gate_answer_line(f.owner.gate)->items);
+	g_assert_cmpuint(peers_unacknowledged_bytes(f.owner.peers), >=,
+			 LARGE_BYTES);
+	fake_wait(f.loop, &waiting.count, 1);
+	fake_pause(f.loop, 50);
+	g_assert_cmpuint(peers_unacknowledged_bytes(f.owner.peers), ==, 0);
+	teardown(&f);
+}
+
+/*
+ * Guards against answers to a sender without a link that use up the line's
+ * time although they are not sent, and against their loss.
+ */
+static void test_line_free_of_lost_link(void)
+{
+	struct large_reply first, waiting;
+	struct fixture f;
+
+	setup_slow_line(&f);
+	f.target.mode = FAKE_SILENT;
+	answer_with(&f, &first, 1, 4 * LARGE_BYTES);
+	answer_with(&f, &waiting, 2, LARGE_BYTES);
+	fake_wait(f.loop, &first.count, 1);
+	while (!gate_answer_line(f.owner.gate)->items)
+		ev_run(f.loop, EVRUN_ONCE);
+	ev_io_stop(f.loop, &f.relay.io);
+	relay_conn_close(f.relay.conns);
+	fake_pause(f.loop, 20);
+	g_assert_null(gate_answer_line(f.owner.gate)->items);
+	g_assert_cmpuint(gate_answer_line(f.owner.gate)->waiting_bytes, ==, 0);
+	ev_io_start(f.loop, &f.relay.io);
+	fake_wait(f.loop, &waiting.count, 1);
+	g_assert_cmpint(waiting.outcome, ==, OUTCOME_ANSWERED);
+	teardown(&f);
+}
+
+/*
+ * Guards against a route that is refused for good: its last answer takes 0.4 s
+ * on the line, longer than answers have their value, and while all requests
+ * are refused no shorter answer can lower the expected size.
+ */
+static void test_large_answer_on_idle_line(void)
+{
+	struct large_reply first, second;
+	struct fixture f;
+
+	setup_slow_line(&f);
+	f.target.mode = FAKE_SILENT;
+	answer_with(&f, &first, 1, 4 * LARGE_BYTES);
+	fake_wait(f.loop, &first.count, 1);
+	fake_pause(f.loop, 600);
+	forward_large(&f, &second, 2, 200);
+	fake_pause(f.loop, 50);
+	g_assert_cmpuint(second.count, ==, 0);
+	g_assert_cmpuint(f.target.runs, ==, 2);
+	teardown(&f);
+}
+
 /* Guards against invalid frames on one link that break another. */
 static void test_garbage(void)
 {
@@ -1273,6 +1347,12 @@
 			test_waiting_answer_link_lost);
 	g_test_add_func("/peer/late_large_answer_refused",
 			test_late_large_answer_refused);
+	g_test_add_func("/peer/waiting_answer_is_unacknowledged",
+			test_waiting_answer_is_unacknowledged);
+	g_test_add_func("/peer/line_free_of_lost_link",
+			test_line_free_of_lost_link);
+	g_test_add_func("/peer/large_answer_on_idle_line",
+			test_large_answer_on_idle_line);
 	g_test_add_func("/peer/garbage", test_garbage);
 	g_test_add_func("/peer/random_faults", test_random_faults);
 	g_test_add_func("/tcp/refused", test_tcp_refused);
