peer: take answers of a lost link out of the line

Until then, answers to other senders waited and requests were refused for a backlog that was not there. Such answers now leave the line when the link is lost, and new ones for a sender without a link do not enter it. They are kept for the sender's Query for 2 s, as other replies; the limit of 1 MB does not drop them, since they have never been sent.

/peer/line_free_of_lost_link found the answer in the line before, and passes now, as does /peer/waiting_answer_link_lost (san).

--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -12,7 +12,8 @@
 	struct answer_line_item item; /* first member; large answers only */
 	struct inbound *in;
 	uint64_t attempt;
-	int64_t sent_ms; /* while the item waits, when the reply was made */
+	int64_t sent_ms; /* before that, when it was made or its link lost */
+	int unsent;	 /* its link was lost while it waited for the line */
 	struct buf frame;
 	struct kept_reply *prev;
 	struct kept_reply *next;
@@ -48,18 +49,29 @@
 	free(k);
 }
 
-/* Replies that wait for the line are kept until they have been sent. */
+/*
+ * Replies that wait for the line are kept until they have been sent. The limit
+ * of bytes is for those that may have arrived.
+ */
+static int may_expire(const struct kept_reply *k, int64_t now)
+{
+	if (k->item.waiting)
+		return 0;
+	if (now - k->sent_ms >= PEER_KEPT_REPLY_MS)
+		return 1;
+	return !k->unsent && k->in->kept_reply_bytes > PEER_KEPT_REPLY_BYTES;
+}
+
 static void expire_kept_replies(struct inbound *in, int64_t now)
 {
-	while (in->kept_replies && !in->kept_replies->item.waiting &&
-	       (in->kept_reply_bytes > PEER_KEPT_REPLY_BYTES ||
-		now - in->kept_replies->sent_ms >= PEER_KEPT_REPLY_MS))
+	while (in->kept_replies && may_expire(in->kept_replies, now))
 		free_kept_reply(in, in->kept_replies);
 }
 
 static void send_kept_reply(struct kept_reply *k)
 {
 	k->sent_ms = clk_ms();
+	k->unsent = 0;
 	if (k->in->conn)
 		tcp_send_encoded(k->in->conn, &k->frame);
 }
@@ -133,7 +145,7 @@
 	k->sent_ms = clk_ms();
 	DL_APPEND(in->kept_replies, k);
 	in->kept_reply_bytes += k->frame.len;
-	if (answer_line_is_large(line, k->frame.len)) {
+	if (in->conn && answer_line_is_large(line, k->frame.len)) {
 		cnt_add(in->p->cnt, "peer_large_answers", "", 1);
 		k->item.bytes = k->frame.len;
 		answer_line_add(line, &k->item);
@@ -162,7 +174,7 @@
 {
 	struct kept_reply *k = find_kept_reply(in, attempt);
 
-	if (k && k->item.waiting)
+	if (k && (k->item.waiting || k->unsent))
 		free_kept_reply(in, k);
 }
 
@@ -288,10 +300,29 @@
 	request_bodies(in->p);
 }
 
+/*
+ * Takes the large answers out of the line that cannot be sent without a link,
+ * so that they do not use up its time. The sender asks for them on a new link.
+ */
+static void leave_line(struct inbound *in)
+{
+	struct answer_line *line = gate_answer_line(in->p->gate);
+	struct kept_reply *k;
+
+	DL_FOREACH(in->kept_replies, k) {
+		if (!k->item.waiting)
+			continue;
+		answer_line_remove(line, &k->item);
+		k->unsent = 1;
+		k->sent_ms = clk_ms();
+	}
+}
+
 static void on_link_lost(struct inbound *in)
 {
 	in->conn = NULL;
 	in->link_lost_ms = clk_ms();
+	leave_line(in);
 	free_offers(in);
 	peer_start_ticks(in->p);
 }
