peer: refuse no request for its own answer on an idle line

A request was refused if the expected size of its own answer alone took longer on the line than its value or deadline allows, also with nothing before it. If all requests of a route were, none ran, so that the expected size never fell: one answer that was larger than usual, when it was the first of its route, closed the target to the route for good. A request is now let through while no large answer is in transit, waits or is expected, and its answer puts the size right.

--- a/limits/answer_line.c
+++ b/limits/answer_line.c
@@ -113,6 +113,17 @@
 	return (int64_t)ceil(ms + transit_ms(l, bytes + k->bytes));
 }
 
+int answer_line_is_idle(const struct answer_line *l, int64_t now_ms)
+{
+	if (l->items || l->busy_until_ms > now_ms)
+		return 0;
+	for (const struct answer_line_kind *k = l->kinds; k; k = k->hh.next) {
+		if (k->running)
+			return 0;
+	}
+	return 1;
+}
+
 void answer_line_add(struct answer_line *l, struct answer_line_item *item)
 {
 	item->waiting = 1;
--- a/limits/answer_line.h
+++ b/limits/answer_line.h
@@ -76,6 +76,12 @@
  */
 int64_t answer_line_wait_ms(const struct answer_line *l, uint32_t kind,
 			    int64_t now_ms);
+/*
+ * Returns 1 if no large answer is in transit, waits or is expected. A request
+ * is then not to be refused for the size of its own answer: only its answer can
+ * correct an expected size that is too high.
+ */
+int answer_line_is_idle(const struct answer_line *l, int64_t now_ms);
 
 /* Adds a large answer; the caller has set bytes. */
 void answer_line_add(struct answer_line *l, struct answer_line_item *item);
--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -232,10 +232,12 @@
 static int answer_would_be_late(struct inbound *in, const Wire__Forward *f)
 {
 	struct gate *g = in->p->gate;
-	int64_t wait_ms =
-		answer_line_wait_ms(gate_answer_line(g), f->route, clk_ms());
+	const struct answer_line *line = gate_answer_line(g);
+	int64_t now_ms = clk_ms();
+	int64_t wait_ms = answer_line_wait_ms(line, f->route, now_ms);
 
-	if (!wait_ms || gate_check_offer(g, f, wait_ms, on_gate_reply, in))
+	if (!wait_ms || answer_line_is_idle(line, now_ms) ||
+	    gate_check_offer(g, f, wait_ms, on_gate_reply, in))
 		return 0;
 	cnt_add(in->p->cnt, "peer_large_answers_refused", "", 1);
 	return 1;
--- a/test/unit/test_answer_line.c
+++ b/test/unit/test_answer_line.c
@@ -96,6 +96,26 @@
 	answer_line_finish(&l);
 }
 
+/* Guards against a line that is idle for no caller, or while it is busy. */
+static void test_idle(void)
+{
+	struct answer_line_item item = { .bytes = DOWNLOAD_BYTES };
+	struct answer_line l;
+	int64_t wait_ms;
+
+	learn(&l);
+	g_assert_true(answer_line_is_idle(&l, 1));
+	answer_line_begin(&l, DOWNLOAD);
+	g_assert_false(answer_line_is_idle(&l, 1));
+	answer_line_end(&l, DOWNLOAD);
+	answer_line_add(&l, &item);
+	g_assert_false(answer_line_is_idle(&l, 1));
+	g_assert_true(answer_line_next(&l, 1, &wait_ms) == &item);
+	g_assert_false(answer_line_is_idle(&l, 1));
+	g_assert_true(answer_line_is_idle(&l, l.busy_until_ms));
+	answer_line_finish(&l);
+}
+
 /* Guards against any effect where the rate of the line is not known. */
 static void test_unknown_rate(void)
 {
@@ -131,6 +151,7 @@
 	g_test_add_func("/answer_line/burst_of_downloads",
 			test_burst_of_downloads);
 	g_test_add_func("/answer_line/backlog_ends", test_backlog_ends);
+	g_test_add_func("/answer_line/idle", test_idle);
 	g_test_add_func("/answer_line/unknown_rate", test_unknown_rate);
 	g_test_add_func("/answer_line/kinds_are_bounded",
 			test_kinds_are_bounded);
