ingress_spread: leave choices of further targets out of the most

The line targets_chosen tells 64 targets apart. The choices of all further ones were counted as those of the 64th, so that a service with more targets showed one that was chosen by far the most. They are left out of that count now; choices= still has all of them.

/ingress/spread_over_many_targets, 200 targets chosen once each: most was 137 and is 1. test_ingress passes (33 of 33, san).

--- a/routing/ingress_spread.c
+++ b/routing/ingress_spread.c
@@ -7,7 +7,7 @@
 /* What is said of how choices are spread: counters, and a line a second. */
 
 #define IN_SPREAD_LINE_MS 1000
-/* Targets that a line tells apart; further ones count as one. */
+/* Targets that a line tells apart; the choices of further ones are left out. */
 #define IN_SPREAD_TARGETS 64
 
 struct in_spread {
@@ -58,8 +58,8 @@
 	while (i < p->target_count && p->targets[i].id != id)
 		i++;
 	if (i == IN_SPREAD_TARGETS)
-		i--;
-	else if (i == p->target_count)
+		return;
+	if (i == p->target_count)
 		p->targets[p->target_count++].id = id;
 	p->targets[i].choices++;
 }
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -986,6 +986,30 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a line that shows a target as chosen by far the most, because
+ * the targets beyond those that it tells apart were counted as that one.
+ */
+static void test_spread_over_many_targets(void)
+{
+	struct selector_candidate k = { .distance = SELECTOR_SAME_REGION };
+	struct in_request *q = g_new0(struct in_request, 1);
+	struct fixture f;
+
+	setup(&f);
+	q->in = f.in;
+	g_strlcpy(q->service, "kiln", sizeof(q->service));
+	chosen_line[0] = 0;
+	for (k.id = 1; k.id <= 200; k.id++)
+		in_note_choice(q, &k);
+	fake_pause(f.loop, 1100);
+	in_note_choice(q, &k);
+	g_assert_nonnull(
+		strstr(chosen_line, " choices=200 targets=64 most=1 "));
+	g_free(q);
+	teardown(&f);
+}
+
 /*
  * Guards against a proper request that is ended as a wrong one (400, 404, 413)
  * for what is wrong between the daemons: the owner's map lacks the service, or
@@ -1477,6 +1501,8 @@
 	g_test_add_func("/ingress/target_sheds", test_target_sheds);
 	g_test_add_func("/ingress/remote", test_remote);
 	g_test_add_func("/ingress/spread", test_spread);
+	g_test_add_func("/ingress/spread_over_many_targets",
+			test_spread_over_many_targets);
 	g_test_add_func("/ingress/attempt_errors", test_attempt_errors);
 	g_test_add_func("/ingress/lost_owner", test_lost_owner);
 	g_test_add_func("/ingress/route_timeout", test_route_timeout);
