spread: keep requests near while targets of few places have room

A target's fill counts the new request. With one place, one request per place is reached by an idle target and two by a busy one without a queue, so that other regions were drawn (from 1.25) while nearer targets had room, against what docs/design/even-load.md says. The outermost ring is now drawn only if the nearer targets have more requests than places without the new one. For four or more places each, that is above 1.25 already: nothing changes, and bench/spread.c (12 and 18 places) was not run again.

--- a/placement/spread.c
+++ b/placement/spread.c
@@ -7,7 +7,8 @@
  */
 #define OUTER_RING (SPREAD_RINGS - 1)
 /*
- * Requests per place from which on targets of the outermost ring are drawn. In
+ * Requests per place, with the new one, from which on targets of the outermost
+ * ring are drawn if the nearer ones have four or more places each. In
  * bench/spread.c at 0.9 of the capacity, 1 sent half as much again to other
  * regions, for no shorter queues.
  */
@@ -29,7 +30,8 @@
 /* Targets of one ring, or of several. */
 struct ring {
 	double weight;
-	double fill; /* sum of weight x requests per place */
+	double fill; /* sum of weight x requests per place, with the new one */
+	double arriving; /* the part of fill for the new request */
 	double places;
 	double weighted_distance_ms;
 };
@@ -59,6 +61,7 @@
 
 	r->weight += o->weight;
 	r->fill += o->weight * fill;
+	r->arriving += o->weight / fmax(o->places, 1);
 	r->places += o->weight * o->latency_ms;
 	r->weighted_distance_ms += o->weight * o->distance_ms;
 }
@@ -67,6 +70,7 @@
 {
 	r->weight += other->weight;
 	r->fill += other->fill;
+	r->arriving += other->arriving;
 	r->places += other->places;
 	r->weighted_distance_ms += other->weighted_distance_ms;
 }
@@ -82,13 +86,22 @@
 	       SPREAD_FILL_NOISE;
 }
 
+/*
+ * Fill from which on targets of the outermost ring are drawn. Targets with few
+ * places reach SPREAD_FULL with the new request although they have room for it.
+ */
+static double full(const struct ring *near)
+{
+	return fmax(SPREAD_FULL, 1 + near->arriving / near->weight);
+}
+
 /* Probability with which the next ring is drawn along with the nearer ones. */
 static double reach(const struct ring *near, const struct ring *next, int outer)
 {
 	double from = price(near, next);
 
 	if (outer)
-		from = fmax(SPREAD_FULL, next->fill / next->weight + from);
+		from = fmax(full(near), next->fill / next->weight + from);
 	return (near->fill / near->weight - from) / SPREAD_FILL_RANGE;
 }
 
--- a/test/unit/test_spread.c
+++ b/test/unit/test_spread.c
@@ -48,14 +48,15 @@
 }
 
 /* The end of a request of every chooser, with the same report to all. */
-static void report_outcome(struct fleet *f, size_t target, uint32_t load,
-			   double speed, enum selector_outcome outcome)
+static void report_places(struct fleet *f, size_t target, uint32_t load,
+			  double speed, enum selector_outcome outcome,
+			  uint32_t places)
 {
-	uint32_t running = MIN(load, PLACES);
+	uint32_t running = MIN(load, places);
 	const struct selector_load l = {
 		.running = running,
 		.queued = load - running,
-		.places = PLACES,
+		.places = places,
 		.latency_us = (uint32_t)(LATENCY_MS * 1000 / speed),
 	};
 
@@ -66,6 +67,12 @@
 	}
 }
 
+static void report_outcome(struct fleet *f, size_t target, uint32_t load,
+			   double speed, enum selector_outcome outcome)
+{
+	report_places(f, target, load, speed, outcome, PLACES);
+}
+
 static void report(struct fleet *f, size_t target, uint32_t load, double speed)
 {
 	report_outcome(f, target, load, speed, SELECTOR_ANSWERED);
@@ -248,6 +255,32 @@
 	fleet_finish(&f);
 }
 
+/*
+ * Guards against paid traffic while targets nearby idle, where a target takes
+ * one request at a time and is thus full with a single one. Load: 87 choosers,
+ * 20 requests each; two of four near targets are busy, four in another region
+ * idle. With three more requests at each near target, most leave.
+ */
+static void test_one_place(void)
+{
+	struct fleet f;
+
+	fleet_init(&f, 8, 1);
+	for (size_t i = 0; i < f.count; i++) {
+		f.list[i].places = 1;
+		f.list[i].distance = i < 4 ? SELECTOR_SAME_DATA_CENTRE
+					   : SELECTOR_OTHER_REGION;
+		report_places(&f, i, i < 2, 1, SELECTOR_ANSWERED, 1);
+	}
+	choose_all(&f, 20);
+	g_assert_cmpuint(sent_to(&f, 4, 8), ==, 0);
+	for (size_t i = 0; i < 4; i++)
+		report_places(&f, i, 4, 1, SELECTOR_ANSWERED, 1);
+	choose_all(&f, 20);
+	g_assert_cmpuint(sent_to(&f, 4, 8), >, CHOOSERS * 20 / 2);
+	fleet_finish(&f);
+}
+
 /* Guards against reads past the end of an empty list, and of one target. */
 static void test_few(void)
 {
@@ -272,6 +305,7 @@
 	g_test_add_func("/spread/all-full", test_all_full);
 	g_test_add_func("/spread/failing", test_failing);
 	g_test_add_func("/spread/region", test_region);
+	g_test_add_func("/spread/one-place", test_one_place);
 	g_test_add_func("/spread/few", test_few);
 	return g_test_run();
 }
