spread: name and describe the sums over a ring

The names price and reach, and sums whose terms were not stated, had to be worked out from the code. No change of behaviour; test_spread passes (9 of 9, san).

--- a/placement/spread.c
+++ b/placement/spread.c
@@ -3,7 +3,9 @@
 #include <math.h>
 #include <stdint.h>
 
-/* The outermost ring is charged for most; it takes what no other has room for.
+/*
+ * Traffic to the outermost ring costs the most; it gets only what the others
+ * have no room for.
  */
 #define OUTER_RING (SPREAD_RINGS - 1)
 /*
@@ -27,13 +29,13 @@
  */
 #define SPREAD_QUEUE_FACTOR 3.0
 
-/* Targets of one ring, or of several. */
+/* Sums over the targets of one ring, or of several. */
 struct ring {
 	double weight;
 	double fill; /* sum of weight x requests per place, with the new one */
-	double arriving; /* the part of fill for the new request */
-	double places;
-	double weighted_distance_ms;
+	double arriving;	     /* the part of fill for the new request */
+	double places;		     /* sum of weight x latency */
+	double weighted_distance_ms; /* sum of weight x distance */
 };
 
 /* The n-th of the random numbers that are derived from one. */
@@ -75,8 +77,11 @@
 	r->weighted_distance_ms += other->weighted_distance_ms;
 }
 
-/* Fill of the nearer targets that is worth the way to the next ring. */
-static double price(const struct ring *near, const struct ring *next)
+/*
+ * Returns the fill from which on a request waits at the nearer targets for as
+ * long as the way to the next ring takes, plus SPREAD_FILL_NOISE.
+ */
+static double distance_fill(const struct ring *near, const struct ring *next)
 {
 	double ms = next->weighted_distance_ms / next->weight -
 		    near->weighted_distance_ms / near->weight;
@@ -90,18 +95,19 @@
  * Fill from which on targets of the outermost ring are drawn. Targets with few
  * places reach SPREAD_FULL with the new request although they have room for it.
  */
-static double full(const struct ring *near)
+static double full_from(const struct ring *near)
 {
 	return fmax(SPREAD_FULL, 1 + near->arriving / near->weight);
 }
 
 /* Probability with which the next ring is drawn along with the nearer ones. */
-static double reach(const struct ring *near, const struct ring *next, int outer)
+static double next_ring_probability(const struct ring *near,
+				    const struct ring *next, int outer)
 {
-	double from = price(near, next);
+	double from = distance_fill(near, next);
 
 	if (outer)
-		from = fmax(full(near), next->fill / next->weight + from);
+		from = fmax(full_from(near), next->fill / next->weight + from);
 	return (near->fill / near->weight - from) / SPREAD_FILL_RANGE;
 }
 
@@ -115,7 +121,8 @@
 		if (rings[i].weight <= 0)
 			continue;
 		if (near.weight > 0 &&
-		    random >= reach(&near, &rings[i], i == OUTER_RING))
+		    random >= next_ring_probability(&near, &rings[i],
+						    i == OUTER_RING))
 			break;
 		merge_ring(&near, &rings[i]);
 		last = i;
