peer: send waiting answers in their turn on a new link

When a link broke and the sender asked for its attempts on a new one, all large answers that had not been sent went out at once, outside of the line's order and not counted as its load: small answers waited behind all of them, and requests were accepted as if the line were idle. Such an answer now takes a turn when the sender asks for it. One that may have arrived is sent at once, as before.

--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -178,14 +178,28 @@
 		free_kept_reply(in, k);
 }
 
+/* A large answer that has not been sent yet is sent in its turn. */
+static void send_queried_reply(struct kept_reply *k)
+{
+	struct peers *p = k->in->p;
+
+	if (k->item.waiting)
+		return;
+	if (!k->unsent) {
+		send_kept_reply(k);
+		return;
+	}
+	answer_line_add(gate_answer_line(p->gate), &k->item);
+	send_large_answers(p);
+}
+
 static void on_query(struct inbound *in, const Wire__Query *q)
 {
 	Wire__QueryReply r = WIRE__QUERY_REPLY__INIT;
 	struct kept_reply *k = find_kept_reply(in, q->attempt);
 
 	if (k) {
-		answer_line_remove(gate_answer_line(in->p->gate), &k->item);
-		send_kept_reply(k);
+		send_queried_reply(k);
 		return;
 	}
 	r.attempt = q->attempt;
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -943,6 +943,39 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against all answers that waited being sent at once on the new link,
+ * with each small answer behind all of them, and against their loss.
+ */
+static void test_answers_in_turn_on_new_link(void)
+{
+	enum { N = 6 };
+	struct large_reply large[N], small;
+	struct fixture f;
+	unsigned before = 0;
+
+	setup_slow_line(&f);
+	f.target.mode = FAKE_SILENT;
+	for (uint64_t i = 0; i < N; i++)
+		answer_with(&f, &large[i], i + 1, LARGE_BYTES);
+	answer_with(&f, &small, N + 1, 2);
+	fake_wait(f.loop, &small.count, 1);
+	relay_conn_close(f.relay.conns);
+	fake_wait(f.loop, &f.relay.count, 2);
+	answer_with(&f, &small, N + 2, 2);
+	fake_wait(f.loop, &small.count, 1);
+	for (int i = 0; i < N; i++)
+		before += large[i].count;
+	g_assert_cmpuint(before, <, N - 1);
+	for (int i = 0; i < N; i++) {
+		fake_wait(f.loop, &large[i].count, 1);
+		g_assert_cmpint(large[i].outcome, ==, OUTCOME_ANSWERED);
+		g_assert_cmpuint(large[i].bytes, ==, LARGE_BYTES);
+	}
+	g_assert_null(gate_answer_line(f.owner.gate)->items);
+	teardown(&f);
+}
+
 /*
  * Guards against a route that is refused for good: its last answer takes 0.4 s
  * on the line, longer than answers have their value, and while all requests
@@ -1351,6 +1384,8 @@
 			test_waiting_answer_is_unacknowledged);
 	g_test_add_func("/peer/line_free_of_lost_link",
 			test_line_free_of_lost_link);
+	g_test_add_func("/peer/answers_in_turn_on_new_link",
+			test_answers_in_turn_on_new_link);
 	g_test_add_func("/peer/large_answer_on_idle_line",
 			test_large_answer_on_idle_line);
 	g_test_add_func("/peer/garbage", test_garbage);
