--- a/routing/peer_in.c
+++ b/routing/peer_in.c
@@ -12,7 +12,8 @@
 	struct answer_line_item item; /* first member; large answers only */
 	struct inbound *in;
 	uint64_t attempt;
-	int64_t sent_ms; /* while the item waits, when the reply was made */
+	int64_t sent_ms; /* before that, when it was made or its link lost */
+	int unsent;	 /* its link was lost while it waited for the line */
 	struct buf frame;
 	struct kept_reply *prev;
 	struct kept_reply *next;
@@ -48,18 +49,29 @@
 	free(k);
 }
 
-/* Replies that wait for the line are kept until they have been sent. */
+/*
+ * Replies that wait for the line are kept until they have been sent. The limit
+ * of bytes is for those that may have arrived.
+ */
+static int may_expire(const struct kept_reply *k, int64_t now)
+{
+	if (k->item.waiting)
+		return 0;
+	if (now - k->sent_ms >= PEER_KEPT_REPLY_MS)
+		return 1;
+	return !k->unsent && k->in->kept_reply_bytes > PEER_KEPT_REPLY_BYTES;
+}
+
 static void expire_kept_replies(struct inbound *in, int64_t now)
 {
-	while (in->kept_replies && !in->kept_replies->item.waiting &&
-	       (in->kept_reply_bytes > PEER_KEPT_REPLY_BYTES ||
-		now - in->kept_replies->sent_ms >= PEER_KEPT_REPLY_MS))
+	while (in->kept_replies && may_expire(in->kept_replies, now))
 		free_kept_reply(in, in->kept_replies);
 }
 
 static void send_kept_reply(struct kept_reply *k)
 {
 	k->sent_ms = clk_ms();
+	k->unsent = 0;
 	if (k->in->conn)
 		tcp_send_encoded(k->in->conn, &k->frame);
 }
@@ -133,7 +145,7 @@
 	k->sent_ms = clk_ms();
 	DL_APPEND(in->kept_replies, k);
 	in->kept_reply_bytes += k->frame.len;
-	if (answer_line_is_large(line, k->frame.len)) {
+	if (in->conn && answer_line_is_large(line, k->frame.len)) {
 		cnt_add(in->p->cnt, "peer_large_answers", "", 1);
 		k->item.bytes = k->frame.len;
 		answer_line_add(line, &k->item);
@@ -162,18 +174,32 @@
 {
 	struct kept_reply *k = find_kept_reply(in, attempt);
 
-	if (k && k->item.waiting)
+	if (k && (k->item.waiting || k->unsent))
 		free_kept_reply(in, k);
 }
 
+/* A large answer that has not been sent yet is sent in its turn. */
+static void send_queried_reply(struct kept_reply *k)
+{
+	struct peers *p = k->in->p;
+
+	if (k->item.waiting)
+		return;
+	if (!k->unsent) {
+		send_kept_reply(k);
+		return;
+	}
+	answer_line_add(gate_answer_line(p->gate), &k->item);
+	send_large_answers(p);
+}
+
 static void on_query(struct inbound *in, const Wire__Query *q)
 {
 	Wire__QueryReply r = WIRE__QUERY_REPLY__INIT;
 	struct kept_reply *k = find_kept_reply(in, q->attempt);
 
 	if (k) {
-		answer_line_remove(gate_answer_line(in->p->gate), &k->item);
-		send_kept_reply(k);
+		send_queried_reply(k);
 		return;
 	}
 	r.attempt = q->attempt;
@@ -220,10 +246,12 @@
 static int answer_would_be_late(struct inbound *in, const Wire__Forward *f)
 {
 	struct gate *g = in->p->gate;
-	int64_t wait_ms =
-		answer_line_wait_ms(gate_answer_line(g), f->route, clk_ms());
+	const struct answer_line *line = gate_answer_line(g);
+	int64_t now_ms = clk_ms();
+	int64_t wait_ms = answer_line_wait_ms(line, f->route, now_ms);
 
-	if (!wait_ms || gate_check_offer(g, f, wait_ms, on_gate_reply, in))
+	if (!wait_ms || answer_line_is_idle(line, now_ms) ||
+	    gate_check_offer(g, f, wait_ms, on_gate_reply, in))
 		return 0;
 	cnt_add(in->p->cnt, "peer_large_answers_refused", "", 1);
 	return 1;
@@ -288,10 +316,29 @@
 	request_bodies(in->p);
 }
 
+/*
+ * Takes the large answers out of the line that cannot be sent without a link,
+ * so that they do not use up its time. The sender asks for them on a new link.
+ */
+static void leave_line(struct inbound *in)
+{
+	struct answer_line *line = gate_answer_line(in->p->gate);
+	struct kept_reply *k;
+
+	DL_FOREACH(in->kept_replies, k) {
+		if (!k->item.waiting)
+			continue;
+		answer_line_remove(line, &k->item);
+		k->unsent = 1;
+		k->sent_ms = clk_ms();
+	}
+}
+
 static void on_link_lost(struct inbound *in)
 {
 	in->conn = NULL;
 	in->link_lost_ms = clk_ms();
+	leave_line(in);
 	free_offers(in);
 	peer_start_ticks(in->p);
 }
@@ -436,6 +483,19 @@
 	return 0;
 }
 
+/* Bytes of the large answers that wait for the line. */
+static size_t waiting_bytes(const struct inbound *in)
+{
+	const struct kept_reply *k;
+	size_t bytes = 0;
+
+	DL_FOREACH(in->kept_replies, k) {
+		if (k->item.waiting)
+			bytes += k->item.bytes;
+	}
+	return bytes;
+}
+
 size_t peers_unacknowledged_bytes(const struct peers *p)
 {
 	const struct inbound *in;
@@ -443,7 +503,8 @@
 
 	DL_FOREACH(p->inbound, in) {
 		if (in->conn)
-			bytes += tcp_unacknowledged(in->conn);
+			bytes += tcp_unacknowledged(in->conn) +
+				 waiting_bytes(in);
 	}
 	return bytes;
 }
