call_pressure: bound the work of a step by the recovery limit

The loop that doubles the recovery ran once for each second since the last failure, also long after the limit was reached. The loop now ends at the limit. /calls/long-calm fails before.

--- a/limits/call_pressure.c
+++ b/limits/call_pressure.c
@@ -61,7 +61,10 @@
 	int64_t calm_ms = (p->step - p->lowered_step) * CALL_PRESSURE_STEP_MS;
 	double per_s = CALL_PRESSURE_RECOVERY_PER_S;
 
-	for (; calm_ms >= CALL_PRESSURE_CALM_MS; calm_ms -= 1000)
+	/* Ends at the limit, since calm_ms grows with the uptime. */
+	for (; calm_ms >= CALL_PRESSURE_CALM_MS &&
+	       per_s < CALL_PRESSURE_MAX_RECOVERY_PER_S;
+	     calm_ms -= 1000)
 		per_s *= 2;
 	if (per_s > CALL_PRESSURE_MAX_RECOVERY_PER_S)
 		per_s = CALL_PRESSURE_MAX_RECOVERY_PER_S;
--- a/test/unit/test_calls.c
+++ b/test/unit/test_calls.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <time.h>
 #include <utlist.h>
 
 /*
@@ -412,6 +413,24 @@
 	}
 }
 
+/*
+ * Guards against a step whose work grows with the time since the last failure:
+ * after years without one it is as short as any.
+ */
+static void test_long_calm(void)
+{
+	const int64_t now = 10LL * 365 * 24 * 3600 * 1000;
+	struct call_pressure p;
+	clock_t begin;
+
+	call_pressure_init(&p);
+	call_pressure_note_call(&p, 1, 0, 1000);
+	p.step = now / CALL_PRESSURE_STEP_MS - 100;
+	begin = clock();
+	g_assert_cmpfloat(call_pressure_share(&p, now), ==, 1);
+	g_assert_cmpfloat((double)(clock() - begin) / CLOCKS_PER_SEC, <, 0.5);
+}
+
 /* Guards against requests that run although their time limit has passed. */
 static void test_late_call(void)
 {
@@ -528,5 +547,6 @@
 	g_test_add_func("/calls/learning", test_learning);
 	g_test_add_func("/calls/mix", test_mix_is_no_call);
 	g_test_add_func("/calls/unlearning", test_unlearning);
+	g_test_add_func("/calls/long-calm", test_long_calm);
 	return g_test_run();
 }
