admission: share the requests of a rate limit between calls and others

Calls may have two thirds of the places while others wait. With a limit on the rate (a cold target, or one that names its rate) most places stay free, so that calls never had their share and took every request that the rate allowed. Where the rate is what limits, two calls now go before each other request. In /calls/share-rate no other request of 40 began in 1.6 s before the change, about a third of those begun does now.

--- a/limits/admission.c
+++ b/limits/admission.c
@@ -305,7 +305,10 @@
 {
 	/* A single place goes to both in turn. */
 	if (a->limit == 1)
-		return a->started_call;
+		return a->started_calls > 0;
+	/* What a rate limits is requests begun; places remain free. */
+	if (admission_usable_places(a) < a->limit)
+		return a->started_calls >= ADMISSION_CALLS_PER_OTHER;
 	return a->running_calls + 1 > a->limit * ADMISSION_CALL_SHARE;
 }
 
@@ -534,7 +537,7 @@
 	a->queued_calls -= item->is_call != 0;
 	a->running++;
 	a->running_calls += item->is_call != 0;
-	a->started_call = item->is_call;
+	a->started_calls = item->is_call ? a->started_calls + 1 : 0;
 	item->state = ADMISSION_RUNNING;
 	item->started_ms = now_ms;
 	take_rate(a, now_ms);
--- a/limits/admission.h
+++ b/limits/admission.h
@@ -43,6 +43,11 @@
  * peak.
  */
 #define ADMISSION_CALL_SHARE (2. / 3)
+/*
+ * The same share where a rate keeps places free: it limits the requests begun,
+ * so that calls would never have their share of the places.
+ */
+#define ADMISSION_CALLS_PER_OTHER 2
 
 /*
  * Queued requests are ordered by priority, then those whose soft deadline has
@@ -106,8 +111,8 @@
 	/* Parts of the two above. */
 	uint32_t running_calls;
 	uint32_t queued_calls;
-	/* The last queued request that began to run was a call. */
-	int started_call;
+	/* Calls from the queue that began to run since the last other one. */
+	uint32_t started_calls;
 	double service_ms;     /* moving average over all kinds; 0: unknown */
 	int64_t full_since_ms; /* since when running >= limit; 0: it is not */
 	struct admission_item *head;
--- a/test/unit/test_calls.c
+++ b/test/unit/test_calls.c
@@ -431,6 +431,38 @@
 	g_assert_cmpfloat((double)(clock() - begin) / CLOCKS_PER_SEC, <, 0.5);
 }
 
+/*
+ * Guards against calls that take all that a limit on the rate allows: far
+ * fewer places are busy than there are, so that calls never have their share
+ * of them.
+ */
+static void test_calls_share_rate(void)
+{
+	const struct admission_rank rank = { 1, INT64_MAX, 0 };
+	struct admission_item calls[40], others[40];
+	unsigned begun = 0;
+	struct admission a;
+
+	admission_init(&a, 100, 400, 1.0);
+	admission_set_rate(&a, 20, 0);
+	for (unsigned i = 0; i < G_N_ELEMENTS(calls); i++) {
+		admission_submit_call(&a, &calls[i], "t", 0, 10000, &rank);
+		admission_submit_ranked(&a, &others[i], "t", 0, 10000, &rank);
+	}
+	for (int64_t now = 0; now < 1600; now += 5) {
+		struct admission_item *item = admission_next(&a, now);
+
+		if (!item)
+			continue;
+		begun += !item->is_call;
+		admission_done(&a, item, now + 20);
+	}
+	/* A third of 32. */
+	g_assert_cmpuint(begun, >=, 9);
+	g_assert_cmpuint(begun, <=, 12);
+	admission_finish(&a);
+}
+
 /* Guards against requests that run although their time limit has passed. */
 static void test_late_call(void)
 {
@@ -548,5 +580,6 @@
 	g_test_add_func("/calls/mix", test_mix_is_no_call);
 	g_test_add_func("/calls/unlearning", test_unlearning);
 	g_test_add_func("/calls/long-calm", test_long_calm);
+	g_test_add_func("/calls/share-rate", test_calls_share_rate);
 	return g_test_run();
 }
