gate: check offers of calls as calls

A large body is offered before it is sent. The gate checked each offer as an ordinary request, so that calls past their soft deadline, or with a queue full of other requests, were refused although submission would have admitted them. /calls/with-body and /gate-protect/call-with-body fail before.

--- a/limits/admission.c
+++ b/limits/admission.c
@@ -312,19 +312,17 @@
 	return a->running_calls + 1 > a->limit * ADMISSION_CALL_SHARE;
 }
 
-int admission_would_shed_after(const struct admission *a,
-			       const struct admission_rank *rank,
-			       int64_t now_ms, int64_t deadline_ms,
-			       int64_t after_ms)
+static int would_shed_after(const struct admission *a,
+			    const struct admission_item *item, int64_t now_ms,
+			    int64_t after_ms)
 {
-	struct admission_item item = { .deadline_ms = deadline_ms,
-				       .rank = *rank };
+	const struct admission_rank *rank = &item->rank;
 	int64_t then_ms = now_ms + after_ms;
 	double done = (double)then_ms + expected_service_ms(a, rank);
 	struct admission_item *before;
 	uint32_t ahead;
 
-	if (done > (double)deadline_ms)
+	if (done > (double)item->deadline_ms)
 		return 1;
 	/*
 	 * The body of a late request is accepted only while the link is nearly
@@ -340,14 +338,40 @@
 	}
 	if (has_capacity(a, now_ms) && a->queued == 0)
 		return 0;
-	before = find_queue_position(a, &item, now_ms, &ahead);
+	if (item->is_call && calls_fill_their_queue(a))
+		return 1;
+	before = find_queue_position(a, item, now_ms, &ahead);
 	if (a->queued >= a->queue && (!before || !a->queue))
 		return 1;
 	/*
 	 * The wait for the queue is counted from now, since the queue moves on
 	 * while the body is transferred.
 	 */
-	return would_be_late(a, &item, ahead, now_ms);
+	return would_be_late(a, item, ahead, now_ms);
+}
+
+int admission_would_shed_after(const struct admission *a,
+			       const struct admission_rank *rank,
+			       int64_t now_ms, int64_t deadline_ms,
+			       int64_t after_ms)
+{
+	struct admission_item item = { .deadline_ms = deadline_ms,
+				       .rank = *rank };
+
+	return would_shed_after(a, &item, now_ms, after_ms);
+}
+
+int admission_would_shed_call_after(const struct admission *a,
+				    const struct admission_rank *rank,
+				    int64_t now_ms, int64_t deadline_ms,
+				    int64_t after_ms)
+{
+	struct admission_item item = { .deadline_ms = deadline_ms,
+				       .rank = *rank,
+				       .is_call = 1 };
+
+	item.rank.soft_deadline_ms = INT64_MAX;
+	return would_shed_after(a, &item, now_ms, after_ms);
 }
 
 /* The queued item to be displaced by one that ranks before it, or NULL. */
--- a/limits/admission.h
+++ b/limits/admission.h
@@ -194,6 +194,11 @@
 			       const struct admission_rank *rank,
 			       int64_t now_ms, int64_t deadline_ms,
 			       int64_t after_ms);
+/* Does the same for a call, whose soft deadline does not count. */
+int admission_would_shed_call_after(const struct admission *a,
+				    const struct admission_rank *rank,
+				    int64_t now_ms, int64_t deadline_ms,
+				    int64_t after_ms);
 /*
  * Notes that a running request has ended, and adds its service time to the
  * averages. Does nothing if the item is not running.
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -553,19 +553,29 @@
 	admit_call(c);
 }
 
-int gate_check_offer(struct gate *g, const Wire__Forward *f, int64_t after_ms,
-		     gate_reply_fn fn, void *priv)
+static int would_shed_after(struct gate *g, const Wire__Forward *f,
+			    int64_t after_ms)
 {
 	int64_t now_ms = clk_ms();
 	struct admission_rank rank = get_rank(f, now_ms);
+
+	if (gate_protect_is_call(g, f))
+		return admission_would_shed_call_after(
+			&g->admission, &rank, now_ms, now_ms + f->deadline_ms,
+			after_ms);
+	return admission_would_shed_after(&g->admission, &rank, now_ms,
+					  now_ms + f->deadline_ms, after_ms);
+}
+
+int gate_check_offer(struct gate *g, const Wire__Forward *f, int64_t after_ms,
+		     gate_reply_fn fn, void *priv)
+{
 	uint32_t slot = MAP_NO_SLOT;
 	enum err e = check_admissible(g, f, &slot);
 
 	if (e == ERR_OK) {
 		update_admission_limits(g, f->service);
-		if (!admission_would_shed_after(&g->admission, &rank, now_ms,
-						now_ms + f->deadline_ms,
-						after_ms))
+		if (!would_shed_after(g, f, after_ms))
 			return 1;
 		g->shed++;
 		e = ERR_SHED;
--- a/test/unit/test_calls.c
+++ b/test/unit/test_calls.c
@@ -463,6 +463,27 @@
 	admission_finish(&a);
 }
 
+/*
+ * Guards against a call refused before its body is transferred although it
+ * would be admitted after that.
+ */
+static void test_call_with_body(void)
+{
+	const struct admission_rank rank = { 1, 100, 0 };
+	struct admission_item items[4];
+	struct admission a;
+
+	admission_init(&a, 1, 3, 1.0);
+	for (unsigned i = 0; i < G_N_ELEMENTS(items); i++)
+		admission_submit_ranked(&a, &items[i], "t", 0, 5000, &rank);
+	g_assert_true(admission_would_shed_after(&a, &rank, 1, 800, 10));
+	g_assert_false(admission_would_shed_call_after(&a, &rank, 1, 800, 10));
+	/* Past its full value it is served, past its time limit it is not. */
+	g_assert_false(admission_would_shed_call_after(&a, &rank, 1, 800, 200));
+	g_assert_true(admission_would_shed_call_after(&a, &rank, 1, 800, 900));
+	admission_finish(&a);
+}
+
 /* Guards against requests that run although their time limit has passed. */
 static void test_late_call(void)
 {
@@ -581,5 +602,6 @@
 	g_test_add_func("/calls/unlearning", test_unlearning);
 	g_test_add_func("/calls/long-calm", test_long_calm);
 	g_test_add_func("/calls/share-rate", test_calls_share_rate);
+	g_test_add_func("/calls/with-body", test_call_with_body);
 	return g_test_run();
 }
--- a/test/unit/test_gate_protect.c
+++ b/test/unit/test_gate_protect.c
@@ -176,6 +176,29 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a call that is refused before its body is transferred since it
+ * is past its full value: the run that waits for it is still served.
+ */
+static void test_call_with_body(void)
+{
+	struct fixture f;
+	struct result r = { 0 };
+	Wire__Forward m;
+
+	setup(&f, 1);
+	g_assert_true(learn(&f));
+	m = fake_forward(++f.attempts, "GET");
+	m.has_value = 1;
+	m.value_ms = -1;
+	m.route = OTHER_ROUTE;
+	g_assert_false(gate_check_offer(f.gate, &m, 2000, on_reply, &r));
+	g_assert_cmpint(r.error, ==, ERR_SHED);
+	m.route = CALL_ROUTE;
+	g_assert_true(gate_check_offer(f.gate, &m, 2000, on_reply, &r));
+	teardown(&f);
+}
+
 /* Guards against any effect where the setting is off. */
 static void test_off(void)
 {
@@ -193,6 +216,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gate-protect/learning", test_learning);
 	g_test_add_func("/gate-protect/new-work", test_new_work);
+	g_test_add_func("/gate-protect/call-with-body", test_call_with_body);
 	g_test_add_func("/gate-protect/off", test_off);
 	return g_test_run();
 }
