gate_protect: name a time after the limit of the ingress

Where a refused request cannot be served in time, the gate names the time left, and the ingress then sends no Retry-After. A gate on another node gets PEER_DEADLINE_MARGIN_MS less than the ingress has, so that the time that it named was before the limit of the ingress, and the caller was told to return just before it gives up.

--- a/routing/gate_protect.c
+++ b/routing/gate_protect.c
@@ -4,6 +4,7 @@
 #include "limits/call_routes.h"
 #include "limits/return_order.h"
 #include "routing/gate_priv.h"
+#include "routing/peer.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -242,6 +243,8 @@
 	};
 	uint32_t ms;
 
+	if (left_ms < 0)
+		left_ms = 0;
 	/* Without a key the ingress decides, after it has tried others. */
 	if (!g->protect || !f->key[0])
 		return wait_ms;
@@ -251,7 +254,8 @@
 				 admission_usable_places(a), clk_ms());
 	if (ms)
 		return ms;
-	return left_ms > 0 ? (uint32_t)left_ms : 1;
+	/* The ingress has more time left than it told the gate. */
+	return (uint32_t)left_ms + 2 * PEER_DEADLINE_MARGIN_MS;
 }
 
 void gate_protect_refuse(struct gate_call *c)
--- a/routing/peer.h
+++ b/routing/peer.h
@@ -17,6 +17,13 @@
  * asks the owner over a new link what became of it.
  */
 
+/*
+ * The owner gets a deadline that is shorter by this, so that its reply to an
+ * expired attempt arrives before the sender gives up. Twice the round trip
+ * between regions.
+ */
+#define PEER_DEADLINE_MARGIN_MS 20
+
 struct peers;
 
 /*
--- a/routing/peer_priv.h
+++ b/routing/peer_priv.h
@@ -27,12 +27,6 @@
 #define PEER_TICK_SECONDS 0.05
 /* Interval of the search for unused links. */
 #define PEER_SWEEP_SECONDS 10.
-/*
- * The owner gets a deadline that is shorter by this, so that its reply to an
- * expired attempt arrives before the sender gives up. Twice the round trip
- * between regions.
- */
-#define PEER_DEADLINE_MARGIN_MS 20
 /* Replies are kept for senders whose link broke; limits for each sender. */
 #define PEER_KEPT_REPLY_MS 2000
 #define PEER_KEPT_REPLY_BYTES (1024 * 1024)
--- a/test/unit/test_gate_protect.c
+++ b/test/unit/test_gate_protect.c
@@ -1,4 +1,5 @@
 #include "routing/gate.h"
+#include "routing/peer.h"
 #include "test/unit/fake.h"
 
 #define CALL_ROUTE 7
@@ -199,6 +200,32 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a time before the caller's time limit where the request could
+ * not be served in time: a gate elsewhere gets less than the time that is left.
+ */
+static void test_none_in_time(void)
+{
+	struct fixture f;
+	struct result r = { 0 };
+
+	setup(&f, 1);
+	fail_calls(&f);
+	for (unsigned i = 0; i < 20 && r.error == ERR_OK; i++) {
+		Wire__Forward m = fake_forward(++f.attempts, "GET");
+
+		/* A third of it is less than 200 ms. */
+		m.deadline_ms = 300;
+		m.route = OTHER_ROUTE;
+		memset(&r, 0, sizeof(r));
+		gate_submit(f.gate, &m, on_reply, &r);
+		fake_wait(f.loop, &r.count, 1);
+	}
+	g_assert_cmpint(r.error, ==, ERR_SHED);
+	g_assert_cmpuint(r.retry_after_ms, >, 300 + PEER_DEADLINE_MARGIN_MS);
+	teardown(&f);
+}
+
 /* Guards against any effect where the setting is off. */
 static void test_off(void)
 {
@@ -217,6 +244,7 @@
 	g_test_add_func("/gate-protect/learning", test_learning);
 	g_test_add_func("/gate-protect/new-work", test_new_work);
 	g_test_add_func("/gate-protect/call-with-body", test_call_with_body);
+	g_test_add_func("/gate-protect/none-in-time", test_none_in_time);
 	g_test_add_func("/gate-protect/off", test_off);
 	return g_test_run();
 }
