gate_protect: spread refused callers before a service time is known

Until the first request has ended, the work of a refused one counted as 0, so that all those refused by a gate that has just started were told to return at the same time. One request for each place and slice is assumed now. /gate-protect/unknown-service-time fails before: more than eight of 50 requests were told the same slice.

--- a/routing/gate_protect.c
+++ b/routing/gate_protect.c
@@ -18,6 +18,12 @@
  */
 #define PROTECT_LOGGED_SHARE 0.9
 
+/*
+ * Work of a refused request while no request has ended yet: one for each place
+ * and slice returns. As no work, all would be told the same time.
+ */
+#define PROTECT_UNKNOWN_WORK_MS RETURN_ORDER_SLICE_MS
+
 /* Largest part of the nodes of the fleet, region or data centre. */
 struct service_share {
 	char service[64];
@@ -250,6 +256,8 @@
 		return wait_ms;
 	/* Work is counted in milliseconds of a place to run. */
 	q.work = q.service_ms > 0 ? q.service_ms : a->service_ms;
+	if (q.work <= 0)
+		q.work = PROTECT_UNKNOWN_WORK_MS;
 	ms = return_order_assign(&g->protect->returns, &q,
 				 admission_usable_places(a), clk_ms());
 	if (ms)
--- a/test/unit/test_gate_protect.c
+++ b/test/unit/test_gate_protect.c
@@ -1,3 +1,4 @@
+#include "limits/return_order.h"
 #include "routing/gate.h"
 #include "routing/peer.h"
 #include "test/unit/fake.h"
@@ -226,6 +227,38 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against callers that are all told the same time by a gate that has
+ * just started: no request has ended, so that no service time is known.
+ */
+static void test_unknown_service_time(void)
+{
+	struct result results[50] = { 0 };
+	unsigned per_slice[100] = { 0 };
+	unsigned refused = 0;
+	struct fixture f;
+
+	setup(&f, 1);
+	f.target.mode = FAKE_SILENT;
+	fail_calls(&f);
+	for (unsigned i = 0; i < G_N_ELEMENTS(results); i++) {
+		Wire__Forward m = fake_forward(++f.attempts, "GET");
+		uint32_t slice;
+
+		m.route = OTHER_ROUTE;
+		gate_submit(f.gate, &m, on_reply, &results[i]);
+		if (results[i].error != ERR_SHED)
+			continue;
+		refused++;
+		slice = results[i].retry_after_ms / RETURN_ORDER_SLICE_MS;
+		g_assert_cmpuint(slice, <, G_N_ELEMENTS(per_slice));
+		/* Four places, and slices of the gate begin at other times. */
+		g_assert_cmpuint(++per_slice[slice], <=, 8);
+	}
+	g_assert_cmpuint(refused, >, 30);
+	teardown(&f);
+}
+
 /* Guards against any effect where the setting is off. */
 static void test_off(void)
 {
@@ -245,6 +278,8 @@
 	g_test_add_func("/gate-protect/new-work", test_new_work);
 	g_test_add_func("/gate-protect/call-with-body", test_call_with_body);
 	g_test_add_func("/gate-protect/none-in-time", test_none_in_time);
+	g_test_add_func("/gate-protect/unknown-service-time",
+			test_unknown_service_time);
 	g_test_add_func("/gate-protect/off", test_off);
 	return g_test_run();
 }
