return_order: requests of more than a slice take several

A request with more work than a slice has room for was told an empty slice and filled just that one. Below 20 requests/s, e.g. at the lowest rate of an ingress of 2/s, callers were therefore told to return at 20/s, and those of a gate with few places faster than it runs them; nor was any room kept for higher ranks. Such a request now begins where a slice has room left and takes the room of the slices after it. In /return-order/more-than-a-slice the last of 20 requests at 5/s was told 1,150 ms before, 4,000 ms are right; /return-order/rank-with-more-than-a-slice fails before as well.

--- a/limits/return_order.c
+++ b/limits/return_order.c
@@ -29,6 +29,43 @@
 				  : RETURN_ORDER_RESERVED_LOW);
 }
 
+/* Does a slice with this much work have room for a request, or its begin? */
+static int has_room(double work, double request, double usable)
+{
+	/* Without any room, one request in each slice finds out when it is. */
+	if (usable <= 0)
+		return work <= 0;
+	if (request > usable)
+		return work + RETURN_ORDER_MIN_BEGIN * usable < usable;
+	return work + request <= usable;
+}
+
+/*
+ * Adds a request to slice s. What does not fit takes the room of the slices
+ * after it.
+ */
+static void add_work(struct return_order *r, int64_t s, double request,
+		     double usable)
+{
+	int64_t end = r->slice + RETURN_ORDER_SLICES;
+
+	if (request <= usable || usable <= 0) {
+		r->work[s % RETURN_ORDER_SLICES] += request;
+		return;
+	}
+	for (; s < end && request > 0; s++) {
+		double *work = &r->work[s % RETURN_ORDER_SLICES];
+		double part = usable - *work;
+
+		if (part <= 0)
+			continue;
+		if (part > request)
+			part = request;
+		*work += part;
+		request -= part;
+	}
+}
+
 uint32_t return_order_assign(struct return_order *r,
 			     const struct return_request *q, double work_per_ms,
 			     int64_t now_ms)
@@ -46,18 +83,17 @@
 	if (latest + q->service_ms > (double)q->left_ms)
 		latest = (double)q->left_ms - q->service_ms;
 	for (int64_t s = first; s < r->slice + RETURN_ORDER_SLICES; s++) {
-		double *work = &r->work[s % RETURN_ORDER_SLICES];
+		double work = r->work[s % RETURN_ORDER_SLICES];
 		/* Callers of one slice are spread over it. */
 		double at =
 			(double)(s * RETURN_ORDER_SLICE_MS - now_ms) +
-			(room > 0 ? RETURN_ORDER_SLICE_MS * *work / room : 0);
+			(room > 0 ? RETURN_ORDER_SLICE_MS * work / room : 0);
 
 		if (at > latest)
 			return 0;
-		/* One request fits into an empty slice, however long it is. */
-		if (*work > 0 && *work + q->work > usable)
+		if (!has_room(work, q->work, usable))
 			continue;
-		*work += q->work;
+		add_work(r, s, q->work, usable);
 		return (uint32_t)at;
 	}
 	return 0;
--- a/limits/return_order.h
+++ b/limits/return_order.h
@@ -7,8 +7,10 @@
  * Tells refused callers when to come back, so that those refused at one moment
  * return at the rate at which requests can be served. The next seconds are
  * divided into slices; each refused request gets the first slice in which the
- * work of those told to return then leaves room for its own. Work is counted
- * in units that the caller chooses, e.g. milliseconds of a place to run.
+ * work of those told to return then leaves room for its own. A request with
+ * more work than a slice has room for begins in the first one with room left,
+ * and takes that of the slices after it. Work is counted in units that the
+ * caller chooses, e.g. milliseconds of a place to run.
  *
  * The module has no clock: the time is an argument, in milliseconds of one
  * clock.
@@ -28,6 +30,12 @@
 #define RETURN_ORDER_RESERVED 0.15
 #define RETURN_ORDER_RESERVED_LOW 0.3
 
+/*
+ * Least part of a slice that must be free for a request that takes more than
+ * one: rounding errors are no room.
+ */
+#define RETURN_ORDER_MIN_BEGIN 0.01
+
 struct return_order {
 	int64_t slice;			  /* number of the present slice */
 	double work[RETURN_ORDER_SLICES]; /* of those told, by slice number */
--- a/test/unit/test_return_order.c
+++ b/test/unit/test_return_order.c
@@ -122,6 +122,51 @@
 	g_assert_cmpuint(return_order_assign(&r, &q, 0, 100000), ==, 250);
 }
 
+/* Returns when the last of `count` refused requests is told to return. */
+static uint32_t last_told(double work, double work_per_ms, unsigned count)
+{
+	struct return_request q = { .work = work, .left_ms = 30000 };
+	struct return_order r;
+	uint32_t ms = 0;
+
+	return_order_init(&r);
+	for (unsigned i = 0; i < count; i++)
+		ms = return_order_assign(&r, &q, work_per_ms, 1000);
+	return ms;
+}
+
+/*
+ * Guards against requests that take more than a slice and return as if each
+ * fitted into one: 20 at 5/s, 31 at 12/s, and 10 of 340 ms at one place.
+ */
+static void test_more_than_a_slice(void)
+{
+	uint32_t ms = last_told(1, 5. / 1000, 20);
+
+	g_assert_cmpuint(ms, >=, 200 + 19 * 200 - 50);
+	g_assert_cmpuint(ms, <=, 200 + 19 * 200 + 50);
+	ms = last_told(1, 12. / 1000, 31);
+	g_assert_cmpuint(ms, >=, 200 + 2500 - 50);
+	g_assert_cmpuint(ms, <=, 200 + 2500 + 50);
+	ms = last_told(340, 1, 10);
+	g_assert_cmpuint(ms, >=, 200 + 9 * 340 - 50);
+	g_assert_cmpuint(ms, <=, 200 + 9 * 340 + 50);
+}
+
+/* Guards against such requests that take the room of higher ranks. */
+static void test_rank_with_more_than_a_slice(void)
+{
+	struct return_request q = { .work = 1, .left_ms = 30000 };
+	struct return_order r;
+
+	return_order_init(&r);
+	q.priority = 2;
+	for (unsigned i = 0; i < 10; i++)
+		return_order_assign(&r, &q, 5. / 1000, 1000);
+	q.priority = 0;
+	g_assert_cmpuint(return_order_assign(&r, &q, 5. / 1000, 1000), <=, 250);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -130,5 +175,9 @@
 	g_test_add_func("/return-order/service-time", test_service_time);
 	g_test_add_func("/return-order/ranks", test_ranks);
 	g_test_add_func("/return-order/slices-pass", test_slices_pass);
+	g_test_add_func("/return-order/more-than-a-slice",
+			test_more_than_a_slice);
+	g_test_add_func("/return-order/rank-with-more-than-a-slice",
+			test_rank_with_more_than_a_slice);
 	return g_test_run();
 }
