ingress_calls: replace the oldest route of a full table

Routes of calls leave the table only with a reply that says so, which never comes once the document has removed the route or the target has stopped calling it. After 16 such routes no other call was recognised until the restart. The route without a reply for the longest time now makes room. /gate-protect/many-call-routes fails before.

--- a/routing/ingress_calls.c
+++ b/routing/ingress_calls.c
@@ -1,5 +1,7 @@
 #include "routing/ingress_priv.h"
 
+#include <string.h>
+
 /* A call that so many targets refused finds no room at others either. */
 #define IN_CALL_REFUSED_TARGETS 2
 
@@ -12,6 +14,13 @@
 	return i;
 }
 
+static void remove_route(struct in_calls *c, size_t i)
+{
+	c->count--;
+	memmove(&c->routes[i], &c->routes[i + 1],
+		(c->count - i) * sizeof(c->routes[0]));
+}
+
 void in_calls_note_load(struct in_request *q, const Wire__TargetLoad *load)
 {
 	struct in_calls *c = &q->in->calls;
@@ -20,12 +29,13 @@
 	if (!q->in->settings->protect_calls || !q->forward.route)
 		return;
 	i = find_route(c, q->forward.route);
-	if (load->route_is_call && i == c->count) {
-		if (c->count < IN_MAX_CALL_ROUTES)
-			c->routes[c->count++] = q->forward.route;
-	} else if (!load->route_is_call && i < c->count) {
-		c->routes[i] = c->routes[--c->count];
-	}
+	if (i < c->count)
+		remove_route(c, i);
+	if (!load->route_is_call)
+		return;
+	if (c->count == IN_MAX_CALL_ROUTES)
+		remove_route(c, 0);
+	c->routes[c->count++] = q->forward.route;
 }
 
 void in_calls_note_end(struct in_request *q, int found_room)
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -60,7 +60,11 @@
 /* Most routes of calls that the own target makes. */
 #define IN_MAX_CALL_ROUTES 16
 
-/* Routes that the gates of their targets have marked as calls. */
+/*
+ * Routes that the gates of their targets have marked as calls, in the order of
+ * their last replies. The oldest makes room for a new one, since a document may
+ * have removed it.
+ */
 struct in_calls {
 	uint32_t routes[IN_MAX_CALL_ROUTES];
 	size_t count;
--- a/test/unit/test_gate_protect.c
+++ b/test/unit/test_gate_protect.c
@@ -1,5 +1,6 @@
 #include "limits/return_order.h"
 #include "routing/gate.h"
+#include "routing/ingress_priv.h"
 #include "routing/peer.h"
 #include "test/unit/fake.h"
 
@@ -259,6 +260,34 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a new route of calls that the ingress does not take up because
+ * routes that are no longer in use fill its table.
+ */
+static void test_many_call_routes(void)
+{
+	Wire__TargetLoad load = WIRE__TARGET_LOAD__INIT;
+	struct settings settings = { .protect_calls = 1 };
+	struct ingress in = { .settings = &settings };
+	struct in_request q = { .in = &in };
+	struct fixture f;
+
+	setup(&f, 1);
+	in.gate = f.gate;
+	load.route_is_call = 1;
+	for (uint32_t i = 1; i <= IN_MAX_CALL_ROUTES + 1; i++) {
+		q.forward.route = i;
+		in_calls_note_load(&q, &load);
+	}
+	in_calls_note_end(&q, 1);
+	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls", ""), ==, 1);
+	load.route_is_call = 0;
+	in_calls_note_load(&q, &load);
+	in_calls_note_end(&q, 1);
+	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls", ""), ==, 1);
+	teardown(&f);
+}
+
 /* Guards against any effect where the setting is off. */
 static void test_off(void)
 {
@@ -280,6 +309,8 @@
 	g_test_add_func("/gate-protect/none-in-time", test_none_in_time);
 	g_test_add_func("/gate-protect/unknown-service-time",
 			test_unknown_service_time);
+	g_test_add_func("/gate-protect/many-call-routes",
+			test_many_call_routes);
 	g_test_add_func("/gate-protect/off", test_off);
 	return g_test_run();
 }
