call_pressure: take the part that failed of 20 calls at least

Of few calls, one that fails is a large part: at one call a second a single failure halved the share.

--- a/limits/call_pressure.c
+++ b/limits/call_pressure.c
@@ -1,5 +1,6 @@
 #include "limits/call_pressure.h"
 
+#include <math.h>
 #include <string.h>
 
 /*
@@ -14,6 +15,11 @@
  * CALL_PRESSURE_GAIN, i.e. 0.6% of the calls at a share of 1.
  */
 #define CALL_PRESSURE_GAIN 5.0
+/*
+ * The part that failed is taken of at least this many calls: one failed call of
+ * a server that makes few would otherwise refuse half of its work.
+ */
+#define CALL_PRESSURE_FEW_CALLS 20.
 /* Most that one step takes from the share, as a part of it. */
 #define CALL_PRESSURE_MAX_CUT 0.5
 /* The share gained in a second. */
@@ -79,7 +85,8 @@
 	double cut;
 
 	if (last->failed && sum.failed > sum.calls * CALL_PRESSURE_TOLERATED) {
-		cut = CALL_PRESSURE_GAIN * last->failed / sum.calls;
+		cut = CALL_PRESSURE_GAIN * last->failed /
+		      fmax(sum.calls, CALL_PRESSURE_FEW_CALLS);
 		if (cut > CALL_PRESSURE_MAX_CUT)
 			cut = CALL_PRESSURE_MAX_CUT;
 		p->share *= 1 - cut;
--- a/test/unit/test_calls.c
+++ b/test/unit/test_calls.c
@@ -398,6 +398,25 @@
 	g_assert_false(call_pressure_is_common(&p, now));
 }
 
+/* Guards against half of the work refused after one of few calls failed. */
+static void test_single_failure(void)
+{
+	struct call_pressure p;
+	unsigned refused = 0;
+	int64_t now = 1000;
+
+	call_pressure_init(&p);
+	for (; now < 21000; now += 250) {
+		/* One call a second, of which each fifth fails. */
+		if (now % 1000 == 0)
+			call_pressure_note_call(&p, now % 5000 != 0, 0, now);
+		g_assert_cmpfloat(call_pressure_share(&p, now), >=, 0.7);
+		refused += !call_pressure_admit(&p, 1, now);
+	}
+	g_test_message("refused=%u of 80", refused);
+	g_assert_cmpuint(refused, <, 16);
+}
+
 /* Guards against a limit for a target that makes no calls, or few fail. */
 static void test_no_pressure(void)
 {
@@ -595,6 +614,7 @@
 	g_test_add_func("/calls/no-starvation", test_calls_do_not_starve);
 	g_test_add_func("/calls/gone", test_called_service_gone);
 	g_test_add_func("/calls/pressure-ranks", test_pressure_ranks);
+	g_test_add_func("/calls/single-failure", test_single_failure);
 	g_test_add_func("/calls/no-pressure", test_no_pressure);
 	g_test_add_func("/calls/late", test_late_call);
 	g_test_add_func("/calls/learning", test_learning);
