ingress_calls: count only refusals as calls without room elsewhere

A gate tells ingresses not to try other targets (refused_by_all) if most calls of its target were refused by two targets or more. The ingress counted each failed attempt for that, also those lost with a link. A node with broken links thus refused requests for all targets of its service, also for those whose calls would be answered. Now only targets count that had no room: shed, refused by the target, or expired in the queue. If the called service is gone rather than full, requests are tried at other targets again. /gate-protect/broken-links fails before.

--- a/routing/ingress_calls.c
+++ b/routing/ingress_calls.c
@@ -21,7 +21,7 @@
 		(c->count - i) * sizeof(c->routes[0]));
 }
 
-void in_calls_note_load(struct in_request *q, const Wire__TargetLoad *load)
+static void note_route(struct in_request *q, const Wire__TargetLoad *load)
 {
 	struct in_calls *c = &q->in->calls;
 	size_t i;
@@ -38,6 +38,22 @@
 	c->routes[c->count++] = q->forward.route;
 }
 
+/* Did a gate or its target refuse the request because it has no room? */
+static int is_refusal(const Wire__ForwardReply *reply)
+{
+	return reply->load && reply->outcome == OUTCOME_NOT_RUN &&
+	       (reply->error == ERR_SHED || reply->error == ERR_DEADLINE ||
+		reply->error == ERR_TARGET_REFUSED);
+}
+
+void in_calls_note_reply(struct in_request *q, const Wire__ForwardReply *reply)
+{
+	if (reply->load)
+		note_route(q, reply->load);
+	if (!q->keyed && is_refusal(reply))
+		q->refused_target_count++;
+}
+
 void in_calls_note_end(struct in_request *q, int found_room)
 {
 	const struct in_calls *c = &q->in->calls;
@@ -45,5 +61,6 @@
 	if (find_route(c, q->forward.route) == c->count)
 		return;
 	gate_note_call_ended(q->in->gate, found_room,
-			     q->failed_target_count >= IN_CALL_REFUSED_TARGETS);
+			     q->refused_target_count >=
+				     IN_CALL_REFUSED_TARGETS);
 }
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -120,6 +120,8 @@
 	/* Attempts that reached, or may have reached, a target. */
 	uint32_t target_sends;
 	uint32_t failed_targets[IN_MAX_FAILED_TARGETS]; /* node ids */
+	/* Those of them that had no room; 0 for a request with a key. */
+	unsigned refused_target_count;
 	unsigned failed_target_count;
 	int64_t attempt_sent_ns;
 	int selector_in_flight; /* selector_note_sent ran, selector_note_ended
@@ -257,8 +259,11 @@
 
 /* ingress_calls.c; without limits.protect_calls no route is a call. */
 
-/* Notes what a reply says of the request's route. */
-void in_calls_note_load(struct in_request *q, const Wire__TargetLoad *load);
+/*
+ * Notes what the reply to an attempt says of the request's route, and whether
+ * the target refused it for lack of room.
+ */
+void in_calls_note_reply(struct in_request *q, const Wire__ForwardReply *reply);
 /* Tells the own gate how a request ended if it is a call of the target. */
 void in_calls_note_end(struct in_request *q, int found_room);
 
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -376,8 +376,8 @@
 		load.latency_us = l->latency_us;
 		load.kind = q->forward.route;
 		load.kind_latency_us = l->kind_latency_us;
-		in_calls_note_load(q, l);
 	}
+	in_calls_note_reply(q, reply);
 	if (reply->outcome == OUTCOME_ANSWERED)
 		record_answer_size(q, reply->body.len);
 	q->target_sends += reply->arrived || reply->outcome == OUTCOME_UNKNOWN;
--- a/test/unit/test_gate_protect.c
+++ b/test/unit/test_gate_protect.c
@@ -266,6 +266,7 @@
  */
 static void test_many_call_routes(void)
 {
+	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
 	Wire__TargetLoad load = WIRE__TARGET_LOAD__INIT;
 	struct settings settings = { .protect_calls = 1 };
 	struct ingress in = { .settings = &settings };
@@ -274,20 +275,68 @@
 
 	setup(&f, 1);
 	in.gate = f.gate;
+	reply.load = &load;
 	load.route_is_call = 1;
 	for (uint32_t i = 1; i <= IN_MAX_CALL_ROUTES + 1; i++) {
 		q.forward.route = i;
-		in_calls_note_load(&q, &load);
+		in_calls_note_reply(&q, &reply);
 	}
 	in_calls_note_end(&q, 1);
 	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls", ""), ==, 1);
 	load.route_is_call = 0;
-	in_calls_note_load(&q, &load);
+	in_calls_note_reply(&q, &reply);
 	in_calls_note_end(&q, 1);
 	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls", ""), ==, 1);
 	teardown(&f);
 }
 
+/* Ends calls that failed at two targets each with these errors. */
+static struct result refused_after(enum err first, enum err second)
+{
+	const enum err errors[] = { first, second };
+	Wire__TargetLoad load = WIRE__TARGET_LOAD__INIT;
+	struct settings settings = { .protect_calls = 1 };
+	struct ingress in = { .settings = &settings };
+	struct fixture f;
+	struct result r;
+
+	setup(&f, 1);
+	in.gate = f.gate;
+	load.route_is_call = 1;
+	for (unsigned i = 0; i < 10; i++) {
+		struct in_request q = { .in = &in, .failed_target_count = 2 };
+
+		q.forward.route = CALL_ROUTE;
+		for (unsigned k = 0; k < G_N_ELEMENTS(errors); k++) {
+			Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
+
+			reply.outcome = OUTCOME_NOT_RUN;
+			reply.error = errors[k];
+			/* Only a gate names the load. */
+			if (errors[k] == ERR_SHED || i == 0)
+				reply.load = &load;
+			in_calls_note_reply(&q, &reply);
+		}
+		in_calls_note_end(&q, 0);
+		fake_pause(f.loop, 110);
+	}
+	r = first_refused(&f, OTHER_ROUTE);
+	g_assert_cmpint(r.error, ==, ERR_SHED);
+	teardown(&f);
+	return r;
+}
+
+/*
+ * Guards against a node with broken links that keeps requests from the targets
+ * elsewhere, whose calls would be answered.
+ */
+static void test_broken_links(void)
+{
+	g_assert_true(refused_after(ERR_SHED, ERR_SHED).refused_by_all);
+	g_assert_false(refused_after(ERR_CLOSED, ERR_REFUSED).refused_by_all);
+	g_assert_false(refused_after(ERR_CLOSED, ERR_SHED).refused_by_all);
+}
+
 /* Guards against any effect where the setting is off. */
 static void test_off(void)
 {
@@ -311,6 +360,7 @@
 			test_unknown_service_time);
 	g_test_add_func("/gate-protect/many-call-routes",
 			test_many_call_routes);
+	g_test_add_func("/gate-protect/broken-links", test_broken_links);
 	g_test_add_func("/gate-protect/off", test_off);
 	return g_test_run();
 }
