ingress_return: replace the route that was not used for longest

With more than 16 routes, a new one took the place of the oldest, also if that was the busiest: its rate fell back to the first one and the times that its callers had been told were forgotten, so that those refused next returned together with them. /gate-protect/many-return-routes fails before.

--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -79,13 +79,14 @@
 	struct return_order order;
 	double per_s; /* answers, moving average */
 	unsigned answers;
-	int64_t since_ms; /* since when answers counts */
+	int64_t since_ms;  /* since when answers counts */
+	uint64_t last_use; /* value of in_returns.uses then */
 };
 
 struct in_returns {
 	struct in_return_route routes[IN_MAX_RETURN_ROUTES];
 	size_t count;
-	size_t next; /* to be replaced, or used, next */
+	uint64_t uses; /* of all routes so far */
 };
 
 /* A request of a caller that has not been answered. */
--- a/routing/ingress_return.c
+++ b/routing/ingress_return.c
@@ -15,20 +15,38 @@
 /* Lowest rate: that of a route with 150 requests/s in such a fleet. */
 #define IN_RETURN_MIN_PER_S 2.0
 
-/* Returns what is kept for the route; the oldest one makes room for it. */
+/* Returns an unused entry, or the one that was not used for longest. */
+static struct in_return_route *least_recent(struct in_returns *r)
+{
+	struct in_return_route *t = &r->routes[0];
+
+	if (r->count < IN_MAX_RETURN_ROUTES)
+		return &r->routes[r->count++];
+	for (size_t i = 1; i < r->count; i++)
+		if (r->routes[i].last_use < t->last_use)
+			t = &r->routes[i];
+	return t;
+}
+
+/*
+ * Returns what is kept for the route; the one that was not used for longest
+ * makes room for it.
+ */
 static struct in_return_route *get_route(struct ingress *in, uint32_t route)
 {
 	struct in_returns *r = &in->returns;
 	struct in_return_route *t;
 
-	for (size_t i = 0; i < r->count; i++)
-		if (r->routes[i].route == route)
+	r->uses++;
+	for (size_t i = 0; i < r->count; i++) {
+		if (r->routes[i].route == route) {
+			r->routes[i].last_use = r->uses;
 			return &r->routes[i];
-	if (r->count < IN_MAX_RETURN_ROUTES)
-		r->count++;
-	t = &r->routes[r->next];
-	r->next = (r->next + 1) % IN_MAX_RETURN_ROUTES;
+		}
+	}
+	t = least_recent(r);
 	memset(t, 0, sizeof(*t));
+	t->last_use = r->uses;
 	return_order_init(&t->order);
 	t->route = route;
 	t->per_s = IN_RETURN_FIRST_PER_S;
--- a/test/unit/test_gate_protect.c
+++ b/test/unit/test_gate_protect.c
@@ -337,6 +337,29 @@
 	g_assert_false(refused_after(ERR_CLOSED, ERR_SHED).refused_by_all);
 }
 
+/*
+ * Guards against a busy route that loses its rate, and the times its callers
+ * were told, to one that is used for the first time.
+ */
+static void test_many_return_routes(void)
+{
+	struct settings settings = { .protect_calls = 1 };
+	struct ingress in = { .settings = &settings };
+	struct in_request q = { .in = &in };
+	unsigned answers = 0;
+
+	for (uint32_t i = 1; i <= IN_MAX_RETURN_ROUTES + 1; i++) {
+		q.forward.route = i;
+		in_return_note_answer(&q);
+		q.forward.route = 1;
+		in_return_note_answer(&q);
+	}
+	for (size_t i = 0; i < in.returns.count; i++)
+		if (in.returns.routes[i].route == 1)
+			answers = in.returns.routes[i].answers;
+	g_assert_cmpuint(answers, ==, IN_MAX_RETURN_ROUTES + 2);
+}
+
 /* Guards against any effect where the setting is off. */
 static void test_off(void)
 {
@@ -361,6 +384,8 @@
 	g_test_add_func("/gate-protect/many-call-routes",
 			test_many_call_routes);
 	g_test_add_func("/gate-protect/broken-links", test_broken_links);
+	g_test_add_func("/gate-protect/many-return-routes",
+			test_many_return_routes);
 	g_test_add_func("/gate-protect/off", test_off);
 	return g_test_run();
 }
