--- a/limits/call_pressure.c
+++ b/limits/call_pressure.c
@@ -1,5 +1,6 @@
 #include "limits/call_pressure.h"
 
+#include <math.h>
 #include <string.h>
 
 /*
@@ -14,6 +15,11 @@
  * CALL_PRESSURE_GAIN, i.e. 0.6% of the calls at a share of 1.
  */
 #define CALL_PRESSURE_GAIN 5.0
+/*
+ * The part that failed is taken of at least this many calls: one failed call of
+ * a server that makes few would otherwise refuse half of its work.
+ */
+#define CALL_PRESSURE_FEW_CALLS 20.
 /* Most that one step takes from the share, as a part of it. */
 #define CALL_PRESSURE_MAX_CUT 0.5
 /* The share gained in a second. */
@@ -61,7 +67,10 @@
 	int64_t calm_ms = (p->step - p->lowered_step) * CALL_PRESSURE_STEP_MS;
 	double per_s = CALL_PRESSURE_RECOVERY_PER_S;
 
-	for (; calm_ms >= CALL_PRESSURE_CALM_MS; calm_ms -= 1000)
+	/* Ends at the limit, since calm_ms grows with the uptime. */
+	for (; calm_ms >= CALL_PRESSURE_CALM_MS &&
+	       per_s < CALL_PRESSURE_MAX_RECOVERY_PER_S;
+	     calm_ms -= 1000)
 		per_s *= 2;
 	if (per_s > CALL_PRESSURE_MAX_RECOVERY_PER_S)
 		per_s = CALL_PRESSURE_MAX_RECOVERY_PER_S;
@@ -76,7 +85,8 @@
 	double cut;
 
 	if (last->failed && sum.failed > sum.calls * CALL_PRESSURE_TOLERATED) {
-		cut = CALL_PRESSURE_GAIN * last->failed / sum.calls;
+		cut = CALL_PRESSURE_GAIN * last->failed /
+		      fmax(sum.calls, CALL_PRESSURE_FEW_CALLS);
 		if (cut > CALL_PRESSURE_MAX_CUT)
 			cut = CALL_PRESSURE_MAX_CUT;
 		p->share *= 1 - cut;
--- a/routing/ingress_priv.h
+++ b/routing/ingress_priv.h
@@ -61,7 +61,11 @@
 /* Most routes of calls that the own target makes. */
 #define IN_MAX_CALL_ROUTES 16
 
-/* Routes that the gates of their targets have marked as calls. */
+/*
+ * Routes that the gates of their targets have marked as calls, in the order of
+ * their last replies. The oldest makes room for a new one, since a document may
+ * have removed it.
+ */
 struct in_calls {
 	uint32_t routes[IN_MAX_CALL_ROUTES];
 	size_t count;
@@ -76,13 +80,14 @@
 	struct return_order order;
 	double per_s; /* answers, moving average */
 	unsigned answers;
-	int64_t since_ms; /* since when answers counts */
+	int64_t since_ms;  /* since when answers counts */
+	uint64_t last_use; /* value of in_returns.uses then */
 };
 
 struct in_returns {
 	struct in_return_route routes[IN_MAX_RETURN_ROUTES];
 	size_t count;
-	size_t next; /* to be replaced, or used, next */
+	uint64_t uses; /* of all routes so far */
 };
 
 /* A request of a caller that has not been answered. */
@@ -117,6 +122,8 @@
 	/* Attempts that reached, or may have reached, a target. */
 	uint32_t target_sends;
 	uint32_t failed_targets[IN_MAX_FAILED_TARGETS]; /* node ids */
+	/* Those of them that had no room; 0 for a request with a key. */
+	unsigned refused_target_count;
 	unsigned failed_target_count;
 	int64_t attempt_sent_ns;
 	int selector_in_flight; /* selector_note_sent ran, selector_note_ended
@@ -257,8 +264,11 @@
 
 /* ingress_calls.c; without limits.protect_calls no route is a call. */
 
-/* Notes what a reply says of the request's route. */
-void in_calls_note_load(struct in_request *q, const Wire__TargetLoad *load);
+/*
+ * Notes what the reply to an attempt says of the request's route, and whether
+ * the target refused it for lack of room.
+ */
+void in_calls_note_reply(struct in_request *q, const Wire__ForwardReply *reply);
 /* Tells the own gate how a request ended if it is a call of the target. */
 void in_calls_note_end(struct in_request *q, int found_room);
 
--- a/routing/ingress_route.c
+++ b/routing/ingress_route.c
@@ -377,8 +377,8 @@
 		load.latency_us = l->latency_us;
 		load.kind = q->forward.route;
 		load.kind_latency_us = l->kind_latency_us;
-		in_calls_note_load(q, l);
 	}
+	in_calls_note_reply(q, reply);
 	if (reply->outcome == OUTCOME_ANSWERED) {
 		record_answer_size(q, reply->body.len);
 		byte_budget_note(&q->in->answers, q->forward.route,
--- a/test/unit/test_calls.c
+++ b/test/unit/test_calls.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <time.h>
 #include <utlist.h>
 
 /*
@@ -397,6 +398,25 @@
 	g_assert_false(call_pressure_is_common(&p, now));
 }
 
+/* Guards against half of the work refused after one of few calls failed. */
+static void test_single_failure(void)
+{
+	struct call_pressure p;
+	unsigned refused = 0;
+	int64_t now = 1000;
+
+	call_pressure_init(&p);
+	for (; now < 21000; now += 250) {
+		/* One call a second, of which each fifth fails. */
+		if (now % 1000 == 0)
+			call_pressure_note_call(&p, now % 5000 != 0, 0, now);
+		g_assert_cmpfloat(call_pressure_share(&p, now), >=, 0.7);
+		refused += !call_pressure_admit(&p, 1, now);
+	}
+	g_test_message("refused=%u of 80", refused);
+	g_assert_cmpuint(refused, <, 16);
+}
+
 /* Guards against a limit for a target that makes no calls, or few fail. */
 static void test_no_pressure(void)
 {
@@ -412,6 +432,77 @@
 	}
 }
 
+/*
+ * Guards against a step whose work grows with the time since the last failure:
+ * after years without one it is as short as any.
+ */
+static void test_long_calm(void)
+{
+	const int64_t now = 10LL * 365 * 24 * 3600 * 1000;
+	struct call_pressure p;
+	clock_t begin;
+
+	call_pressure_init(&p);
+	call_pressure_note_call(&p, 1, 0, 1000);
+	p.step = now / CALL_PRESSURE_STEP_MS - 100;
+	begin = clock();
+	g_assert_cmpfloat(call_pressure_share(&p, now), ==, 1);
+	g_assert_cmpfloat((double)(clock() - begin) / CLOCKS_PER_SEC, <, 0.5);
+}
+
+/*
+ * Guards against calls that take all that a limit on the rate allows: far
+ * fewer places are busy than there are, so that calls never have their share
+ * of them.
+ */
+static void test_calls_share_rate(void)
+{
+	const struct admission_rank rank = { 1, INT64_MAX, 0 };
+	struct admission_item calls[40], others[40];
+	unsigned begun = 0;
+	struct admission a;
+
+	admission_init(&a, 100, 400, 1.0);
+	admission_set_rate(&a, 20, 0);
+	for (unsigned i = 0; i < G_N_ELEMENTS(calls); i++) {
+		admission_submit_call(&a, &calls[i], "t", 0, 10000, &rank);
+		admission_submit_ranked(&a, &others[i], "t", 0, 10000, &rank);
+	}
+	for (int64_t now = 0; now < 1600; now += 5) {
+		struct admission_item *item = admission_next(&a, now);
+
+		if (!item)
+			continue;
+		begun += !item->is_call;
+		admission_done(&a, item, now + 20);
+	}
+	/* A third of 32. */
+	g_assert_cmpuint(begun, >=, 9);
+	g_assert_cmpuint(begun, <=, 12);
+	admission_finish(&a);
+}
+
+/*
+ * Guards against a call refused before its body is transferred although it
+ * would be admitted after that.
+ */
+static void test_call_with_body(void)
+{
+	const struct admission_rank rank = { 1, 100, 0 };
+	struct admission_item items[4];
+	struct admission a;
+
+	admission_init(&a, 1, 3, 1.0);
+	for (unsigned i = 0; i < G_N_ELEMENTS(items); i++)
+		admission_submit_ranked(&a, &items[i], "t", 0, 5000, &rank);
+	g_assert_true(admission_would_shed_after(&a, &rank, 1, 800, 10));
+	g_assert_false(admission_would_shed_call_after(&a, &rank, 1, 800, 10));
+	/* Past its full value it is served, past its time limit it is not. */
+	g_assert_false(admission_would_shed_call_after(&a, &rank, 1, 800, 200));
+	g_assert_true(admission_would_shed_call_after(&a, &rank, 1, 800, 900));
+	admission_finish(&a);
+}
+
 /* Guards against requests that run although their time limit has passed. */
 static void test_late_call(void)
 {
@@ -523,10 +614,14 @@
 	g_test_add_func("/calls/no-starvation", test_calls_do_not_starve);
 	g_test_add_func("/calls/gone", test_called_service_gone);
 	g_test_add_func("/calls/pressure-ranks", test_pressure_ranks);
+	g_test_add_func("/calls/single-failure", test_single_failure);
 	g_test_add_func("/calls/no-pressure", test_no_pressure);
 	g_test_add_func("/calls/late", test_late_call);
 	g_test_add_func("/calls/learning", test_learning);
 	g_test_add_func("/calls/mix", test_mix_is_no_call);
 	g_test_add_func("/calls/unlearning", test_unlearning);
+	g_test_add_func("/calls/long-calm", test_long_calm);
+	g_test_add_func("/calls/share-rate", test_calls_share_rate);
+	g_test_add_func("/calls/with-body", test_call_with_body);
 	return g_test_run();
 }
--- a/test/unit/test_gate_protect.c
+++ b/test/unit/test_gate_protect.c
@@ -1,4 +1,7 @@
+#include "limits/return_order.h"
 #include "routing/gate.h"
+#include "routing/ingress_priv.h"
+#include "routing/peer.h"
 #include "test/unit/fake.h"
 
 #define CALL_ROUTE 7
@@ -176,6 +179,187 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a call that is refused before its body is transferred since it
+ * is past its full value: the run that waits for it is still served.
+ */
+static void test_call_with_body(void)
+{
+	struct fixture f;
+	struct result r = { 0 };
+	Wire__Forward m;
+
+	setup(&f, 1);
+	g_assert_true(learn(&f));
+	m = fake_forward(++f.attempts, "GET");
+	m.has_value = 1;
+	m.value_ms = -1;
+	m.route = OTHER_ROUTE;
+	g_assert_false(gate_check_offer(f.gate, &m, 2000, on_reply, &r));
+	g_assert_cmpint(r.error, ==, ERR_SHED);
+	m.route = CALL_ROUTE;
+	g_assert_true(gate_check_offer(f.gate, &m, 2000, on_reply, &r));
+	teardown(&f);
+}
+
+/*
+ * Guards against a time before the caller's time limit where the request could
+ * not be served in time: a gate elsewhere gets less than the time that is left.
+ */
+static void test_none_in_time(void)
+{
+	struct fixture f;
+	struct result r = { 0 };
+
+	setup(&f, 1);
+	fail_calls(&f);
+	for (unsigned i = 0; i < 20 && r.error == ERR_OK; i++) {
+		Wire__Forward m = fake_forward(++f.attempts, "GET");
+
+		/* A third of it is less than 200 ms. */
+		m.deadline_ms = 300;
+		m.route = OTHER_ROUTE;
+		memset(&r, 0, sizeof(r));
+		gate_submit(f.gate, &m, on_reply, &r);
+		fake_wait(f.loop, &r.count, 1);
+	}
+	g_assert_cmpint(r.error, ==, ERR_SHED);
+	g_assert_cmpuint(r.retry_after_ms, >, 300 + PEER_DEADLINE_MARGIN_MS);
+	teardown(&f);
+}
+
+/*
+ * Guards against callers that are all told the same time by a gate that has
+ * just started: no request has ended, so that no service time is known.
+ */
+static void test_unknown_service_time(void)
+{
+	struct result results[50] = { 0 };
+	unsigned per_slice[100] = { 0 };
+	unsigned refused = 0;
+	struct fixture f;
+
+	setup(&f, 1);
+	f.target.mode = FAKE_SILENT;
+	fail_calls(&f);
+	for (unsigned i = 0; i < G_N_ELEMENTS(results); i++) {
+		Wire__Forward m = fake_forward(++f.attempts, "GET");
+		uint32_t slice;
+
+		m.route = OTHER_ROUTE;
+		gate_submit(f.gate, &m, on_reply, &results[i]);
+		if (results[i].error != ERR_SHED)
+			continue;
+		refused++;
+		slice = results[i].retry_after_ms / RETURN_ORDER_SLICE_MS;
+		g_assert_cmpuint(slice, <, G_N_ELEMENTS(per_slice));
+		/* Four places, and slices of the gate begin at other times. */
+		g_assert_cmpuint(++per_slice[slice], <=, 8);
+	}
+	g_assert_cmpuint(refused, >, 30);
+	teardown(&f);
+}
+
+/*
+ * Guards against a new route of calls that the ingress does not take up because
+ * routes that are no longer in use fill its table.
+ */
+static void test_many_call_routes(void)
+{
+	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
+	Wire__TargetLoad load = WIRE__TARGET_LOAD__INIT;
+	struct settings settings = { .protect_calls = 1 };
+	struct ingress in = { .settings = &settings };
+	struct in_request q = { .in = &in };
+	struct fixture f;
+
+	setup(&f, 1);
+	in.gate = f.gate;
+	reply.load = &load;
+	load.route_is_call = 1;
+	for (uint32_t i = 1; i <= IN_MAX_CALL_ROUTES + 1; i++) {
+		q.forward.route = i;
+		in_calls_note_reply(&q, &reply);
+	}
+	in_calls_note_end(&q, 1);
+	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls", ""), ==, 1);
+	load.route_is_call = 0;
+	in_calls_note_reply(&q, &reply);
+	in_calls_note_end(&q, 1);
+	g_assert_cmpuint(cnt_get(&f.cnt, "gate_own_calls", ""), ==, 1);
+	teardown(&f);
+}
+
+/* Ends calls that failed at two targets each with these errors. */
+static struct result refused_after(enum err first, enum err second)
+{
+	const enum err errors[] = { first, second };
+	Wire__TargetLoad load = WIRE__TARGET_LOAD__INIT;
+	struct settings settings = { .protect_calls = 1 };
+	struct ingress in = { .settings = &settings };
+	struct fixture f;
+	struct result r;
+
+	setup(&f, 1);
+	in.gate = f.gate;
+	load.route_is_call = 1;
+	for (unsigned i = 0; i < 10; i++) {
+		struct in_request q = { .in = &in, .failed_target_count = 2 };
+
+		q.forward.route = CALL_ROUTE;
+		for (unsigned k = 0; k < G_N_ELEMENTS(errors); k++) {
+			Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
+
+			reply.outcome = OUTCOME_NOT_RUN;
+			reply.error = errors[k];
+			/* Only a gate names the load. */
+			if (errors[k] == ERR_SHED || i == 0)
+				reply.load = &load;
+			in_calls_note_reply(&q, &reply);
+		}
+		in_calls_note_end(&q, 0);
+		fake_pause(f.loop, 110);
+	}
+	r = first_refused(&f, OTHER_ROUTE);
+	g_assert_cmpint(r.error, ==, ERR_SHED);
+	teardown(&f);
+	return r;
+}
+
+/*
+ * Guards against a node with broken links that keeps requests from the targets
+ * elsewhere, whose calls would be answered.
+ */
+static void test_broken_links(void)
+{
+	g_assert_true(refused_after(ERR_SHED, ERR_SHED).refused_by_all);
+	g_assert_false(refused_after(ERR_CLOSED, ERR_REFUSED).refused_by_all);
+	g_assert_false(refused_after(ERR_CLOSED, ERR_SHED).refused_by_all);
+}
+
+/*
+ * Guards against a busy route that loses its rate, and the times its callers
+ * were told, to one that is used for the first time.
+ */
+static void test_many_return_routes(void)
+{
+	struct settings settings = { .protect_calls = 1 };
+	struct ingress in = { .settings = &settings };
+	struct in_request q = { .in = &in };
+	unsigned answers = 0;
+
+	for (uint32_t i = 1; i <= IN_MAX_RETURN_ROUTES + 1; i++) {
+		q.forward.route = i;
+		in_return_note_answer(&q);
+		q.forward.route = 1;
+		in_return_note_answer(&q);
+	}
+	for (size_t i = 0; i < in.returns.count; i++)
+		if (in.returns.routes[i].route == 1)
+			answers = in.returns.routes[i].answers;
+	g_assert_cmpuint(answers, ==, IN_MAX_RETURN_ROUTES + 2);
+}
+
 /* Guards against any effect where the setting is off. */
 static void test_off(void)
 {
@@ -193,6 +377,15 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gate-protect/learning", test_learning);
 	g_test_add_func("/gate-protect/new-work", test_new_work);
+	g_test_add_func("/gate-protect/call-with-body", test_call_with_body);
+	g_test_add_func("/gate-protect/none-in-time", test_none_in_time);
+	g_test_add_func("/gate-protect/unknown-service-time",
+			test_unknown_service_time);
+	g_test_add_func("/gate-protect/many-call-routes",
+			test_many_call_routes);
+	g_test_add_func("/gate-protect/broken-links", test_broken_links);
+	g_test_add_func("/gate-protect/many-return-routes",
+			test_many_return_routes);
 	g_test_add_func("/gate-protect/off", test_off);
 	return g_test_run();
 }
