--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -62,7 +62,7 @@
 	int json;    /* print results as JSON */
 	/* The argument of drain and undrain names a data centre, not a node. */
 	int data_centre;
-	int offline; /* do not compare with the document in the store */
+	int offline;	   /* do not compare with the document in the store */
 	char *const *args; /* of the verb */
 	struct ev_loop *loop;
 	struct store *store; /* NULL if the verb needs none */
