ingress: a large body goes by the expected cost, not by a draw

The lowest expected cost has the time that bodies take on the way to each target. test_ingress spread shows that a body of 20 kB is not drawn. Not measured yet.

--- a/routing/ingress_targets.c
+++ b/routing/ingress_targets.c
@@ -40,6 +40,20 @@
 	       (size_t)(s ? s->answer_bytes : 0);
 }
 
+/*
+ * A body above this is sent in its turn on the line of the target's VM. Where
+ * that line is the scarce room, targets with free places are not the ones that
+ * can take it soon, and the lowest expected cost, which has the time on the
+ * network, chooses better than a draw by places.
+ */
+#define IN_SPREAD_MAX_BODY_BYTES (16 * 1024)
+
+static int may_spread(const struct in_request *q)
+{
+	return q->in->settings->spread &&
+	       q->forward.body.len <= IN_SPREAD_MAX_BODY_BYTES;
+}
+
 /* Returns 1 if the request may be sent to the node's target. */
 static int is_candidate(const struct in_request *q, const struct map_node *n)
 {
@@ -101,12 +115,13 @@
 		list[count].distance = distance_of(q, n->info);
 		list[count++].places = n->info->target->concurrency;
 	}
-	selector_set_spread(&q->in->selector, q->in->settings->spread);
+	selector_set_spread(&q->in->selector, may_spread(q));
 	best = selector_pick(&q->in->selector, list, count, q->forward.route,
 			     expected_transfer_bytes(q), clk_ms(),
 			     g_random_double(), NULL);
+	selector_set_spread(&q->in->selector, q->in->settings->spread);
 	id = best < count ? list[best].id : 0;
-	if (id && q->in->settings->spread)
+	if (id && may_spread(q))
 		in_note_choice(q, &list[best]);
 	free(list);
 	return id;
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -942,8 +942,10 @@
  */
 static void test_spread(void)
 {
+	char *body = g_strnfill(20000, 'x');
 	struct fixture f;
 	struct remote_node o;
+	struct caller c;
 	Wire__Node *far;
 	Wire__Target a;
 	unsigned port;
@@ -970,6 +972,15 @@
 	f.settings.spread = 1;
 	expect_get(&f, "/kiln/a", 200, "answered");
 	g_assert_cmpuint(counter(&f, "in_other_target_answered"), ==, 1);
+	g_assert_cmpuint(cnt_get(&f.cnt, "in_chosen", "distance=\"vm\""), ==,
+			 1);
+	g_assert_cmpuint(
+		cnt_get(&f.cnt, "in_chosen", "distance=\"other_region\""), ==,
+		1);
+	/* A large body goes by the expected cost, with the time on its line. */
+	start_with(&f, &c, "POST", "/kiln/a", NULL, 0, body);
+	expect(&f, &c, 200, "answered");
+	finish(&c);
 	g_assert_cmpuint(cnt_get(&f.cnt, "in_chosen", "distance=\"vm\""), ==,
 			 1);
 	g_assert_cmpuint(
@@ -982,6 +993,7 @@
 	g_assert_nonnull(strstr(chosen_line, " service=kiln "));
 	g_assert_nonnull(strstr(chosen_line, " choices=2 targets=2 most=1 "
 					     "other_region=1 no_report=0 "));
+	g_free(body);
 	remote_node_finish(&o);
 	teardown(&f);
 }
