--- a/limits/call_pressure.c
+++ b/limits/call_pressure.c
@@ -5,25 +5,25 @@
 
 /*
  * Failures above this part of the calls lower the share. Work makes up to two
- * calls, so that this throws away less than 4% of it.
+ * calls, so that this throws away less than 5% of it.
  */
-#define CALL_PRESSURE_TOLERATED 0.02
+#define CALL_PRESSURE_TOLERATED 0.025
 /*
  * The share is lowered by this multiple of the part of the calls that failed,
  * each failure counted once. Where the calls stay just above the room,
  * failures and recovery are in balance at CALL_PRESSURE_RECOVERY_PER_S /
- * CALL_PRESSURE_GAIN, i.e. 0.6% of the calls at a share of 1.
+ * CALL_PRESSURE_GAIN, i.e. 1.5% of the calls at a share of 1.
  */
-#define CALL_PRESSURE_GAIN 5.0
+#define CALL_PRESSURE_GAIN 4.0
 /*
  * The part that failed is taken of at least this many calls: one failed call of
  * a server that makes few would otherwise refuse half of its work.
  */
 #define CALL_PRESSURE_FEW_CALLS 20.
 /* Most that one step takes from the share, as a part of it. */
-#define CALL_PRESSURE_MAX_CUT 0.5
+#define CALL_PRESSURE_MAX_CUT 0.4
 /* The share gained in a second. */
-#define CALL_PRESSURE_RECOVERY_PER_S 0.03
+#define CALL_PRESSURE_RECOVERY_PER_S 0.06
 /*
  * After so long without too many failures the gain grows, and doubles each
  * second up to the second figure: from the floor, all work may begin again
