--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -818,6 +818,18 @@
 	g_free(text);
 }
 
+/* Waits for the whole answers; none is left to wait for the line. */
+static void expect_large_answers(struct fixture *f, struct large_reply *r,
+				 size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		fake_wait(f->loop, &r[i].count, 1);
+		g_assert_cmpint(r[i].outcome, ==, OUTCOME_ANSWERED);
+		g_assert_cmpuint(r[i].bytes, ==, LARGE_BYTES);
+	}
+	g_assert_null(gate_answer_line(f->owner.gate)->items);
+}
+
 /*
  * Guards against small answers that wait behind all large ones of a slow line:
  * six of 40 KB take 0.5 s there.
@@ -838,12 +850,7 @@
 	for (int i = 0; i < N; i++)
 		before += large[i].count;
 	g_assert_cmpuint(before, <, N);
-	for (int i = 0; i < N; i++) {
-		fake_wait(f.loop, &large[i].count, 1);
-		g_assert_cmpint(large[i].outcome, ==, OUTCOME_ANSWERED);
-		g_assert_cmpuint(large[i].bytes, ==, LARGE_BYTES);
-	}
-	g_assert_null(gate_answer_line(f.owner.gate)->items);
+	expect_large_answers(&f, large, N);
 	teardown(&f);
 }
 
@@ -967,12 +974,7 @@
 	for (int i = 0; i < N; i++)
 		before += large[i].count;
 	g_assert_cmpuint(before, <, N - 1);
-	for (int i = 0; i < N; i++) {
-		fake_wait(f.loop, &large[i].count, 1);
-		g_assert_cmpint(large[i].outcome, ==, OUTCOME_ANSWERED);
-		g_assert_cmpuint(large[i].bytes, ==, LARGE_BYTES);
-	}
-	g_assert_null(gate_answer_line(f.owner.gate)->items);
+	expect_large_answers(&f, large, N);
 	teardown(&f);
 }
 
