--- a/ctl/check.c
+++ b/ctl/check.c
@@ -114,23 +114,5 @@
 
 enum ctl_exit ctl_check(struct ctl *c)
 {
-	enum ctl_exit result = CTL_INVALID;
-	struct buf problems;
-	struct buf text;
-	struct doc d;
-
-	buf_init(&problems);
-	buf_init(&text);
-	if (ctl_read_file(c->args[0], &text) == ERR_OK) {
-		buf_text(&text);
-		if (ctl_parse_document(c, &text, &d, &problems) == ERR_OK) {
-			result = check_valid(c, &d, &text);
-			doc_finish(&d);
-		} else {
-			result = ctl_report_invalid(c, c->args[0], &problems);
-		}
-	}
-	buf_finish(&text);
-	buf_finish(&problems);
-	return result;
+	return ctl_with_document(c, check_valid);
 }
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -115,6 +115,14 @@
  */
 enum err ctl_parse_document(const struct ctl *c, const struct buf *text,
 			    struct doc *d, struct buf *problems);
+/*
+ * Reads the file that the verb names and calls use with its document. Prints
+ * the problems and returns CTL_INVALID if it cannot be read or is invalid.
+ */
+enum ctl_exit ctl_with_document(struct ctl *c,
+				enum ctl_exit (*use)(struct ctl *c,
+						     const struct doc *d,
+						     const struct buf *text));
 
 /* io.c: calls to the store and the coordinator; they block. */
 
--- a/ctl/validate.c
+++ b/ctl/validate.c
@@ -2,8 +2,10 @@
 
 #include <stdio.h>
 
-static enum ctl_exit print_valid(const struct ctl *c, const struct doc *d)
+static enum ctl_exit print_valid(struct ctl *c, const struct doc *d,
+				 const struct buf *text)
 {
+	(void)text;
 	if (c->json)
 		ctl_print_json(json_pack("{s:s, s:i, s:i}", "result", "valid",
 					 "services", (int)d->service_count,
@@ -30,7 +32,10 @@
 	return e;
 }
 
-enum ctl_exit ctl_validate(struct ctl *c)
+enum ctl_exit ctl_with_document(struct ctl *c,
+				enum ctl_exit (*use)(struct ctl *c,
+						     const struct doc *d,
+						     const struct buf *text))
 {
 	enum ctl_exit result = CTL_INVALID;
 	struct buf problems;
@@ -42,7 +47,7 @@
 	if (ctl_read_file(c->args[0], &text) == ERR_OK) {
 		buf_text(&text);
 		if (ctl_parse_document(c, &text, &d, &problems) == ERR_OK) {
-			result = print_valid(c, &d);
+			result = use(c, &d, &text);
 			doc_finish(&d);
 		} else {
 			result = ctl_report_invalid(c, c->args[0], &problems);
@@ -52,3 +57,8 @@
 	buf_finish(&problems);
 	return result;
 }
+
+enum ctl_exit ctl_validate(struct ctl *c)
+{
+	return ctl_with_document(c, print_valid);
+}
