--- a/protocol/wire.pb-c.c
+++ b/protocol/wire.pb-c.c
@@ -4701,7 +4701,7 @@
   (ProtobufCMessageInit) wire__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__target_load__field_descriptors[8] =
 {
   {
     "running",
@@ -4775,33 +4775,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "slowdown_percent",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__TargetLoad, slowdown_percent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "arrivals_per_s",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__TargetLoad, arrivals_per_s),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "cold_ms",
-    9,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -4813,7 +4789,7 @@
   },
   {
     "route_is_call",
-    10,
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
@@ -4825,21 +4801,19 @@
   },
 };
 static const unsigned wire__target_load__field_indices_by_name[] = {
-  7,   /* field[7] = arrivals_per_s */
-  8,   /* field[8] = cold_ms */
+  6,   /* field[6] = cold_ms */
   5,   /* field[5] = kind_latency_us */
   3,   /* field[3] = latency_us */
   2,   /* field[2] = places */
   1,   /* field[1] = queued */
-  9,   /* field[9] = route_is_call */
+  7,   /* field[7] = route_is_call */
   0,   /* field[0] = running */
-  6,   /* field[6] = slowdown_percent */
   4,   /* field[4] = took_us */
 };
 static const ProtobufCIntRange wire__target_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wire__target_load__descriptor =
 {
@@ -4849,7 +4823,7 @@
   "Wire__TargetLoad",
   "wire",
   sizeof(Wire__TargetLoad),
-  10,
+  8,
   wire__target_load__field_descriptors,
   wire__target_load__field_indices_by_name,
   1,  wire__target_load__number_ranges,
--- a/protocol/wire.pb-c.h
+++ b/protocol/wire.pb-c.h
@@ -860,15 +860,6 @@
    * as latency_us, of requests of the same route
    */
   uint32_t kind_latency_us;
-  /*
-   * How long work takes on the target's VM at present, in percent of the usual
-   * time; 0: not stated.
-   */
-  uint32_t slowdown_percent;
-  /*
-   * requests from all nodes lately; 0: not stated
-   */
-  uint32_t arrivals_per_s;
   /*
    * time for which the target stays cold; 0: it is not
    */
@@ -881,7 +872,7 @@
 };
 #define WIRE__TARGET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__target_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
