--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -655,6 +655,8 @@
         record.add("cannot run: %s" % e)
     except asyncio.TimeoutError:
         record.add("cannot run: it took too long")
+    except Exception as e:  # a fault of the script breaks no rule
+        record.add("cannot run: %r" % e)
     finally:
         fleet.finish()
     record.add({HELD: "the rule held", BROKEN: "the rule was broken",
