--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -333,7 +333,9 @@
 	int refused = !r->send_started && r->error == ERR_REFUSED;
 
 	if (lost)
-		log_warn("target_lost", "error=%s", err_name(r->error));
+		log_warn("target_lost", "error=%s connect_errno=%d id=%s",
+			 err_name(r->error), r->connect_errno,
+			 LOG_Q(g->target->id));
 	if (r->error == ERR_OK)
 		end_answered_call(c);
 	else
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -380,6 +380,16 @@
 	r->reused_connection = !new_connections;
 }
 
+static void read_connect_errno(struct httpc_request *r, CURLcode code)
+{
+	long error = 0;
+
+	if (code != CURLE_COULDNT_CONNECT)
+		return;
+	curl_easy_getinfo(r->easy, CURLINFO_OS_ERRNO, &error);
+	r->connect_errno = (int)error;
+}
+
 static struct httpc_request *find_pending_data(struct httpc *c)
 {
 	struct httpc_request *r;
@@ -440,6 +450,7 @@
 		if (r->has_stray_bytes && restart(r))
 			continue;
 		read_status(r);
+		read_connect_errno(r, code);
 		r->error = curl_result_to_err(r, code);
 		httpc_conn_note_answer(r);
 		release_handle(r);
@@ -587,6 +598,7 @@
 	r->abort_error = ERR_OK;
 	r->send_started = 0;
 	r->reused_connection = 0;
+	r->connect_errno = 0;
 	r->status = 0;
 	r->fault = HTTPC_FAULT_NONE;
 	r->connection = NULL;
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -125,6 +125,11 @@
 	int send_started;
 	/* 1 if an earlier request may have used the connection. */
 	int reused_connection;
+	/*
+	 * errno with which the connection was not established; 0: it was, or
+	 * libcurl does not tell.
+	 */
+	int connect_errno;
 	int status;		   /* HTTP status, 0 if none was received */
 	enum httpc_fault fault;	   /* why bytes were not taken as one answer */
 	int64_t connection_age_ms; /* -1 if it is not known */
