httpc: only ECONNREFUSED counts as a refused connection

Cause: libcurl returns CURLE_COULDNT_CONNECT for each error of a socket that it finds when it first looks at a new connection, a reset among them, and for a socket that it cannot open. httpc called all of these ERR_REFUSED, the gate reported the target's process as ended, and the node gave away keys that the target still held.

Now the errno decides, by the function that links between daemons use too. A target whose process has ended still answers connections with ECONNREFUSED.

test_httpc early_reset and no_descriptor fail without the change (closed expected, refused found); refused keeps the other side. early_reset asserts ECONNRESET before anything was sent, so it cannot pass with a late reset.

--- a/common/err.c
+++ b/common/err.c
@@ -1,5 +1,6 @@
 #include "common/err.h"
 
+#include <errno.h>
 #include <stdarg.h>
 #include <stdio.h>
 
@@ -40,6 +41,15 @@
 	return names[code];
 }
 
+enum err err_from_socket(int error)
+{
+	if (error == ECONNREFUSED)
+		return ERR_REFUSED;
+	if (error == ETIMEDOUT)
+		return ERR_TIMEOUT;
+	return ERR_CLOSED;
+}
+
 enum err err_set(struct err_info *info, enum err code, const char *fmt, ...)
 {
 	va_list ap;
--- a/common/err.h
+++ b/common/err.h
@@ -48,6 +48,13 @@
  */
 const char *err_name(enum err code);
 
+/*
+ * Returns the code for the errno with which a TCP connection could not be
+ * opened or has ended. ERR_REFUSED stands for ECONNREFUSED alone: nothing
+ * listened at the address. A reset comes from a process that is up.
+ */
+enum err err_from_socket(int error);
+
 /* Fills info unless it is NULL; returns code, so that callers can return it. */
 enum err err_set(struct err_info *info, enum err code, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
--- a/test/unit/test_httpc.c
+++ b/test/unit/test_httpc.c
@@ -1,10 +1,12 @@
 #include "common/clk.h"
 #include "protocol/frame.h"
 #include "test/unit/fake.h"
-#include "transport/httpc.h"
+#include "transport/httpc_priv.h"
 
 #include <errno.h>
 #include <fcntl.h>
+#include <sys/resource.h>
+#include <uthash.h>
 
 /*
  * Tests the HTTP client against servers whose bytes have no end: they send a
@@ -331,6 +333,113 @@
 	ev_loop_destroy(loop);
 }
 
+/* ---- connections that are not established ---- */
+
+#define BURST 8
+
+/* Accepts a connection and resets it. */
+static void reset_next(int listener)
+{
+	struct linger l = { .l_onoff = 1, .l_linger = 0 };
+	int fd = accept(listener, NULL, NULL);
+
+	g_assert_cmpint(fd, >=, 0);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+	close(fd);
+}
+
+/* Runs the loop until libcurl has begun all connections, and no further. */
+static void begin_connections(struct ev_loop *loop, const struct httpc *c,
+			      unsigned count)
+{
+	while (HASH_COUNT(c->connections) < count)
+		ev_run(loop, EVRUN_ONCE);
+}
+
+/*
+ * Guards against a server that resets new connections because it is full, and
+ * that counts as one whose process has ended: its keys were given to others
+ * while it held them (review/6). libcurl reports a reset that it sees before
+ * it has looked at the connection as one that could not be established. Here
+ * the loop stands still between the opening of the connections and their reset,
+ * so that it is always seen so early.
+ */
+static void test_early_reset(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct httpc_request r[BURST];
+	unsigned done = 0, port;
+	int fd = fake_listen(&port);
+	struct httpc c;
+
+	httpc_init(&c, loop, 0);
+	for (int i = 0; i < BURST; i++)
+		start(&c, &r[i], port, &done);
+	begin_connections(loop, &c, BURST);
+	g_assert_cmpuint(done, ==, 0);
+	for (int i = 0; i < BURST; i++)
+		reset_next(fd);
+	fake_wait(loop, &done, BURST);
+	for (int i = 0; i < BURST; i++) {
+		g_assert_cmpint(r[i].connect_errno, ==, ECONNRESET);
+		g_assert_false(r[i].send_started);
+		g_assert_cmpint(r[i].error, ==, ERR_CLOSED);
+		httpc_request_finish(&r[i]);
+	}
+	httpc_finish(&c);
+	close(fd);
+	ev_loop_destroy(loop);
+}
+
+/* Guards against a server whose process has ended and that is not told so. */
+static void test_refused(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	unsigned done = 0, port;
+	int fd = fake_listen(&port);
+	struct httpc_request r;
+	struct httpc c;
+
+	close(fd);
+	httpc_init(&c, loop, 0);
+	start(&c, &r, port, &done);
+	fake_wait(loop, &done, 1);
+	g_assert_cmpint(r.connect_errno, ==, ECONNREFUSED);
+	g_assert_cmpint(r.error, ==, ERR_REFUSED);
+	httpc_request_finish(&r);
+	httpc_finish(&c);
+	ev_loop_destroy(loop);
+}
+
+/*
+ * Guards against a client without a free descriptor that takes this for a
+ * server that has ended.
+ */
+static void test_no_descriptor(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	unsigned done = 0, port;
+	int fd = fake_listen(&port);
+	struct rlimit limit, none;
+	struct httpc_request r;
+	struct httpc c;
+
+	httpc_init(&c, loop, 0);
+	getrlimit(RLIMIT_NOFILE, &limit);
+	start(&c, &r, port, &done);
+	none = limit;
+	none.rlim_cur = 3;
+	setrlimit(RLIMIT_NOFILE, &none);
+	fake_wait(loop, &done, 1);
+	setrlimit(RLIMIT_NOFILE, &limit);
+	g_assert_false(r.send_started);
+	g_assert_cmpint(r.error, ==, ERR_CLOSED);
+	httpc_request_finish(&r);
+	httpc_finish(&c);
+	close(fd);
+	ev_loop_destroy(loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -338,5 +447,8 @@
 	g_test_add_func("/httpc/endless", test_endless);
 	g_test_add_func("/httpc/fast_server", test_fast_server);
 	g_test_add_func("/httpc/many_bodies", test_many_bodies);
+	g_test_add_func("/httpc/early_reset", test_early_reset);
+	g_test_add_func("/httpc/refused", test_refused);
+	g_test_add_func("/httpc/no_descriptor", test_no_descriptor);
 	return g_test_run();
 }
--- a/transport/httpc.c
+++ b/transport/httpc.c
@@ -325,7 +325,7 @@
 	case CURLE_OK:
 		break;
 	case CURLE_COULDNT_CONNECT:
-		return ERR_REFUSED;
+		return err_from_socket(r->connect_errno);
 	case CURLE_OPERATION_TIMEDOUT:
 		return ERR_TIMEOUT;
 	case CURLE_PARTIAL_FILE:
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -109,7 +109,7 @@
 	/*
 	 * Result, valid in done(). error is ERR_OK if the whole answer was
 	 * received, else the error of before_send or one of:
-	 *  - ERR_REFUSED: the connection was not established;
+	 *  - ERR_REFUSED: nothing listened at the server's address;
 	 *  - ERR_TIMEOUT: timeout_ms or connect_timeout_ms has passed;
 	 *  - ERR_CLOSED: it failed otherwise before an answer came;
 	 *  - ERR_INCOMPLETE: the answer was cut off, or is unframed;
--- a/transport/tcp.c
+++ b/transport/tcp.c
@@ -65,15 +65,6 @@
 	c->ops->closed(c, why, c->priv);
 }
 
-static enum err errno_to_err(int error)
-{
-	if (error == ECONNREFUSED)
-		return ERR_REFUSED;
-	if (error == ETIMEDOUT)
-		return ERR_TIMEOUT;
-	return ERR_CLOSED;
-}
-
 /*
  * Passes the complete frames in the input buffer to the callback. The callback
  * may finish the connection; its buffers are then freed here, after the
@@ -129,7 +120,8 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		close_and_report(c, n == 0 ? ERR_CLOSED : errno_to_err(errno));
+		close_and_report(c,
+				 n == 0 ? ERR_CLOSED : err_from_socket(errno));
 		return;
 	}
 	c->in.len += (size_t)n;
@@ -164,7 +156,7 @@
 		if (n < 0 && errno == EAGAIN)
 			break;
 		if (n < 0) {
-			close_and_report(c, errno_to_err(errno));
+			close_and_report(c, err_from_socket(errno));
 			return 0;
 		}
 		consume_sent(c, (size_t)n);
@@ -181,7 +173,7 @@
 
 	getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &len);
 	if (error) {
-		close_and_report(c, errno_to_err(error));
+		close_and_report(c, err_from_socket(error));
 		return 0;
 	}
 	c->connecting = 0;
@@ -267,7 +259,7 @@
 	/* An immediate failure sets no SO_ERROR, so the timer reports it. */
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 &&
 	    errno != EINPROGRESS) {
-		c->dial_error = errno_to_err(errno);
+		c->dial_error = err_from_socket(errno);
 		ev_timer_set(&c->connect_timer, 0., 0.);
 		ev_timer_start(loop, &c->connect_timer);
 		return ERR_OK;
