gate: report a target that ends after it was slow

What callers saw: a target that left calls unanswered and then ended was not given up when its port refused connections. Its keys waited until its announcements counted as stopped and its hold had run out.

Cause: one flag, set by the first report of a slow target, held back all later reports until an answer came. The node keeps a slow target that announces itself, so the report that it has ended was dropped.

The gate now remembers how much it has reported, and reports more certain evidence.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -159,8 +159,7 @@
 		membership_report_released(n->membership, slot);
 }
 
-/* A refused connection shows that the target's process has ended. */
-static void on_target_lost(int refused, void *priv)
+static void on_target_lost(int ended, void *priv)
 {
 	struct node *n = priv;
 
@@ -170,14 +169,14 @@
 	 * not be served during both moves, and it would be slow again after
 	 * the second.
 	 */
-	if (!refused && node_target_is_announcing(n, clk_ms())) {
+	if (!ended && node_target_is_announcing(n, clk_ms())) {
 		log_warn("target_slow", "announced_ms=%lld",
 			 (long long)(clk_ms() - n->announced_ms));
 		return;
 	}
-	if (refused)
+	if (ended)
 		hold_clear(&n->hold);
-	node_remove_target(n, refused ? "connection_refused" : "silent");
+	node_remove_target(n, ended ? "connection_refused" : "silent");
 }
 
 static void on_target_leaving(int leaving, void *priv)
--- a/routing/gate.c
+++ b/routing/gate.c
@@ -306,7 +306,7 @@
 		health_init(&g->health, clk_ms());
 		adaptive_limit_init(&g->adaptive_limit, GATE_MIN_CONCURRENCY,
 				    concurrency);
-		g->lost_reported = 0;
+		g->loss_reported = LOSS_NONE;
 		g->unanswered_calls = 0;
 		g->target_leaving = 0;
 	} else {
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -32,12 +32,13 @@
 	/* A slot that is being released has no requests in flight any more. */
 	void (*released)(uint32_t slot, void *priv);
 	/*
-	 * The target refused a connection (refused is 1: its process has
-	 * ended), did not accept one in time, or leaves requests unanswered.
-	 * Does not run again until the target has answered or another one is
-	 * set. May call gate_set_target.
+	 * The target's process has ended (ended is 1), or the target accepts no
+	 * connection in time or leaves requests unanswered (0), and may have
+	 * ended. Until the target has answered or another one is set, runs once
+	 * at most with each value, and not with 0 after 1. May call
+	 * gate_set_target.
 	 */
-	void (*target_lost)(int refused, void *priv);
+	void (*target_lost)(int ended, void *priv);
 	/*
 	 * An answer of the target says that it is leaving (leaving is 1), or a
 	 * later one does not say so any more (0). May call
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -179,29 +179,37 @@
 		us);
 }
 
-/*
- * Updates the count of unanswered calls, and returns 1 if this call shows that
- * the target is lost: it did not accept the connection or left too many calls
- * unanswered.
- */
-static int detect_lost_target(const struct gate_call *c)
+/* What a call shows whose connection was not established. */
+static enum target_loss find_loss_unsent(const struct gate_call *c)
+{
+	if (c->http.error == ERR_REFUSED)
+		return LOSS_ENDED;
+	if (c->http.error == ERR_TIMEOUT && clk_ms() < c->deadline_ms)
+		return LOSS_SUSPECTED;
+	return LOSS_NONE;
+}
+
+/* Updates the count of unanswered calls, and returns what this call shows. */
+static enum target_loss find_loss(const struct gate_call *c)
 {
 	const struct httpc_request *r = &c->http;
 	struct gate *g = c->g;
 
+	if (!g->target)
+		return LOSS_NONE;
 	if (r->status) {
 		g->unanswered_calls = 0;
-		g->lost_reported = 0;
-		return 0;
+		g->loss_reported = LOSS_NONE;
+		return LOSS_NONE;
 	}
 	if (r->abort_error != ERR_OK)
-		return 0;
+		return LOSS_NONE;
 	if (!r->send_started)
-		return r->error == ERR_REFUSED ||
-		       (r->error == ERR_TIMEOUT && clk_ms() < c->deadline_ms);
+		return find_loss_unsent(c);
 	if (clk_ns() - c->sent_ns < GATE_UNANSWERED_MS * 1000000LL)
-		return 0;
-	return ++g->unanswered_calls >= GATE_UNANSWERED_CALLS;
+		return LOSS_NONE;
+	return ++g->unanswered_calls >= GATE_UNANSWERED_CALLS ? LOSS_SUSPECTED
+							      : LOSS_NONE;
 }
 
 /* Logs the end of a call unless it was answered with a status below 500. */
@@ -329,10 +337,9 @@
 {
 	struct gate_call *c = priv;
 	struct gate *g = c->g;
-	int lost = detect_lost_target(c) && !g->lost_reported && g->target;
-	int refused = !r->send_started && r->error == ERR_REFUSED;
+	enum target_loss loss = find_loss(c);
 
-	if (lost)
+	if (loss > g->loss_reported)
 		log_warn("target_lost", "error=%s connect_errno=%d id=%s",
 			 err_name(r->error), r->connect_errno,
 			 LOG_Q(g->target->id));
@@ -342,10 +349,10 @@
 		end_failed_call(c);
 	gate_report_target_leaving(g);
 	/* This comes last because the callback may remove the target. */
-	if (!lost || g->lost_reported)
+	if (loss <= g->loss_reported)
 		return;
-	g->lost_reported = 1;
-	g->ops->target_lost(refused, g->priv);
+	g->loss_reported = loss;
+	g->ops->target_lost(loss == LOSS_ENDED, g->priv);
 }
 
 static const struct httpc_ops call_ops = {
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -33,6 +33,13 @@
 
 enum call_state { CALL_QUEUED, CALL_IN_FLIGHT };
 
+/* What calls show of the target, by how certain its loss is. */
+enum target_loss {
+	LOSS_NONE,
+	LOSS_SUSPECTED, /* it accepts no connection or does not answer */
+	LOSS_ENDED	/* its process has ended */
+};
+
 /* An attempt that passed the first checks, until its reply. */
 struct gate_call {
 	struct gate *g;
@@ -69,6 +76,8 @@
 	struct httpc http_client;
 	Wire__Target *target;	   /* owned; NULL: none */
 	int64_t no_reuse_until_ms; /* until then one request per connection */
+	/* The most that ops->target_lost was told since the last answer. */
+	enum target_loss loss_reported;
 	/* Use the announced concurrency, not the adaptive limit. */
 	int fixed_concurrency;
 	int quiesced;		  /* refuse all new requests */
@@ -93,7 +102,6 @@
 	int leaving_named;	   /* they say that it is leaving */
 	int leaving_changed;	   /* ops->target_leaving is due */
 	int64_t leaving_named_ns;  /* when the latest answer said so */
-	int lost_reported;	   /* ops->target_lost has run */
 	unsigned unanswered_calls; /* calls in a row without a status line */
 	struct admission admission;
 	struct answer_line answer_line;
--- a/test/unit/test_dialect.c
+++ b/test/unit/test_dialect.c
@@ -19,7 +19,7 @@
 	struct fake_target target;
 	struct cnt cnt;
 	struct gate *gate;
-	unsigned refused; /* target_lost calls with a refused connection */
+	unsigned refused; /* target_lost calls with ended set */
 	unsigned silent;  /* other target_lost calls */
 };
 
@@ -29,11 +29,11 @@
 	(void)priv;
 }
 
-static void on_target_lost(int refused, void *priv)
+static void on_target_lost(int ended, void *priv)
 {
 	struct fixture *f = priv;
 
-	if (refused)
+	if (ended)
 		f->refused++;
 	else
 		f->silent++;
--- a/test/unit/test_gate.c
+++ b/test/unit/test_gate.c
@@ -25,11 +25,11 @@
 	f->released_slot = slot;
 }
 
-static void on_target_lost(int refused, void *priv)
+static void on_target_lost(int ended, void *priv)
 {
 	struct fixture *f = priv;
 
-	(void)refused;
+	(void)ended;
 	f->lost_count++;
 	gate_set_target(f->gate, NULL);
 }
--- a/test/unit/test_ingress.c
+++ b/test/unit/test_ingress.c
@@ -32,9 +32,9 @@
 	f->released++;
 }
 
-static void on_target_lost(int refused, void *priv)
+static void on_target_lost(int ended, void *priv)
 {
-	(void)refused;
+	(void)ended;
 	(void)priv;
 }
 
