gate: a call to an earlier run of the target says nothing of the next

A call begun on one run of a target may end after the next run has announced itself and was given keys. If its connection was refused, the node cleared the holds of the new run, and other targets got keys that it held.

Each call now remembers the run that it was begun for. The window is one turn of the event loop and was not seen with real processes; test_gate_loss refused_by_earlier_run brings it about, and fails without the comparison (1 report of an ended target, 0 expected).

--- a/routing/gate.c
+++ b/routing/gate.c
@@ -296,8 +296,12 @@
 		     strcmp(g->target->address, t->address) != 0;
 
 	if (is_new || g->target->born_ms != t->born_ms ||
-	    strcmp(g->target->id, t->id) != 0)
+	    strcmp(g->target->id, t->id) != 0) {
+		g->target_run++;
+		g->loss_reported = LOSS_NONE;
+		g->unanswered_calls = 0;
 		gate_reset_target_state(g);
+	}
 	if (g->target)
 		wire__target__free_unpacked(g->target, NULL);
 	g->target = wire_copy_target(t);
@@ -306,8 +310,6 @@
 		health_init(&g->health, clk_ms());
 		adaptive_limit_init(&g->adaptive_limit, GATE_MIN_CONCURRENCY,
 				    concurrency);
-		g->loss_reported = LOSS_NONE;
-		g->unanswered_calls = 0;
 		g->target_leaving = 0;
 	} else {
 		adaptive_limit_set_max(&g->adaptive_limit, concurrency);
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -195,7 +195,8 @@
 	const struct httpc_request *r = &c->http;
 	struct gate *g = c->g;
 
-	if (!g->target)
+	/* An earlier run may have ended; the next one holds its own keys. */
+	if (!g->target || c->target_run != g->target_run)
 		return LOSS_NONE;
 	if (r->status) {
 		g->unanswered_calls = 0;
@@ -437,6 +438,7 @@
 		goto out;
 	snprintf(url, url_size, "http://%s:%u%s", t->address, t->port,
 		 c->f->path);
+	c->target_run = c->g->target_run;
 	n = add_router_headers(headers, c, &values);
 	n += add_forwarded_headers(headers + n, c->g->dialect, c->f);
 	c->http = (struct httpc_request){
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -56,6 +56,7 @@
 
 	/* Set when the call is dispatched. */
 	struct httpc_request http;
+	uint64_t target_run; /* of the gate, then */
 	uint64_t fence;
 	int64_t not_after_ns;	    /* the target must not start it later */
 	int64_t sent_ns;	    /* 0: not sent to the target */
@@ -76,6 +77,7 @@
 	struct httpc http_client;
 	Wire__Target *target;	   /* owned; NULL: none */
 	int64_t no_reuse_until_ms; /* until then one request per connection */
+	uint64_t target_run; /* counts the runs of targets that were set */
 	/* The most that ops->target_lost was told since the last answer. */
 	enum target_loss loss_reported;
 	/* Use the announced concurrency, not the adaptive limit. */
--- a/test/unit/test_gate_loss.c
+++ b/test/unit/test_gate_loss.c
@@ -165,6 +165,28 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a call to one run of a target that ends after the next run has
+ * announced itself, and that costs the new run its keys while it holds them.
+ */
+static void test_refused_by_earlier_run(void)
+{
+	struct fake_reply r;
+	struct fixture f;
+
+	setup(&f);
+	fake_target_close(&f.target);
+	submit(&f, &r);
+	announce(&f, 2);
+	fake_wait(f.loop, &r.count, 1);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpuint(f.ended, ==, 0);
+	/* A call to the new run counts. */
+	submit_and_wait(&f, &r);
+	g_assert_cmpuint(f.ended, ==, 1);
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -172,5 +194,7 @@
 	g_test_add_func("/gate-loss/refused", test_refused);
 	g_test_add_func("/gate-loss/early_reset", test_early_reset);
 	g_test_add_func("/gate-loss/slow_then_ended", test_slow_then_ended);
+	g_test_add_func("/gate-loss/refused_by_earlier_run",
+			test_refused_by_earlier_run);
 	return g_test_run();
 }
