gate: an open connection shows that a target which refuses one is up

A target that closes its listening socket for 1 s and goes on otherwise lost its keys to others, which held them beside it for about 2 s.

Cause: ECONNREFUSED says that nothing listens, not that the process has ended. The system closes all connections of a process that ends, so the gate now takes a refusal for the end only if no connection of its own to the target is established; otherwise the target is suspected, and kept while it announces itself. Where the system does not tell a connection's state, refusals count as before. Suspicion is reported once a second at most, since answers on open connections end it each time. target_lost says what was concluded.

test_gate_loss refused_beside_connection fails without the look at connections (1 report of an ended target, 0 expected).

--- a/routing/gate.c
+++ b/routing/gate.c
@@ -299,6 +299,7 @@
 	    strcmp(g->target->id, t->id) != 0) {
 		g->target_run++;
 		g->loss_reported = LOSS_NONE;
+		g->suspect_again_ms = 0;
 		g->unanswered_calls = 0;
 		gate_reset_target_state(g);
 	}
--- a/routing/gate.h
+++ b/routing/gate.h
@@ -35,8 +35,8 @@
 	 * The target's process has ended (ended is 1), or the target accepts no
 	 * connection in time or leaves requests unanswered (0), and may have
 	 * ended. Until the target has answered or another one is set, runs once
-	 * at most with each value, and not with 0 after 1. May call
-	 * gate_set_target.
+	 * at most with each value, and not with 0 after 1; with 0 at most once
+	 * a second. May call gate_set_target.
 	 */
 	void (*target_lost)(int ended, void *priv);
 	/*
--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -27,6 +27,11 @@
  */
 #define GATE_UNANSWERED_CALLS 8
 #define GATE_UNANSWERED_MS 1000
+/*
+ * A target that answers some calls and fails others is suspected again no
+ * sooner than this, so that it does not cost a log line a call.
+ */
+#define GATE_SUSPECT_PERIOD_MS 1000
 
 /* Returns 1 if the key still has this slot; it may have been pinned since. */
 static int is_current_slot(const struct gate_call *c)
@@ -179,11 +184,20 @@
 		us);
 }
 
-/* What a call shows whose connection was not established. */
+/*
+ * What a call shows whose connection was not established. A refused connection
+ * shows only that nothing listens; a process that has ended has no other
+ * connection open either.
+ */
 static enum target_loss find_loss_unsent(const struct gate_call *c)
 {
+	const struct gate *g = c->g;
+
 	if (c->http.error == ERR_REFUSED)
-		return LOSS_ENDED;
+		return httpc_is_connected(&g->http_client, g->target->address,
+					  g->target->port)
+			       ? LOSS_SUSPECTED
+			       : LOSS_ENDED;
 	if (c->http.error == ERR_TIMEOUT && clk_ms() < c->deadline_ms)
 		return LOSS_SUSPECTED;
 	return LOSS_NONE;
@@ -334,23 +348,39 @@
 	gate_call_fail(c, OUTCOME_UNKNOWN, c->http.error);
 }
 
+/* Returns 1 if ops->target_lost is due, and logs why. */
+static int note_loss(const struct gate_call *c, enum target_loss loss)
+{
+	const struct httpc_request *r = &c->http;
+	struct gate *g = c->g;
+
+	if (loss <= g->loss_reported)
+		return 0;
+	if (loss == LOSS_SUSPECTED) {
+		if (clk_ms() < g->suspect_again_ms)
+			return 0;
+		g->suspect_again_ms = clk_ms() + GATE_SUSPECT_PERIOD_MS;
+	}
+	log_warn("target_lost", "ended=%d error=%s connect_errno=%d id=%s",
+		 loss == LOSS_ENDED, err_name(r->error), r->connect_errno,
+		 LOG_Q(g->target->id));
+	return 1;
+}
+
 static void on_request_done(struct httpc_request *r, void *priv)
 {
 	struct gate_call *c = priv;
 	struct gate *g = c->g;
 	enum target_loss loss = find_loss(c);
+	int lost = note_loss(c, loss);
 
-	if (loss > g->loss_reported)
-		log_warn("target_lost", "error=%s connect_errno=%d id=%s",
-			 err_name(r->error), r->connect_errno,
-			 LOG_Q(g->target->id));
 	if (r->error == ERR_OK)
 		end_answered_call(c);
 	else
 		end_failed_call(c);
 	gate_report_target_leaving(g);
 	/* This comes last because the callback may remove the target. */
-	if (loss <= g->loss_reported)
+	if (!lost || loss <= g->loss_reported)
 		return;
 	g->loss_reported = loss;
 	g->ops->target_lost(loss == LOSS_ENDED, g->priv);
--- a/routing/gate_priv.h
+++ b/routing/gate_priv.h
@@ -80,6 +80,7 @@
 	uint64_t target_run; /* counts the runs of targets that were set */
 	/* The most that ops->target_lost was told since the last answer. */
 	enum target_loss loss_reported;
+	int64_t suspect_again_ms; /* LOSS_SUSPECTED is not reported before */
 	/* Use the announced concurrency, not the adaptive limit. */
 	int fixed_concurrency;
 	int quiesced;		  /* refuse all new requests */
--- a/test/unit/test_gate_loss.c
+++ b/test/unit/test_gate_loss.c
@@ -187,6 +187,31 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a target that closes its listening socket for a while and goes
+ * on with the connections that it has: it holds its keys. Once these are closed
+ * too, it has ended.
+ */
+static void test_refused_beside_connection(void)
+{
+	struct fake_reply busy, r;
+	struct fixture f;
+
+	setup(&f);
+	f.target.mode = FAKE_SILENT;
+	submit(&f, &busy);
+	fake_wait(f.loop, &f.target.runs, 1);
+	fake_target_close(&f.target);
+	submit_and_wait(&f, &r);
+	g_assert_cmpint(r.outcome, ==, OUTCOME_NOT_RUN);
+	g_assert_cmpuint(f.ended, ==, 0);
+	g_assert_cmpuint(f.suspected, ==, 1);
+	close_connections(&f.target);
+	submit_and_wait(&f, &r);
+	g_assert_cmpuint(f.ended, ==, 1);
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -196,5 +221,7 @@
 	g_test_add_func("/gate-loss/slow_then_ended", test_slow_then_ended);
 	g_test_add_func("/gate-loss/refused_by_earlier_run",
 			test_refused_by_earlier_run);
+	g_test_add_func("/gate-loss/refused_beside_connection",
+			test_refused_beside_connection);
 	return g_test_run();
 }
--- a/transport/httpc.h
+++ b/transport/httpc.h
@@ -183,6 +183,13 @@
  */
 void httpc_copy_header(const struct httpc_request *r, const char *name,
 		       char *out, size_t size);
+/*
+ * Returns 1 if a connection to this IPv4 address is established and the server
+ * has not closed it: a process that has ended has none. 0 also where the system
+ * does not tell.
+ */
+int httpc_is_connected(const struct httpc *c, const char *address,
+		       unsigned port);
 /* Frees answer and answer_headers. Call it in or after done() or cancelling. */
 void httpc_request_finish(struct httpc_request *r);
 
--- a/transport/httpc_conn.c
+++ b/transport/httpc_conn.c
@@ -1,5 +1,6 @@
 #include "transport/httpc_priv.h"
 #include "common/clk.h"
+#include "transport/addr.h"
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
@@ -12,6 +13,7 @@
 #include <utlist.h>
 
 /* As in netinet/tcp.h, which does not go with linux/tcp.h. */
+#define TCP_STATE_ESTABLISHED 1
 #define TCP_STATE_CLOSE_WAIT 8
 
 size_t httpc_conn_count_pending(int fd)
@@ -113,6 +115,37 @@
 	return n->fd;
 }
 
+static int is_connected_to(int fd, const struct sockaddr_in *address)
+{
+	struct sockaddr_in peer = { .sin_family = AF_UNSPEC };
+	struct tcp_info info = { .tcpi_state = 0 };
+	socklen_t peer_len = sizeof(peer);
+	socklen_t info_len = sizeof(info);
+
+	return getpeername(fd, (struct sockaddr *)&peer, &peer_len) == 0 &&
+	       peer.sin_family == AF_INET &&
+	       peer.sin_addr.s_addr == address->sin_addr.s_addr &&
+	       peer.sin_port == address->sin_port &&
+	       getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &info_len) == 0 &&
+	       info.tcpi_state == TCP_STATE_ESTABLISHED;
+}
+
+int httpc_is_connected(const struct httpc *c, const char *address,
+		       unsigned port)
+{
+	const struct httpc_connection *n, *next;
+	struct sockaddr_in sa;
+
+	if (addr_parse(&sa, address, port) != ERR_OK)
+		return 0;
+	/* The table may have a socket that libcurl has closed by itself. */
+	HASH_ITER(hh, c->connections, n, next) {
+		if (is_connected_to(n->fd, &sa))
+			return 1;
+	}
+	return 0;
+}
+
 int httpc_conn_close(void *priv, curl_socket_t fd)
 {
 	struct httpc *c = priv;
