gate: count connections to the target that were not established

Resets of new connections are no failures of calls that were sent, and since they no longer count as the end of the target, no log line or metric showed them. gate_connect_failures counts them by errno; test_gate_loss early_reset expects its 8 resets there.

--- a/routing/gate_call.c
+++ b/routing/gate_call.c
@@ -323,11 +323,21 @@
 	cnt_add(g->cnt, "gate_target_failures", labels, 1);
 }
 
+static void count_connect_failure(struct gate *g, int error)
+{
+	char labels[LABEL_BYTES];
+
+	snprintf(labels, sizeof(labels), "errno=\"%d\"", error);
+	cnt_add(g->cnt, "gate_connect_failures", labels, 1);
+}
+
 static void end_failed_call(struct gate_call *c)
 {
 	Wire__ForwardReply reply = WIRE__FORWARD_REPLY__INIT;
 
 	if (!c->http.send_started) {
+		if (c->http.connect_errno)
+			count_connect_failure(c->g, c->http.connect_errno);
 		gate_call_fail(c, OUTCOME_NOT_RUN, get_unsent_error(c));
 		return;
 	}
--- a/test/unit/test_gate_loss.c
+++ b/test/unit/test_gate_loss.c
@@ -137,6 +137,9 @@
 	}
 	g_assert_cmpuint(f.ended, ==, 0);
 	g_assert_cmpuint(f.suspected, ==, 0);
+	g_assert_cmpint(
+		cnt_get(&f.cnt, "gate_connect_failures", "errno=\"104\""), ==,
+		CALLS);
 	teardown(&f);
 }
 
