load: callers go to another daemon after each connection that is not established

ERR_REFUSED stood for all errors of connect until httpc told them apart, so a connection that a stopping daemon reset out of its backlog sent the caller to another daemon. It does so still.

--- a/standins/load.c
+++ b/standins/load.c
@@ -190,19 +190,20 @@
 static int send_call(struct call *c);
 
 /*
- * A caller whose connection is refused tries another daemon. This does not
- * repeat the request, which was never sent.
+ * A caller whose connection is not established (refused, or reset out of the
+ * backlog of a daemon that stops) tries another daemon. This does not repeat the
+ * request, which was never sent.
  */
 static void on_done(struct httpc_request *q, void *priv)
 {
 	struct call *c = priv;
 	struct load *l = c->load;
-	int refused = q->error == ERR_REFUSED && !q->send_started;
+	int unconnected = q->connect_errno && !q->send_started;
 
-	if (refused)
+	if (unconnected)
 		l->avoid_until_ms[c->destination] =
 			clk_ms() + REFUSED_BACKOFF_MS;
-	if (!refused || l->opt.direct ||
+	if (!unconnected || l->opt.direct ||
 	    ++c->connect_tries == MAX_CONNECT_TRIES) {
 		finish_call(c);
 		return;
