--- a/standins/load.c
+++ b/standins/load.c
@@ -191,8 +191,8 @@
 
 /*
  * A caller whose connection is not established (refused, or reset out of the
- * backlog of a daemon that stops) tries another daemon. This does not repeat the
- * request, which was never sent.
+ * backlog of a daemon that stops) tries another daemon. This does not repeat
+ * the request, which was never sent.
  */
 static void on_done(struct httpc_request *q, void *priv)
 {
