--- a/routing/gate.h
+++ b/routing/gate.h
@@ -32,11 +32,12 @@
 	/* A slot that is being released has no requests in flight any more. */
 	void (*released)(uint32_t slot, void *priv);
 	/*
-	 * The target's process has ended (ended is 1), or the target accepts no
-	 * connection in time or leaves requests unanswered (0), and may have
-	 * ended. Until the target has answered or another one is set, runs once
-	 * at most with each value, and not with 0 after 1; with 0 at most once
-	 * a second. May call gate_set_target.
+	 * The target's process has ended (ended is 1): it refuses connections
+	 * and has none open. Or it may have ended (0): it accepts no new
+	 * connection, or leaves requests unanswered. Until the target has
+	 * answered or another one is set, runs once at most with each value,
+	 * and not with 0 after 1; with 0 at most once a second. May call
+	 * gate_set_target.
 	 */
 	void (*target_lost)(int ended, void *priv);
 	/*
