--- a/test/run/odd-announcements.sh
+++ b/test/run/odd-announcements.sh
@@ -48,7 +48,10 @@
 announce "start in the far future" i-2 \
 	"$(fields $own desk 9223372036854775807)"
 announce "start in two days" i-2 "$(fields $own desk $((now + 172800000)))"
+# One that is taken for the next run would clear what the present one holds.
 announce "an earlier run" i-2 "$(fields $own desk $((now - 86400000)))"
+echo "runs taken for new ones: $(cat "$WORK"/n*.log |
+	grep -c 'event=target_restarted')"
 
 # What follows a body that was cut may be the rest of the next call.
 printf '{"bornPOST /api/instances/i-2/heartbeat' |
