--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of cases 11 to 15 start. target/mpind
+# Builds the stand-ins that the scripts of scripts start. target/mpind
 # comes from the deploy file's own build. The upstreams and consumers are Python
 # scripts in review/kit-3 and need no build.
 set -eu
