--- a/review/kit-3/fleet.py
+++ b/review/kit-3/fleet.py
@@ -259,11 +259,6 @@
         urllib.request.urlopen(url, text.encode(), timeout=5).read()
         self.note("config", "%08x" % version)
 
-    def control_store(self, path):
-        urllib.request.urlopen(urllib.request.Request(
-            "http://127.0.0.1:%d/control/%s" % (self.kv, path),
-            method="POST"), timeout=5).read()
-
     # ---- consumers ----
     def is_ready(self, name):
         try:
@@ -306,15 +301,6 @@
             self.note("failed", rid, type(e).__name__)
             return 0
 
-    def spray(self, names, path, keys, stop, gap=0.02):
-        """Requests for the keys, one after the other, until stop is set."""
-        i = 0
-        while not stop.is_set():
-            self.request(names[i % len(names)], path, keys[i % len(keys)],
-                         deadline=1000)
-            i += 1
-            time.sleep(gap)
-
     # ---- what upstreams saw ----
     def upstream_lines(self):
         """(time, instance, words) of all upstreams, in order of time."""
@@ -330,54 +316,6 @@
         return sorted(lines, key=lambda x: x[0])
 
 
-def held_spans(lines):
-    """Spans (instance, first, last, fence, from, to) in which keys were held."""
-    spans, current = [], {}
-    for t, who, w in lines:
-        if w[0] != "holds":
-            continue
-        end = float(w[1])
-        rows = set()
-        for r in w[2:]:
-            span, fence = r.split("/")
-            a, b = span.split("-")
-            rows.add((int(a), int(b), int(fence)))
-        old = current.setdefault(who, {})
-        for row in list(old):
-            begin, until = old[row]
-            if row not in rows or t > until:
-                spans.append((who, *row, begin, min(t, until)))
-                del old[row]
-        for row in rows:
-            begin = old[row][0] if row in old else t
-            old[row] = (begin, end)
-    for who, rows in current.items():
-        for row, (begin, until) in rows.items():
-            spans.append((who, *row, begin, until))
-    return spans
-
-
-def held_twice(lines, ended=()):
-    """OWNER: [(ms, key range, who, who, from, to)], the longest first. ended:
-    {instance: time at which it was killed}."""
-    ended = dict(ended)
-    spans = [s for s in held_spans(lines)]
-    spans = [s[:5] + (min(s[5], ended.get(s[0], s[5])),) for s in spans]
-    found = []
-    spans.sort(key=lambda s: s[4])
-    for i, x in enumerate(spans):
-        for y in spans[i + 1:]:
-            if y[4] >= x[5]:
-                break
-            if x[0] == y[0] or x[1] > y[2] or y[1] > x[2]:
-                continue
-            begin, end = max(x[4], y[4]), min(x[5], y[5])
-            if end > begin:
-                found.append((end - begin, (max(x[1], y[1]), min(x[2], y[2])),
-                              x[0], y[0], begin, end))
-    return sorted(found, reverse=True)
-
-
 def run_case(folder, case):
     """Runs case(record_path, trouble) -> (broken, lines) as run.sh promises."""
     record = os.path.join(folder, "record.txt")
--- a/review/kit-3/upstream.py
+++ b/review/kit-3/upstream.py
@@ -11,7 +11,6 @@
 import argparse
 import asyncio
 import json
-import random
 import signal
 import sys
 import time
@@ -40,7 +39,6 @@
         self.released = []
         self.working = {}       # request id -> key
         self.draining = False
-        self.endless_until = 0  # before it, some answers do not end
 
     # ---- keys ----
     def holds_key(self, key):
@@ -169,16 +167,6 @@
         await asyncio.sleep(self.o.work / 1000)
         self.working.pop(rid, None)
         say("done", rid)
-        if now_ms() < self.endless_until and random.random() < self.o.endless:
-            say("endless", rid)
-            writer.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                          "X-Server-Seal: %s.%s\r\n"
-                          "Transfer-Encoding: chunked\r\n\r\n"
-                          % (rid, self.o.id, rid)).encode())
-            piece = b"1\r\nx\r\n" * 10000
-            while True:
-                writer.write(piece)
-                await writer.drain()
         answer(200, "X-Server-Seal: %s.%s\r\n" % (self.o.id, rid),
                b"answer to %s\n" % rid.encode())
         await writer.drain()
@@ -196,19 +184,13 @@
     p.add_argument("--slots", type=int, default=18)
     p.add_argument("--heartbeat", type=float, default=870)
     p.add_argument("--work", type=float, default=20)
-    p.add_argument("--endless", type=float, default=0, metavar="SHARE",
-                   help="of the answers, for 6 s from SIGUSR2 on")
     u = Upstream(p.parse_args())
     loop = asyncio.get_running_loop()
 
     def drain():
         u.draining = True
 
-    def begin_endless():
-        u.endless_until = now_ms() + 6000
-        say("endless_from_now")
     loop.add_signal_handler(signal.SIGUSR1, drain)
-    loop.add_signal_handler(signal.SIGUSR2, begin_endless)
     loop.add_signal_handler(signal.SIGTERM, sys.exit)
     server = await asyncio.start_server(u.serve, "127.0.0.1", u.o.port)
     async with server:
