own: move the majorities to a file of their own

ownership/coord.c has over 600 lines, and the next changes are about what a majority of a roster shows. Moved without a change of code, but for the names.

--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -1,5 +1,6 @@
 #include "ownership/own.h"
 #include "common/guard.h"
+#include "ownership/majority.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -185,100 +186,17 @@
 	p->promised = 1;
 }
 
-/* Returns 1 if more than half of the roster recorded the prepared hold. */
-static int recorded_by_majority(const struct own_coord *c)
-{
-	unsigned total = HASH_COUNT(c->peers);
-	unsigned recorded = 0;
-	struct own_peer *p, *tmp;
-
-	/*
-	 * Entries whose addition or removal is being written may or may not be
-	 * in the roster that a successor reads, so they count in the total but
-	 * never as recorded.
-	 */
-	HASH_ITER(hh, c->peers, p, tmp) {
-		if (p->recorded && !p->adding && !p->leaving)
-			recorded++;
-	}
-	return recorded * 2 > total || !guard_on(GUARD_HOLD_MAJORITY);
-}
-
-/*
- * Returns 1 if no hold of an earlier term can be in force except on marked
- * nodes: a commit takes a majority of records, and more than half of the roster
- * had none.
- */
-static int unrecorded_by_majority(const struct own_coord *c)
-{
-	unsigned total = 0;
-	unsigned unrecorded = 0;
-	struct own_peer *p, *tmp;
-
-	HASH_ITER(hh, c->peers, p, tmp) {
-		if (!p->inherited)
-			continue;
-		total++;
-		unrecorded += p->unrecorded != 0;
-	}
-	return unrecorded * 2 > total || total == 0;
-}
-
-/*
- * Returns 1 if no earlier coordinator can renew a bounded hold any more. A
- * renewal takes a majority of that coordinator's own roster, and two majorities
- * of one roster share a node, so the nodes that may still follow an earlier
- * term must be no majority. Marked nodes may be in a hold whose majority was
- * counted over an older, smaller roster; the nodes left must be no majority of
- * that one either.
- */
-static int promised_by_majority(const struct own_coord *c)
-{
-	uint32_t size = c->inherited_count;
-	uint32_t left = 0;
-	struct own_peer *p, *tmp;
-
-	HASH_ITER(hh, c->peers, p, tmp) {
-		if (!p->inherited || p->promised)
-			continue;
-		left++;
-		if (p->maybe_held && p->maybe_held < size)
-			size = p->maybe_held;
-	}
-	return left == 0 || left * 2 <= size;
-}
-
-/*
- * Returns 1 if more than half of the roster recently acted on a reply, which a
- * bounded hold requires: a member that acted on a reply of this coordinator
- * followed no later coordinator when the reply was sent.
- */
-static int has_quorum(const struct own_coord *c, int64_t now_ms)
-{
-	unsigned total = HASH_COUNT(c->peers);
-	unsigned acted = 0;
-	struct own_peer *p, *tmp;
-
-	HASH_ITER(hh, c->peers, p, tmp) {
-		if (p->acted_ms &&
-		    now_ms < p->acted_ms + c->times.hold_quorum_ms &&
-		    !p->adding && !p->leaving)
-			acted++;
-	}
-	return acted * 2 > total;
-}
-
 /* Returns 1 if the hold may be given or renewed. */
 static int may_commit(const struct own_coord *c, int64_t now_ms)
 {
 	return !c->times.hold_max_ms || !guard_on(GUARD_HOLD_QUORUM) ||
-	       has_quorum(c, now_ms);
+	       majority_acted(c, now_ms);
 }
 
 int own_coord_is_in_office(const struct own_coord *c, int64_t now_ms)
 {
 	return own_coord_has_authority(c, now_ms) ||
-	       (c->phase == OWN_HOLDING && has_quorum(c, now_ms));
+	       (c->phase == OWN_HOLDING && majority_acted(c, now_ms));
 }
 
 /* Returns 1 if the peer is in no hold of this term or an earlier one. */
@@ -319,7 +237,7 @@
 	    now_ms > c->promised_ms + with_drift(c->times.hold_quorum_ms +
 						 c->times.hold_max_ms))
 		return 1;
-	if (c->roster_confirmed && unrecorded_by_majority(c))
+	if (c->roster_confirmed && majority_unrecorded(c))
 		return 1;
 	/* A node that joined after the copy may be in a hold, too. */
 	if (c->saw_earlier_hold && !c->roster_confirmed)
@@ -557,7 +475,7 @@
 	switch (c->phase) {
 	case OWN_RESOLVING:
 		if (c->recovering ? !silent_holds_ended(c, now_ms)
-				  : !unrecorded_by_majority(c))
+				  : !majority_unrecorded(c))
 			return 0;
 		c->phase = OWN_NORMAL;
 		return 1;
@@ -573,7 +491,7 @@
 		/* No commit was sent, so no member is in the hold. */
 		if (confirmed)
 			c->phase = OWN_NORMAL;
-		else if (recorded_by_majority(c))
+		else if (majority_recorded(c))
 			c->phase = OWN_HOLDING;
 		else
 			return 0;
@@ -594,7 +512,7 @@
 	if (now_ms - c->last_tick_ms > OWN_PAUSE_MS)
 		c->lost_after_ms = now_ms + OWN_PAUSE_MS;
 	c->last_tick_ms = now_ms;
-	if (!c->promised_ms && promised_by_majority(c))
+	if (!c->promised_ms && majority_promised(c))
 		c->promised_ms = now_ms;
 	return tick_phase(c, now_ms);
 }
@@ -609,31 +527,19 @@
 	return c->phase != OWN_RESOLVING || !guard_on(GUARD_ROSTER_GROWTH);
 }
 
-/* Returns 1 if all nodes of the roster read at take-over sent an ask. */
-static int all_inherited_heard(const struct own_coord *c)
-{
-	struct own_peer *p, *tmp;
-
-	HASH_ITER(hh, c->peers, p, tmp) {
-		if (p->inherited && !p->heard)
-			return 0;
-	}
-	return 1;
-}
-
 int own_coord_needs_marks(const struct own_coord *c, int64_t now_ms)
 {
 	if (c->phase == OWN_RELEASING)
 		return 1;
 	if (c->recovering)
 		return 0;
-	if (c->phase != OWN_RESOLVING || unrecorded_by_majority(c))
+	if (c->phase != OWN_RESOLVING || majority_unrecorded(c))
 		return 0;
 	/*
 	 * Silent nodes may be in an earlier hold and have to be marked. Nodes
 	 * have until the grants of the predecessor end to send an ask.
 	 */
-	return all_inherited_heard(c) ||
+	return majority_all_heard(c) ||
 	       now_ms > c->takeover_ms + with_drift(c->times.authority_ms);
 }
 
