coord: log what is known of the roster when the phase of the holds changes

ownership_phase tells how many nodes of the roster taken over stated that they had recorded no hold, have a new process, or are silent, and node_lost whether the node might have been in a hold.

--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -209,6 +209,7 @@
 
 	HASH_ITER(hh, c->members, m, tmp) {
 		struct own_peer *p = own_coord_find(&c->own, m->id);
+		int may_hold;
 
 		if (!p || m->lost || m->join != CO_JOIN_DONE)
 			continue;
@@ -216,12 +217,14 @@
 			continue;
 		m->lost = 1;
 		m->last_heard_ms = p->heard_ms ? p->heard_ms : c->elected_ms;
+		may_hold = p->maybe_held || p->commit_sent;
 		own_peer_set_lost(p);
 		c->placement_due = 1;
 		cnt_add(c->config.cnt, "nodes_lost", "", 1);
-		log_warn("node_lost", "name=%s id=%u silent_ms=%lld",
+		log_warn("node_lost",
+			 "name=%s id=%u silent_ms=%lld maybe_held=%d",
 			 LOG_Q(m->info->name), m->id,
-			 (long long)(now_ms - m->last_heard_ms));
+			 (long long)(now_ms - m->last_heard_ms), may_hold);
 	}
 }
 
@@ -340,12 +343,24 @@
 	}
 }
 
+void co_log_phase(const struct coord *c, int64_t now_ms)
+{
+	struct own_roster_counts n;
+
+	own_coord_count_roster(&c->own, &n);
+	log_info("ownership_phase",
+		 "phase=%d term=%llu age_ms=%lld inherited=%u unrecorded=%u "
+		 "replaced=%u silent=%u maybe_held=%u",
+		 (int)c->own.phase, (unsigned long long)c->own.term,
+		 (long long)(now_ms - c->own.takeover_ms), n.nodes,
+		 n.unrecorded, n.replaced, n.silent, n.maybe_held);
+}
+
 void co_member_tick(struct coord *c, int64_t now_ms)
 {
 	co_conns_reap(c);
 	if (own_coord_tick(&c->own, now_ms)) {
-		log_info("ownership_phase", "phase=%d term=%llu",
-			 (int)c->own.phase, (unsigned long long)c->own.term);
+		co_log_phase(c, now_ms);
 		request_asks(c);
 	}
 	if (own_coord_needs_marks(&c->own, now_ms) && !c->queue.marks_due &&
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -102,6 +102,7 @@
 	 * so it follows no earlier term.
 	 */
 	p->promised = known;
+	p->replaced = known;
 	p->grant_end_ms = 0;
 	p->recorded = 0;
 	p->commit_sent = 0;
--- a/ownership/majority.c
+++ b/ownership/majority.c
@@ -1,6 +1,8 @@
 #include "ownership/majority.h"
 #include "common/guard.h"
 
+#include <string.h>
+
 int majority_recorded(const struct own_coord *c)
 {
 	unsigned total = HASH_COUNT(c->peers);
@@ -75,3 +77,20 @@
 	}
 	return 1;
 }
+
+void own_coord_count_roster(const struct own_coord *c,
+			    struct own_roster_counts *n)
+{
+	struct own_peer *p, *tmp;
+
+	memset(n, 0, sizeof(*n));
+	HASH_ITER(hh, c->peers, p, tmp) {
+		if (!p->inherited)
+			continue;
+		n->nodes++;
+		n->unrecorded += p->unrecorded != 0;
+		n->replaced += p->replaced != 0;
+		n->silent += !p->promised;
+		n->maybe_held += p->maybe_held || p->commit_sent;
+	}
+}
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -226,6 +226,7 @@
 	int64_t grant_end_ms; /* no grant reaches past this, drift included */
 	uint64_t floor_rev;   /* lowest map revision that it may serve by */
 	int inherited;	      /* in the roster as read at take-over */
+	int replaced;	      /* that roster's process has ended, by a join */
 	int heard;	      /* has sent an ask in this term */
 	int unrecorded;	      /* its first ask in this term had no record */
 	int recorded;	      /* has recorded the hold that is being prepared */
@@ -335,6 +336,18 @@
  * confirmed that the coordinator record is still this coordinator's.
  */
 void own_coord_extend_authority(struct own_coord *c, int64_t asked_ms);
+/* What is known of the nodes of the roster as read at take-over. */
+struct own_roster_counts {
+	uint32_t nodes;
+	uint32_t unrecorded; /* stated that they had recorded no hold */
+	uint32_t replaced;   /* a new process has joined */
+	uint32_t silent;     /* may follow an earlier term */
+	uint32_t maybe_held; /* may be in a hold */
+};
+
+/* Fills in the counts, for the log. */
+void own_coord_count_roster(const struct own_coord *c,
+			    struct own_roster_counts *n);
 /* Returns 1 if the coordinator may give grants at now_ms. */
 int own_coord_has_authority(const struct own_coord *c, int64_t now_ms);
 
