--- a/Makefile
+++ b/Makefile
@@ -130,6 +130,7 @@
 # Links mpinctl without its main, to test it in one process with a store.
 $(B)/test/test_ctl: $(patsubst %.c,$(B)/%.o,$(filter-out ctl/main.c, \
 	$(wildcard ctl/*.c)))
+$(B)/test/test_explore: $(B)/test/unit/explore_world.o
 $(B)/bench/%: $(B)/bench/%.o $(BENCH_COMMON:%.c=$(B)/%.o) $(LIB)
 	$(LINK)
 
