own: a process that replaced one of the roster states nothing about holds

Cause: a successor takes silent nodes for lost if more than half of the roster had recorded no hold. It counted the first ask of the term from each node, also from a process that had joined since. Such a process knows of no record; its predecessor, whose record it was, had ended. docs/design.md said that a new incarnation adds nothing to this majority, and no test held the code to it.

What the predecessor itself stated in this term before it ended still counts: it had refused the earlier term by then.

test_successor holds the orders.

--- a/common/guard.c
+++ b/common/guard.c
@@ -30,6 +30,7 @@
 	[GUARD_GRACE] = "grace",
 	[GUARD_RENEW] = "renew",
 	[GUARD_PERSIST] = "persist",
+	[GUARD_HOLD_RESTART] = "hold_restart",
 	[GUARD_HOLD_FREE] = "hold_free",
 };
 
--- a/common/guard.h
+++ b/common/guard.h
@@ -59,6 +59,11 @@
 	GUARD_RENEW,
 	/* Coordinator: writes a change to the store before it acts on it. */
 	GUARD_PERSIST,
+	/*
+	 * Coordinator: does not count a process that replaced one of the roster
+	 * as stating that no hold was recorded.
+	 */
+	GUARD_HOLD_RESTART,
 	/* Member: releases a slot only when its target holds no key of it. */
 	GUARD_HOLD_FREE,
 	GUARD_COUNT
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -97,9 +97,10 @@
 	p->floor_rev = floor_rev;
 	/*
 	 * inherited and unrecorded are not reset: the majority of an earlier
-	 * term is counted over the roster of that term, and what the replaced
-	 * incarnation recorded is no longer known. That incarnation has ended,
-	 * so it follows no earlier term.
+	 * term is counted over the roster of that term, and the replaced
+	 * incarnation's statement about its record stands. If it made none, its
+	 * record is unknown for good, and the new one states nothing about it.
+	 * It has ended, so it follows no earlier term.
 	 */
 	p->promised = known;
 	p->replaced = known;
@@ -398,7 +399,9 @@
 	p->promised = 1;
 	if (!p->heard) {
 		p->heard = 1;
-		p->unrecorded = ask->hold_term == 0;
+		/* A new process does not know what the earlier one recorded. */
+		p->unrecorded = ask->hold_term == 0 &&
+				(!p->replaced || !guard_on(GUARD_HOLD_RESTART));
 	}
 	if (ask->hold_term && ask->hold_term < c->term) {
 		c->saw_earlier_hold = 1;
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -228,9 +228,13 @@
 	int inherited;	      /* in the roster as read at take-over */
 	int replaced;	      /* that roster's process has ended, by a join */
 	int heard;	      /* has sent an ask in this term */
-	int unrecorded;	      /* its first ask in this term had no record */
-	int recorded;	      /* has recorded the hold that is being prepared */
-	int commit_sent;      /* may be in the hold of this term */
+	/*
+	 * The process of the roster stated in its first ask of this term that
+	 * it had recorded no hold.
+	 */
+	int unrecorded;
+	int recorded;	 /* has recorded the hold that is being prepared */
+	int commit_sent; /* may be in the hold of this term */
 	/*
 	 * Not 0 if the node may be in a hold: the size of the smallest roster
 	 * that a majority for the hold may have been counted over.
--- a/test/unit/explore_world.c
+++ b/test/unit/explore_world.c
@@ -89,6 +89,28 @@
 	push_map(w, w->record_coord);
 }
 
+/* Every write of the roster carries the marks of all its nodes. */
+static void put_marks(struct world *w, const struct own_coord *o)
+{
+	for (int i = 0; i < NODES; i++) {
+		const struct own_peer *p = own_coord_find(o, (uint32_t)i + 1);
+
+		if (p && w->roster[i].present)
+			w->roster[i].maybe_held = own_coord_hold_mark(o, p);
+	}
+}
+
+static void write_marks(struct world *w, int k)
+{
+	struct own_coord *o = &w->coords[k].own;
+
+	if (!may_write_store(w, k))
+		return;
+	put_marks(w, o);
+	own_coord_finish_marks(o);
+	w->mark_writes++;
+}
+
 /* Lets a node join. The roster is written at once or not at all. */
 static void step_join(struct world *w, int i, int k)
 {
@@ -107,7 +129,7 @@
 			    c->map_rev);
 	w->roster[i].present = 1;
 	w->roster[i].incarnation = n->own.incarnation;
-	w->roster[i].maybe_held = 0;
+	put_marks(w, &c->own);
 	own_coord_finish_add(&c->own, (uint32_t)i + 1,
 			     clock_of(w, c->rate_ppm));
 	own_member_complete_join(&n->own, (uint32_t)i + 1, now_ms);
@@ -126,22 +148,6 @@
 	n->owner = -1;
 }
 
-static void write_marks(struct world *w, int k)
-{
-	struct own_coord *o = &w->coords[k].own;
-
-	if (!may_write_store(w, k))
-		return;
-	for (int i = 0; i < NODES; i++) {
-		const struct own_peer *p = own_coord_find(o, (uint32_t)i + 1);
-
-		if (p && w->roster[i].present)
-			w->roster[i].maybe_held = own_coord_hold_mark(o, p);
-	}
-	own_coord_finish_marks(o);
-	w->mark_writes++;
-}
-
 /* Gives the slot to a random peer if its owner is lost or it has none. */
 static void move_if_lost(struct world *w, int k)
 {
@@ -393,6 +399,59 @@
 	return count;
 }
 
+/* Lets each node that runs follow the coordinator of the record, or join it. */
+static void step_follow(struct world *w)
+{
+	int k = w->record_coord;
+
+	for (int i = 0; i < NODES; i++) {
+		struct node *n = &w->nodes[i];
+
+		if (!n->alive || n->paused || w->coords[k].paused)
+			continue;
+		if (n->own.node_id &&
+		    own_member_observe_term(&n->own, w->coords[k].own.term,
+					    clock_of(w, n->rate_ppm)))
+			n->follows = k;
+		step_join(w, i, k);
+	}
+}
+
+static int in_random_subset(struct world *w)
+{
+	return pick(w, 2);
+}
+
+void world_step_group(struct world *w)
+{
+	switch (pick(w, 20)) {
+	case 0:
+		w->store_up = !w->store_up;
+		break;
+	case 1:
+		for (int i = 0; i < NODES; i++)
+			w->nodes[i].paused = pick(w, 4) == 0;
+		break;
+	case 2:
+		/* A kill ends the coordinators on these machines as well. */
+		for (int i = 0; i < NODES; i++) {
+			if (!w->nodes[i].paused && in_random_subset(w))
+				step_restart(w, i);
+		}
+		for (int k = 0; k < w->coord_count; k++)
+			w->coords[k].paused |= in_random_subset(w);
+		break;
+	case 3:
+		step_elect(w);
+		step_follow(w);
+		break;
+	default:
+		step_follow(w);
+		step_without_faults(w);
+		break;
+	}
+}
+
 void world_init(struct world *w, guint32 seed)
 {
 	memset(w, 0, sizeof(*w));
--- a/test/unit/explore_world.h
+++ b/test/unit/explore_world.h
@@ -89,6 +89,11 @@
 void world_finish(struct world *w);
 /* Takes one random step: a message, a fault, a decision, or time passes. */
 void world_step(struct world *w);
+/*
+ * Takes one step as a disruption makes it: the store fails, nodes are cut off
+ * or restart together, all follow a new coordinator, or nothing fails.
+ */
+void world_step_group(struct world *w);
 /* Returns the number of nodes that may serve the slot. */
 int world_count_serving(const struct world *w);
 /* Returns 1 if a node is in a hold. */
--- a/test/unit/test_explore.c
+++ b/test/unit/test_explore.c
@@ -16,6 +16,19 @@
 
 #define STEPS 200
 #define SCHEDULES 60000
+#define GROUP_STEPS 100
+#define GROUP_SCHEDULES 60000
+
+/* A kind of schedule. */
+struct plan {
+	void (*step)(struct world *w);
+	int steps;
+	int schedules;
+};
+
+static const struct plan single_steps = { world_step, STEPS, SCHEDULES };
+static const struct plan group_steps = { world_step_group, GROUP_STEPS,
+					 GROUP_SCHEDULES };
 
 struct totals {
 	unsigned long steps;
@@ -27,17 +40,17 @@
 };
 
 /* Returns the first seed with a violation, or -1. */
-static int explore(int first, int count, struct totals *t)
+static int explore(const struct plan *plan, int count, struct totals *t)
 {
-	for (int seed = first; seed < first + count; seed++) {
+	for (int seed = 1; seed <= count; seed++) {
 		struct world w;
 		int violation = 0;
 
 		world_init(&w, (guint32)seed);
-		for (int s = 0; s < STEPS && !violation; s++) {
+		for (int s = 0; s < plan->steps && !violation; s++) {
 			int n;
 
-			world_step(&w);
+			plan->step(&w);
 			n = world_count_serving(&w);
 			violation = n > 1;
 			t->steps++;
@@ -55,14 +68,15 @@
 }
 
 /* Guards against any order of events that lets two nodes serve one slot. */
-static void test_sole_owner(void)
+static void test_sole_owner(gconstpointer data)
 {
+	const struct plan *plan = data;
 	struct totals t = { 0 };
-	int seed = explore(1, SCHEDULES, &t);
+	int seed = explore(plan, plan->schedules, &t);
 
 	g_test_message("schedules %d steps %lu served %lu takeovers %lu "
 		       "of expired holds %lu marks %lu held %lu",
-		       SCHEDULES, t.steps, t.steps_served, t.takeovers,
+		       plan->schedules, t.steps, t.steps_served, t.takeovers,
 		       t.expired, t.mark_writes, t.steps_in_hold);
 	if (seed >= 0)
 		g_test_message("violation at seed %d", seed);
@@ -75,16 +89,22 @@
 }
 
 #ifdef PROOF_SWITCHES
+struct without_guard {
+	const char *name;
+	enum guard guard;
+	const struct plan *plan;
+};
+
 /* Guards against schedules that do not notice a missing guard. */
 static void test_without_guard(gconstpointer data)
 {
-	enum guard g = (enum guard)GPOINTER_TO_INT(data);
+	const struct without_guard *g = data;
 	struct totals t = { 0 };
 	int seed;
 
-	guard_set(g, 0);
-	seed = explore(1, SCHEDULES * 5, &t);
-	guard_set(g, 1);
+	guard_set(g->guard, 0);
+	seed = explore(g->plan, g->plan->schedules * 5, &t);
+	guard_set(g->guard, 1);
 	g_test_message("violation at seed %d after %lu steps", seed, t.steps);
 	g_assert_cmpint(seed, >=, 0);
 }
@@ -93,25 +113,30 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/explore/sole_owner", test_sole_owner);
+	g_test_add_data_func("/explore/sole_owner", &single_steps,
+			     test_sole_owner);
+	g_test_add_data_func("/explore/groups", &group_steps, test_sole_owner);
 #ifdef PROOF_SWITCHES
-	static const struct {
-		const char *name;
-		enum guard guard;
-	} guards[] = {
-		{ "/explore/without/floor", GUARD_FLOOR },
-		{ "/explore/without/term", GUARD_TERM },
-		{ "/explore/without/lost_wait", GUARD_LOST_WAIT },
-		{ "/explore/without/authority", GUARD_AUTHORITY },
-		{ "/explore/without/hold_majority", GUARD_HOLD_MAJORITY },
-		{ "/explore/without/hold_marks", GUARD_HOLD_MARKS },
-		{ "/explore/without/hold_quorum", GUARD_HOLD_QUORUM },
-		{ "/explore/without/compare", GUARD_COMPARE },
+	static const struct without_guard guards[] = {
+		{ "/explore/without/floor", GUARD_FLOOR, &single_steps },
+		{ "/explore/without/term", GUARD_TERM, &single_steps },
+		{ "/explore/without/lost_wait", GUARD_LOST_WAIT,
+		  &single_steps },
+		{ "/explore/without/authority", GUARD_AUTHORITY,
+		  &single_steps },
+		{ "/explore/without/hold_majority", GUARD_HOLD_MAJORITY,
+		  &single_steps },
+		{ "/explore/without/hold_marks", GUARD_HOLD_MARKS,
+		  &single_steps },
+		{ "/explore/without/hold_quorum", GUARD_HOLD_QUORUM,
+		  &single_steps },
+		{ "/explore/without/compare", GUARD_COMPARE, &single_steps },
+		{ "/explore/without/hold_restart", GUARD_HOLD_RESTART,
+		  &group_steps },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(guards); i++)
-		g_test_add_data_func(guards[i].name,
-				     GINT_TO_POINTER((int)guards[i].guard),
+		g_test_add_data_func(guards[i].name, &guards[i],
 				     test_without_guard);
 #endif
 	return g_test_run();
--- /dev/null
+++ b/test/unit/test_successor.c
@@ -0,0 +1,295 @@
+#include "common/guard.h"
+#include "ownership/own.h"
+
+#include <glib.h>
+#include <string.h>
+
+/*
+ * What a coordinator concludes about holds of earlier terms when nodes restart
+ * between the hold and its election, or after it.
+ */
+
+#define NODES 5
+/* The node that is cut off in the hold. */
+#define SILENT 4
+#define T0 100000
+#define HOLD_MS 8000
+#define TICK_MS 50
+
+struct roster_entry {
+	uint64_t incarnation;
+	uint32_t mark;
+};
+
+struct fleet {
+	struct own_coord c;
+	struct own_member m[NODES];
+	struct roster_entry roster[NODES]; /* in the store */
+	uint64_t last_incarnation;
+	int64_t now_ms;
+};
+
+static void write_roster(struct fleet *f)
+{
+	for (uint32_t i = 0; i < NODES; i++) {
+		const struct own_peer *p = own_coord_find(&f->c, i + 1);
+
+		if (!p)
+			continue;
+		f->roster[i].incarnation = p->incarnation;
+		f->roster[i].mark = own_coord_hold_mark(&f->c, p);
+	}
+}
+
+static void exchange(struct fleet *f, int i)
+{
+	struct own_reply r;
+	struct own_ask a;
+
+	own_member_make_ask(&f->m[i], f->now_ms, &a);
+	if (own_coord_handle_ask(&f->c, f->now_ms, &a, &r) == OWN_ASK_REPLY)
+		own_member_handle_reply(&f->m[i], f->now_ms, &r);
+}
+
+/* Lets the node's process join the coordinator in office. */
+static void join(struct fleet *f, int i)
+{
+	struct own_member *m = &f->m[i];
+
+	own_member_observe_term(m, f->c.term, f->now_ms);
+	own_coord_begin_add(&f->c, (uint32_t)i + 1, m->incarnation, 0);
+	write_roster(f);
+	own_coord_finish_add(&f->c, (uint32_t)i + 1, f->now_ms);
+	own_member_complete_join(m, (uint32_t)i + 1, f->now_ms);
+}
+
+static void restart(struct fleet *f, int i)
+{
+	own_member_init(&f->m[i], ++f->last_incarnation);
+}
+
+/* The nodes from first to last restart and join. */
+static void restart_and_join(struct fleet *f, int first, int last)
+{
+	for (int i = first; i <= last; i++) {
+		restart(f, i);
+		join(f, i);
+	}
+}
+
+static int silent_is_lost(const struct fleet *f)
+{
+	const struct own_peer *p = own_coord_find(&f->c, SILENT + 1);
+
+	return own_coord_is_lost(&f->c, p, f->now_ms, 0);
+}
+
+/*
+ * Runs for this long: the coordinator reaches the store, the first count nodes
+ * reach the coordinator. Returns 1 once the silent node counts as lost, which
+ * must not be while it is in a hold.
+ */
+static int run(struct fleet *f, int count, int64_t for_ms)
+{
+	for (int64_t end_ms = f->now_ms + for_ms; f->now_ms < end_ms;
+	     f->now_ms += TICK_MS) {
+		own_coord_extend_authority(&f->c, f->now_ms);
+		for (int i = 0; i < count; i++)
+			exchange(f, i);
+		own_coord_tick(&f->c, f->now_ms);
+		if (own_coord_needs_marks(&f->c, f->now_ms)) {
+			write_roster(f);
+			own_coord_finish_marks(&f->c);
+		}
+		if (silent_is_lost(f)) {
+			g_assert_false(
+				own_member_in_hold(&f->m[SILENT], f->now_ms));
+			return 1;
+		}
+	}
+	return 0;
+}
+
+/* A coordinator of the next term reads the roster from the store. */
+static void elect(struct fleet *f)
+{
+	struct own_times times = own_times_for(0);
+	uint64_t term = f->c.term + 1;
+
+	times.hold_max_ms = HOLD_MS;
+	own_coord_finish(&f->c);
+	own_coord_init_times(&f->c, &times, term, f->now_ms, f->now_ms);
+	for (uint32_t i = 0; i < NODES; i++)
+		own_coord_add_inherited(&f->c, i + 1, f->roster[i].incarnation,
+					0, f->roster[i].mark);
+}
+
+/* The nodes from first to last hear of the coordinator in office. */
+static void follow(struct fleet *f, int first, int last)
+{
+	for (int i = first; i <= last; i++)
+		own_member_observe_term(&f->m[i], f->c.term, f->now_ms);
+}
+
+static void setup(struct fleet *f, gconstpointer data)
+{
+	struct own_times times = own_times_for(0);
+
+	(void)data;
+	memset(f, 0, sizeof(*f));
+	f->now_ms = T0;
+	times.hold_max_ms = HOLD_MS;
+	own_coord_init_times(&f->c, &times, 1, T0, T0);
+	restart_and_join(f, 0, NODES - 1);
+	run(f, NODES, 500);
+}
+
+static void teardown(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	own_coord_finish(&f->c);
+}
+
+/* The store is silent until all nodes are in a hold. */
+static void enter_hold(struct fleet *f)
+{
+	for (int64_t end_ms = f->now_ms + 1500; f->now_ms < end_ms;
+	     f->now_ms += TICK_MS) {
+		for (int i = 0; i < NODES; i++)
+			exchange(f, i);
+		own_coord_tick(&f->c, f->now_ms);
+	}
+	for (int i = 0; i < NODES; i++)
+		g_assert_true(own_member_in_hold(&f->m[i], f->now_ms));
+}
+
+/*
+ * The longest time after which the silent node is lost: the hold may be renewed
+ * for OWN_HOLD_QUORUM_MS after a majority follows the successor.
+ */
+#define LOST_WITHIN_MS (OWN_HOLD_QUORUM_MS + HOLD_MS + 600)
+
+/*
+ * Guards against a node in a hold whose slots go to others because new
+ * processes of most nodes, which know of no hold, count as a majority without
+ * a record (review/11).
+ */
+static void test_majority_restarted(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	enter_hold(f);
+	elect(f);
+	follow(f, 3, 3);
+	restart_and_join(f, 0, 2);
+	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+}
+
+/* The same with all processes that knew of the hold gone but the silent one. */
+static void test_all_others_restarted(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	enter_hold(f);
+	elect(f);
+	restart_and_join(f, 0, 3);
+	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+}
+
+/* The same with two groups that restart one after the other. */
+static void test_restarted_in_two_groups(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	enter_hold(f);
+	elect(f);
+	restart_and_join(f, 0, 1);
+	run(f, 2, 500);
+	restart_and_join(f, 2, 2);
+	follow(f, 3, 3);
+	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+}
+
+/*
+ * Guards against the same when the nodes restart in two groups, each less than
+ * half, and the coordinator that took over between them is killed before it has
+ * resolved the hold.
+ */
+static void test_restarted_in_two_terms(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	enter_hold(f);
+	elect(f);
+	restart_and_join(f, 0, 1);
+	run(f, 2, 2 * TICK_MS);
+	g_assert_cmpint(f->c.phase, ==, OWN_RESOLVING);
+	elect(f);
+	follow(f, 0, 1);
+	restart_and_join(f, 2, 3);
+	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+}
+
+/*
+ * Guards against the same when the successor is killed after all of its nodes
+ * have joined: its own roster, which has the new processes, is the one that the
+ * next majority is counted over.
+ */
+static void test_second_successor(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	enter_hold(f);
+	elect(f);
+	restart_and_join(f, 0, 3);
+	run(f, 4, 2 * TICK_MS);
+	write_roster(f);
+	elect(f);
+	follow(f, 0, 3);
+	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+}
+
+/*
+ * Guards against a silent node that is waited for although most nodes of the
+ * roster stated that they had recorded no hold, and restarted only then.
+ */
+static void test_restarted_after_statement(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	elect(f);
+	follow(f, 0, 2);
+	for (int i = 0; i < 3; i++)
+		exchange(f, i);
+	restart_and_join(f, 0, 2);
+	g_assert_true(run(f, 3, OWN_AUTHORITY_MS + 500));
+}
+
+/*
+ * Guards against a node that comes back after the marks are written, with its
+ * hold, and counts as lost at the end of that hold all the same.
+ */
+static void test_silent_returns(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	enter_hold(f);
+	elect(f);
+	restart_and_join(f, 0, 2);
+	g_assert_false(run(f, 3, OWN_AUTHORITY_MS + 500));
+	g_assert_cmpint(f->c.phase, ==, OWN_NORMAL);
+	follow(f, 3, SILENT);
+	g_assert_false(run(f, NODES, 2 * LOST_WITHIN_MS));
+	g_assert_cmpuint(f->roster[SILENT].mark, !=, 0);
+	write_roster(f);
+	g_assert_cmpuint(f->roster[SILENT].mark, ==, 0);
+}
+
+#define ADD(name, fn) \
+	g_test_add("/successor/" name, struct fleet, NULL, setup, fn, teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("majority_restarted", test_majority_restarted);
+	ADD("all_others_restarted", test_all_others_restarted);
+	ADD("restarted_in_two_groups", test_restarted_in_two_groups);
+	ADD("restarted_in_two_terms", test_restarted_in_two_terms);
+	ADD("second_successor", test_second_successor);
+	ADD("restarted_after_statement", test_restarted_after_statement);
+	ADD("silent_returns", test_silent_returns);
+	return g_test_run();
+}
