--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -560,7 +560,7 @@
 	if (c->phase == OWN_RELEASING && p->commit_sent && !mark)
 		mark = HASH_COUNT(c->peers);
 	if (c->phase == OWN_RESOLVING && p->inherited && !p->leaving &&
-	    (mark ? mark > c->inherited_count : !p->unrecorded))
+	    !p->replaced && (mark ? mark > c->inherited_count : !p->unrecorded))
 		mark = c->inherited_count;
 	return mark;
 }
--- a/test/unit/test_successor.c
+++ b/test/unit/test_successor.c
@@ -278,6 +278,31 @@
 	g_assert_cmpuint(f->roster[SILENT].mark, ==, 0);
 }
 
+/*
+ * Guards against new processes that are marked as in a hold, so that their
+ * slots stay with them and, if they end again, are waited for until the hold of
+ * their predecessors would have ended.
+ */
+static void test_new_process_unmarked(struct fleet *f, gconstpointer data)
+{
+	const struct own_peer *p;
+
+	(void)data;
+	enter_hold(f);
+	elect(f);
+	follow(f, 3, 3);
+	restart_and_join(f, 0, 2);
+	while (f->c.phase == OWN_RESOLVING)
+		run(f, 4, TICK_MS);
+	g_assert_cmpuint(f->roster[SILENT].mark, !=, 0);
+	g_assert_cmpuint(f->roster[3].mark, !=, 0);
+	for (uint32_t i = 0; i < 3; i++) {
+		p = own_coord_find(&f->c, i + 1);
+		g_assert_cmpuint(p->maybe_held, ==, 0);
+		g_assert_cmpuint(f->roster[i].mark, ==, 0);
+	}
+}
+
 #define ADD(name, fn) \
 	g_test_add("/successor/" name, struct fleet, NULL, setup, fn, teardown)
 
@@ -291,5 +316,6 @@
 	ADD("second_successor", test_second_successor);
 	ADD("restarted_after_statement", test_restarted_after_statement);
 	ADD("silent_returns", test_silent_returns);
+	ADD("new_process_unmarked", test_new_process_unmarked);
 	return g_test_run();
 }
