own: a member that is told to wait keeps its record of the hold

A coordinator that recovers from a copy of the store tells nodes that it doesn't know to leave their hold and wait. They dropped the record as well, so that the next coordinator, if that one is lost, took them for nodes that had recorded none, and with them as a majority ended its recovery while a silent node was in the hold.

test_successor told_to_wait fails without the change. The cost: such a recovery lasts until the hold has run out or all nodes answer, as it does with members that were not told to wait.

--- a/ownership/member.c
+++ b/ownership/member.c
@@ -132,9 +132,8 @@
 
 void own_member_wait(struct own_member *m)
 {
+	/* The record stays: other nodes may be in the hold. */
 	m->held = 0;
-	m->hold_term = 0;
-	m->hold_seq = 0;
 	m->standby_rank = 0;
 	m->unanswered = 0;
 }
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -184,8 +184,8 @@
 			    const struct own_reply *r);
 /*
  * Notes that a coordinator lets the member wait for its grant: the member
- * leaves any hold, is no standby, and does not count unanswered asks. What it
- * lets its target hold ends within a grant.
+ * leaves any hold but keeps its record, is no standby, and does not count
+ * unanswered asks. What it lets its target hold ends within a grant.
  */
 void own_member_wait(struct own_member *m);
 /*
--- a/test/unit/test_successor.c
+++ b/test/unit/test_successor.c
@@ -323,6 +323,54 @@
 	g_assert_true(run(f, 2, LOST_WITHIN_MS));
 }
 
+/* A coordinator of the next term reads a copy of the store that came back. */
+static void elect_from_copy(struct fleet *f)
+{
+	elect(f);
+	own_coord_begin_recovery(&f->c);
+	own_coord_confirm_roster(&f->c);
+}
+
+/*
+ * Runs with the first count nodes until the recovery may end, which must not be
+ * while the silent node is in a hold. Returns 0 if it takes too long.
+ */
+static int recover(struct fleet *f, int count)
+{
+	for (int64_t end_ms = f->now_ms + LOST_WITHIN_MS; f->now_ms < end_ms;
+	     f->now_ms += TICK_MS) {
+		own_coord_extend_authority(&f->c, f->now_ms);
+		for (int i = 0; i < count; i++)
+			exchange(f, i);
+		own_coord_tick(&f->c, f->now_ms);
+		if (own_coord_is_recovered(&f->c, f->now_ms)) {
+			g_assert_false(own_member_in_hold(&f->m[SILENT],
+							  f->now_ms));
+			return 1;
+		}
+	}
+	return 0;
+}
+
+/*
+ * Guards against members that forget a hold which they were told to leave, and
+ * state to the next coordinator that they had recorded none, while another node
+ * may still be in it.
+ */
+static void test_told_to_wait(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	enter_hold(f);
+	elect_from_copy(f);
+	for (int i = 0; i < 3; i++) {
+		own_member_wait(&f->m[i]);
+		g_assert_false(own_member_in_hold(&f->m[i], f->now_ms));
+	}
+	elect_from_copy(f);
+	follow(f, 0, 3);
+	g_assert_true(recover(f, 4));
+}
+
 #define ADD(name, fn) \
 	g_test_add("/successor/" name, struct fleet, NULL, setup, fn, teardown)
 
@@ -338,5 +386,6 @@
 	ADD("silent_returns", test_silent_returns);
 	ADD("new_process_unmarked", test_new_process_unmarked);
 	ADD("left_while_resolving", test_left_while_resolving);
+	ADD("told_to_wait", test_told_to_wait);
 	return g_test_run();
 }
