own: count the majority of a recovery over the predecessor's roster alone

A coordinator that recovers from a copy of the store takes the newest map of a member for its roster. Nodes that only the copy had were left in the majority if they were connected or had sent an ask. They may never have been asked to record the hold, and their statements ended the recovery while a silent node of the newest roster was in the hold.

They stay as nodes, but count no more (own_coord_exclude_inherited); one that a still newer map has counts again, and what was shown without it is open again.

test_successor not_in_newest_roster fails without the change.

--- a/membership/coord_restore.c
+++ b/membership/coord_restore.c
@@ -141,8 +141,8 @@
 			continue;
 		m->dirty = 1;
 		if (m->conn)
-			continue;
-		if (own_coord_drop_inherited(&c->own, m->id))
+			own_coord_exclude_inherited(&c->own, m->id);
+		else if (own_coord_drop_inherited(&c->own, m->id))
 			co_member_remove(c, m);
 	}
 	HASH_ITER(hh, c->map.nodes, n, next) {
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -269,14 +269,30 @@
 {
 	struct own_peer *p = own_coord_find(c, node_id);
 
-	if (!p) {
-		own_coord_add_inherited(c, node_id, incarnation, 0, 0);
-		/* What was shown without it is open again. */
-		if (c->phase == OWN_NORMAL)
-			c->phase = OWN_RESOLVING;
-		c->promised_ms = 0;
-	} else if (!p->heard && !p->adding)
+	if (p && !p->heard && !p->adding)
 		p->incarnation = incarnation;
+	if (p && p->inherited)
+		return;
+	if (p) {
+		p->inherited = 1;
+		c->inherited_count++;
+	} else {
+		own_coord_add_inherited(c, node_id, incarnation, 0, 0);
+	}
+	/* What was shown without it is open again. */
+	if (c->phase == OWN_NORMAL)
+		c->phase = OWN_RESOLVING;
+	c->promised_ms = 0;
+}
+
+void own_coord_exclude_inherited(struct own_coord *c, uint32_t node_id)
+{
+	struct own_peer *p = own_coord_find(c, node_id);
+
+	if (!p)
+		return;
+	c->inherited_count -= p->inherited != 0;
+	p->inherited = 0;
 }
 
 int own_coord_drop_inherited(struct own_coord *c, uint32_t node_id)
@@ -285,9 +301,9 @@
 
 	if (!p)
 		return 1;
+	own_coord_exclude_inherited(c, node_id);
 	if (p->heard || p->adding)
 		return 0;
-	c->inherited_count -= p->inherited != 0;
 	own_coord_remove(c, node_id);
 	return 1;
 }
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -447,7 +447,15 @@
  * member has, so that all that may be in a hold are among them.
  */
 void own_coord_confirm_roster(struct own_coord *c);
-/* Returns 0 if the node stays. */
+/*
+ * During a recovery: the node was not in the roster of the predecessor, so it
+ * counts in no majority about that one's holds.
+ */
+void own_coord_exclude_inherited(struct own_coord *c, uint32_t node_id);
+/*
+ * Does the same, and removes the node unless it was heard or is being added.
+ * Returns 0 if it stays.
+ */
 int own_coord_drop_inherited(struct own_coord *c, uint32_t node_id);
 /*
  * During a recovery: the node was in a hold, and is told to leave it in the
--- a/test/unit/test_successor.c
+++ b/test/unit/test_successor.c
@@ -371,6 +371,28 @@
 	g_assert_true(recover(f, 4));
 }
 
+/*
+ * Guards against a majority that nodes provide which the copy's roster has, and
+ * the predecessor's had not any more when the hold was given.
+ */
+static void test_not_in_newest_roster(struct fleet *f, gconstpointer data)
+{
+	(void)data;
+	enter_hold(f);
+	/* The hold was given over the last two nodes alone. */
+	for (int i = 0; i < 3; i++) {
+		f->m[i].held = 0;
+		f->m[i].hold_term = 0;
+	}
+	elect_from_copy(f);
+	follow(f, 0, 3);
+	for (uint32_t i = 0; i < 3; i++) {
+		exchange(f, (int)i);
+		g_assert_false(own_coord_drop_inherited(&f->c, i + 1));
+	}
+	g_assert_true(recover(f, 4));
+}
+
 #define ADD(name, fn) \
 	g_test_add("/successor/" name, struct fleet, NULL, setup, fn, teardown)
 
@@ -387,5 +409,6 @@
 	ADD("new_process_unmarked", test_new_process_unmarked);
 	ADD("left_while_resolving", test_left_while_resolving);
 	ADD("told_to_wait", test_told_to_wait);
+	ADD("not_in_newest_roster", test_not_in_newest_roster);
 	return g_test_run();
 }
