--- a/test/unit/test_successor.c
+++ b/test/unit/test_successor.c
@@ -344,8 +344,8 @@
 			exchange(f, i);
 		own_coord_tick(&f->c, f->now_ms);
 		if (own_coord_is_recovered(&f->c, f->now_ms)) {
-			g_assert_false(own_member_in_hold(&f->m[SILENT],
-							  f->now_ms));
+			g_assert_false(
+				own_member_in_hold(&f->m[SILENT], f->now_ms));
 			return 1;
 		}
 	}
