--- a/test/unit/test_successor.c
+++ b/test/unit/test_successor.c
@@ -27,6 +27,8 @@
 	struct roster_entry roster[NODES]; /* in the store */
 	uint64_t last_incarnation;
 	int64_t now_ms;
+	int lost;      /* the silent node counts as lost */
+	int recovered; /* the recovery from a copy may end */
 };
 
 static void write_roster(struct fleet *f)
@@ -86,10 +88,10 @@
 
 /*
  * Runs for this long: the coordinator reaches the store, the first count nodes
- * reach the coordinator. Returns 1 once the silent node counts as lost, which
- * must not be while it is in a hold.
+ * reach the coordinator. Ends once the silent node counts as lost, which must
+ * not be while it is in a hold.
  */
-static int run(struct fleet *f, int count, int64_t for_ms)
+static void run(struct fleet *f, int count, int64_t for_ms)
 {
 	for (int64_t end_ms = f->now_ms + for_ms; f->now_ms < end_ms;
 	     f->now_ms += TICK_MS) {
@@ -104,10 +106,16 @@
 		if (silent_is_lost(f)) {
 			g_assert_false(
 				own_member_in_hold(&f->m[SILENT], f->now_ms));
-			return 1;
+			f->lost = 1;
+			return;
 		}
 	}
-	return 0;
+}
+
+static void run_until_lost(struct fleet *f, int count, int64_t within_ms)
+{
+	run(f, count, within_ms);
+	g_assert_true(f->lost);
 }
 
 /* A coordinator of the next term reads the roster from the store. */
@@ -181,7 +189,7 @@
 	elect(f);
 	follow(f, 3, 3);
 	restart_and_join(f, 0, 2);
-	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+	run_until_lost(f, 4, LOST_WITHIN_MS);
 }
 
 /* The same with all processes that knew of the hold gone but the silent one. */
@@ -191,7 +199,7 @@
 	enter_hold(f);
 	elect(f);
 	restart_and_join(f, 0, 3);
-	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+	run_until_lost(f, 4, LOST_WITHIN_MS);
 }
 
 /* The same with two groups that restart one after the other. */
@@ -204,7 +212,7 @@
 	run(f, 2, 500);
 	restart_and_join(f, 2, 2);
 	follow(f, 3, 3);
-	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+	run_until_lost(f, 4, LOST_WITHIN_MS);
 }
 
 /*
@@ -223,7 +231,7 @@
 	elect(f);
 	follow(f, 0, 1);
 	restart_and_join(f, 2, 3);
-	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+	run_until_lost(f, 4, LOST_WITHIN_MS);
 }
 
 /*
@@ -241,7 +249,7 @@
 	write_roster(f);
 	elect(f);
 	follow(f, 0, 3);
-	g_assert_true(run(f, 4, LOST_WITHIN_MS));
+	run_until_lost(f, 4, LOST_WITHIN_MS);
 }
 
 /*
@@ -256,7 +264,7 @@
 	for (int i = 0; i < 3; i++)
 		exchange(f, i);
 	restart_and_join(f, 0, 2);
-	g_assert_true(run(f, 3, OWN_AUTHORITY_MS + 500));
+	run_until_lost(f, 3, OWN_AUTHORITY_MS + 500);
 }
 
 /*
@@ -269,10 +277,12 @@
 	enter_hold(f);
 	elect(f);
 	restart_and_join(f, 0, 2);
-	g_assert_false(run(f, 3, OWN_AUTHORITY_MS + 500));
+	run(f, 3, OWN_AUTHORITY_MS + 500);
+	g_assert_false(f->lost);
 	g_assert_cmpint(f->c.phase, ==, OWN_NORMAL);
 	follow(f, 3, SILENT);
-	g_assert_false(run(f, NODES, 2 * LOST_WITHIN_MS));
+	run(f, NODES, 2 * LOST_WITHIN_MS);
+	g_assert_false(f->lost);
 	g_assert_cmpuint(f->roster[SILENT].mark, !=, 0);
 	write_roster(f);
 	g_assert_cmpuint(f->roster[SILENT].mark, ==, 0);
@@ -320,7 +330,7 @@
 		exchange(f, i);
 	for (uint32_t id = 3; id <= 4; id++)
 		own_coord_remove(&f->c, id);
-	g_assert_true(run(f, 2, LOST_WITHIN_MS));
+	run_until_lost(f, 2, LOST_WITHIN_MS);
 }
 
 /* A coordinator of the next term reads a copy of the store that came back. */
@@ -333,9 +343,9 @@
 
 /*
  * Runs with the first count nodes until the recovery may end, which must not be
- * while the silent node is in a hold. Returns 0 if it takes too long.
+ * while the silent node is in a hold.
  */
-static int recover(struct fleet *f, int count)
+static void recover(struct fleet *f, int count)
 {
 	for (int64_t end_ms = f->now_ms + LOST_WITHIN_MS; f->now_ms < end_ms;
 	     f->now_ms += TICK_MS) {
@@ -346,10 +356,11 @@
 		if (own_coord_is_recovered(&f->c, f->now_ms)) {
 			g_assert_false(
 				own_member_in_hold(&f->m[SILENT], f->now_ms));
-			return 1;
+			f->recovered = 1;
+			break;
 		}
 	}
-	return 0;
+	g_assert_true(f->recovered);
 }
 
 /*
@@ -368,7 +379,7 @@
 	}
 	elect_from_copy(f);
 	follow(f, 0, 3);
-	g_assert_true(recover(f, 4));
+	recover(f, 4);
 }
 
 /*
@@ -390,7 +401,7 @@
 		exchange(f, (int)i);
 		g_assert_false(own_coord_drop_inherited(&f->c, i + 1));
 	}
-	g_assert_true(recover(f, 4));
+	recover(f, 4);
 }
 
 #define ADD(name, fn) \
