--- a/Makefile
+++ b/Makefile
@@ -131,6 +131,7 @@
 $(B)/test/test_ctl: $(patsubst %.c,$(B)/%.o,$(filter-out ctl/main.c, \
 	$(wildcard ctl/*.c)))
 $(B)/test/test_explore: $(B)/test/unit/explore_world.o
+$(B)/test/test_coord $(B)/test/test_coord_roster: $(B)/test/unit/coord_fixture.o
 $(B)/bench/%: $(B)/bench/%.o $(BENCH_COMMON:%.c=$(B)/%.o) $(LIB)
 	$(LINK)
 
--- a/test/unit/test_coord.c
+++ b/test/unit/test_coord.c
@@ -1,4 +1,4 @@
-#include "membership/coord_place_priv.h"
+#include "test/unit/coord_fixture.h"
 #include "common/clk.h"
 #include "membership/doc_push.h"
 
@@ -9,96 +9,9 @@
 #include <sys/socket.h>
 
 /*
- * Tests what the coordinator writes and sends. There is no store: a queued
- * change is applied to the map at once.
+ * Tests what the coordinator writes and sends.
  */
 
-/* A coordinator with three members and a document with two services. */
-struct fixture {
-	struct settings settings;
-	struct cnt cnt;
-	struct coord c;
-};
-
-static void add_member(struct fixture *f, uint32_t id)
-{
-	Wire__Node n = WIRE__NODE__INIT;
-	char name[16];
-
-	g_snprintf(name, sizeof(name), "n%u", id);
-	n.id = id;
-	n.name = name;
-	n.address = "127.0.0.1";
-	n.peer_port = 8000 + id;
-	n.incarnation = id;
-	g_assert_nonnull(co_member_add(&f->c, &n));
-	own_coord_add_inherited(&f->c.own, id, id, 0, 0);
-}
-
-/* Applies the queued changes to the map, as a successful write does. */
-static void apply_queued_changes(struct fixture *f)
-{
-	struct coord *c = &f->c;
-
-	co_build_delta(c);
-	g_assert_cmpint(map_check(&c->map, c->write.delta), ==, ERR_OK);
-	g_assert_cmpint(map_apply(&c->map, c->write.delta), ==, ERR_OK);
-	for (size_t i = 0; i < c->queue.slot_count; i++)
-		c->slots[c->queue.slots[i].slot].changing = 0;
-	c->queue.slot_count = 0;
-	c->queue.services_due = 0;
-	co_write_finish(c);
-	co_slots_reserve(c, c->map.slot_count);
-}
-
-static void setup(struct fixture *f)
-{
-	static const char text[] =
-		"{\"version\":1,\"services\":{\"cal\":{\"shards\":4,"
-		"\"route\":{\"key\":\"number:X-Key\"}},"
-		"\"desk\":{\"keyed\":false},"
-		"\"vault\":{\"shards\":32,\"route\":{\"prefix\":\"/v/\"}}}}";
-
-	memset(f, 0, sizeof(*f));
-	cnt_init(&f->cnt);
-	f->c.config.settings = &f->settings;
-	f->c.config.cnt = &f->cnt;
-	f->c.record.term = 1;
-	map_init(&f->c.map);
-	own_coord_init(&f->c.own, 1, 0, 0);
-	g_assert_cmpint(doc_parse(&f->c.doc, text, strlen(text), NULL), ==,
-			ERR_OK);
-	f->c.has_doc = 1;
-	for (uint32_t id = 1; id <= 3; id++)
-		add_member(f, id);
-	f->c.queue.services_due = 1;
-	for (struct co_member *m = f->c.members; m; m = m->hh.next)
-		m->dirty = 1;
-	apply_queued_changes(f);
-}
-
-static void teardown(struct fixture *f)
-{
-	struct co_service_stats *s, *next;
-	struct co_member *m, *tmp;
-
-	co_place_finish(&f->c);
-	co_recent_finish(&f->c);
-	co_write_finish(&f->c);
-	HASH_ITER(hh, f->c.members, m, tmp) {
-		co_member_remove(&f->c, m);
-	}
-	HASH_ITER(hh, f->c.stats, s, next) {
-		HASH_DEL(f->c.stats, s);
-		free(s);
-	}
-	own_coord_finish(&f->c.own);
-	map_finish(&f->c.map);
-	doc_finish(&f->c.doc);
-	free(f->c.slots);
-	cnt_finish(&f->cnt);
-}
-
 /*
  * Guards against services without keys that get slots, and against number keys
  * that are hashed instead of assigned to shards by ranges.
@@ -109,7 +22,7 @@
 	uint32_t first, last;
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	g_assert_null(map_find_service(&f.c.map, "desk"));
 	s = map_find_service(&f.c.map, "cal");
 	g_assert_nonnull(s);
@@ -121,7 +34,7 @@
 			 s->first_slot + 1);
 	g_assert_cmpuint(map_slot_of(&f.c.map, s, "32767", 5), ==,
 			 s->first_slot + 1);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -133,21 +46,21 @@
 {
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	co_queue_slot(&f.c, 0, 2, "lost");
 	co_member_find(&f.c, 2)->lost = 1;
 	co_build_removals(&f.c);
 	g_assert_false(co_member_find(&f.c, 2)->removing);
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	/* It owns the slot now, and is removed with the change that moves it.
 	 */
 	co_queue_slot(&f.c, 0, 3, "lost");
 	co_build_removals(&f.c);
 	g_assert_true(co_member_find(&f.c, 2)->removing);
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	g_assert_null(map_find_node(&f.c.map, 2));
 	g_assert_cmpuint(f.c.map.slots[0].owner, ==, 3);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /* Guards against a map_check that accepts a change that does not apply. */
@@ -155,14 +68,14 @@
 {
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	co_queue_slot(&f.c, 0, 9, "nobody");
 	co_build_delta(&f.c);
 	g_assert_cmpint(map_check(&f.c.map, f.c.write.delta), ==,
 			ERR_MALFORMED);
 	g_assert_cmpint(map_apply(&f.c.map, f.c.write.delta), ==,
 			ERR_MALFORMED);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -175,7 +88,7 @@
 	struct co_member *m = co_member_find(&f->c, 1);
 
 	co_queue_slot(&f->c, *slot, 1, "unowned");
-	apply_queued_changes(f);
+	fixture_apply_queued(f);
 	m->info->target = target;
 	r->term = f->c.record.term;
 	r->slots = slot;
@@ -197,7 +110,7 @@
 	struct co_member *m;
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	m = give_slot(&f, &slot, &target, &r);
 	co_on_released(&f.c, m, &r);
 	g_assert_false(f.c.slots[slot].released);
@@ -215,7 +128,7 @@
 	co_on_released(&f.c, m, &r);
 	g_assert_true(f.c.slots[slot].released);
 	m->info->target = NULL;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -231,7 +144,7 @@
 	struct co_member *m;
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	m = give_slot(&f, &slot, &target, &r);
 	place_request_release(&f.c, slot, 2, "imbalance");
 	co_send_releases(&f.c, m);
@@ -247,7 +160,7 @@
 	co_on_released(&f.c, m, &r);
 	g_assert_true(f.c.slots[slot].released);
 	m->info->target = NULL;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -286,11 +199,11 @@
 	struct fixture f;
 	uint64_t fence;
 
-	setup(&f);
+	fixture_setup(&f);
 	co_queue_slot(&f.c, 0, 1, "unowned");
 	co_queue_slot(&f.c, 1, 1, "unowned");
 	co_queue_slot(&f.c, 2, 2, "unowned");
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	fence = f.c.map.slots[1].fence;
 	m = co_member_find(&f.c, 1);
 	m->info->target = &target;
@@ -317,14 +230,14 @@
 	/* Its owner has no target. */
 	g_assert_true(f.c.slots[2].released);
 	f.c.queue.roster_due = 0;
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	g_assert_cmpuint(f.c.map.slots[1].owner, ==, 1);
 	g_assert_cmpuint(f.c.map.slots[1].fence, >, fence);
 	g_assert_cmpuint(f.c.map.slots[2].owner, ==, 3);
 
 	/* A snapshot has no queued change. */
 	co_queue_slot(&f.c, 2, 1, "unowned");
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	fail_write(&f, 1);
 	f.c.write.kind = CO_WRITE_SNAPSHOT;
 	co_withdraw_moves(&f.c);
@@ -337,7 +250,7 @@
 	g_assert_true(f.c.slots[0].releasing);
 	g_assert_true(f.c.slots[1].released);
 	m->info->target = NULL;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -350,7 +263,7 @@
 	struct own_peer *p;
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	f.c.phase = CO_ACTIVE;
 	m = co_member_find(&f.c, 1);
 	p = own_coord_find(&f.c.own, 1);
@@ -364,7 +277,7 @@
 	g_assert_cmpint(coord_forget(&f.c, "n2"), ==, ERR_OK);
 	g_assert_cmpint(coord_forget(&f.c, "n9"), ==, ERR_NOT_FOUND);
 	f.c.phase = CO_IDLE;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -377,7 +290,7 @@
 	Wire__Roster *r;
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	f.c.own.phase = OWN_NORMAL;
 	own_coord_find(&f.c.own, 2)->maybe_held = 3;
 	co_build_roster(&f.c);
@@ -389,7 +302,7 @@
 		g_assert_cmpuint(r->entries[i]->maybe_held, ==,
 				 (r->entries[i]->node->id == 2 ? 3 : 0));
 	wire__roster__free_unpacked(r, NULL);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /* Announces the member's target for the service as a new one. */
@@ -419,9 +332,9 @@
 	struct fixture f;
 	int64_t now_ms = 5000;
 
-	setup(&f);
+	fixture_setup(&f);
 	for (uint32_t id = 4; id <= 6; id++)
-		add_member(&f, id);
+		fixture_add_member(&f, id);
 	/* One after another, and the last a second late. */
 	for (uint32_t id = 1; id <= 6; id++)
 		announce_target(&f, id, &targets[id - 1], "vault",
@@ -437,7 +350,7 @@
 		g_assert_cmpuint(owned[id], <=, 6);
 		co_member_find(&f.c, id)->info->target = NULL;
 	}
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /* Puts a document in force in which two routes lead to vault. */
@@ -496,7 +409,7 @@
 	struct fixture f;
 	int64_t now_ms = 5000;
 
-	setup(&f);
+	fixture_setup(&f);
 	set_routes(&f, 2, "\"sur\",\"muscat\"", "\"muscat\",\"sohar\"");
 	for (uint32_t id = 1; id <= 3; id++) {
 		announce_target(&f, id, &targets[id - 1], "vault", 0);
@@ -506,7 +419,7 @@
 	f.c.own.phase = OWN_NORMAL;
 	for (; !f.c.queue.slot_count && now_ms < 15000; now_ms += 100)
 		co_place_tick(&f.c, now_ms);
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	g_assert_cmpuint(owners_of(&f, "vault"), ==, 1U << 2);
 	/* Contradicting lists are ignored: the others get a share. */
 	set_routes(&f, 3, "\"sur\"", "\"sohar\"");
@@ -525,7 +438,7 @@
 	}
 	for (uint32_t id = 1; id <= 3; id++)
 		co_member_find(&f.c, id)->info->target = NULL;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /* Returns the processor time of one placement pass in seconds. */
@@ -554,9 +467,9 @@
 	double warm_s, cold_s;
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	for (uint32_t id = 4; id <= MEMBERS; id++)
-		add_member(&f, id);
+		fixture_add_member(&f, id);
 	for (uint32_t id = 1; id <= MEMBERS; id++) {
 		struct co_member *m = co_member_find(&f.c, id);
 
@@ -578,7 +491,7 @@
 	for (uint32_t id = 1; id <= MEMBERS; id++)
 		co_member_find(&f.c, id)->info->target = NULL;
 	g_free(targets);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 static int is_ordered(const char *data_centre, void *priv)
@@ -613,7 +526,7 @@
 		co_queue_slot(&f->c, s, slot->new_owner, "drain");
 		slot->new_owner = 0;
 	}
-	apply_queued_changes(f);
+	fixture_apply_queued(f);
 	for (uint32_t s = 0; s < f->c.map.slot_count; s++)
 		count += f->c.map.slots[s].owner == node;
 	return count;
@@ -646,7 +559,7 @@
 	struct fixture f;
 	int64_t now_ms = 5000;
 
-	setup(&f);
+	fixture_setup(&f);
 	f.c.config.data_centre_is_drained = is_ordered;
 	f.c.config.document_priv = &ordered;
 	for (uint32_t id = 1; id <= 3; id++) {
@@ -659,7 +572,7 @@
 	for (; !f.c.queue.slot_count && now_ms < 15000; now_ms += 100)
 		co_place_tick(&f.c, now_ms);
 	g_assert_cmpuint(f.c.queue.slot_count, ==, 32);
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	g_assert_cmpuint(count_releasing(&f, now_ms += 1000), ==, 0);
 
 	ordered = "z1";
@@ -693,7 +606,7 @@
 	g_assert_cmpuint(count_releasing(&f, now_ms += 1000), ==, 0);
 	for (uint32_t id = 1; id <= 3; id++)
 		co_member_find(&f.c, id)->info->target = NULL;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -708,13 +621,13 @@
 	struct fixture f;
 	int64_t now_ms = 5000;
 
-	setup(&f);
+	fixture_setup(&f);
 	for (uint32_t id = 1; id <= 2; id++)
 		announce_target(&f, id, &targets[id - 1], "cal", 0);
 	f.c.own.phase = OWN_NORMAL;
 	for (; !f.c.queue.slot_count && now_ms < 15000; now_ms += 100)
 		co_place_tick(&f.c, now_ms);
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	for (uint32_t slot = 0; slot < f.c.map.slot_count; slot++) {
 		if (f.c.map.slots[slot].owner != 1)
 			continue;
@@ -724,19 +637,19 @@
 	}
 	co_member_find(&f.c, 3)->lost = 1;
 	co_build_removals(&f.c);
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	g_assert_null(map_find_node(&f.c.map, 3));
 	co_member_remove(&f.c, co_member_find(&f.c, 3));
 	f.c.placement_due = 1;
 	co_place_tick(&f.c, now_ms);
 	g_assert_cmpuint(f.c.queue.slot_count, >, 0);
 	/* Fails if the change does not apply. */
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	for (uint32_t slot = 0; slot < f.c.map.slot_count; slot++)
 		g_assert_cmpuint(f.c.slots[slot].new_owner, !=, 3);
 	for (uint32_t id = 1; id <= 2; id++)
 		co_member_find(&f.c, id)->info->target = NULL;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /* Guards against a handover text that is lost or goes to a later owner. */
@@ -744,20 +657,20 @@
 {
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	co_queue_slot(&f.c, 1, 1, "unowned");
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	g_assert_null(f.c.map.slots[1].handover);
 	g_snprintf(f.c.slots[1].handover, sizeof(f.c.slots[1].handover),
 		   "5c0e");
 	co_queue_slot(&f.c, 1, 2, "drain");
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	g_assert_cmpstr(f.c.map.slots[1].handover, ==, "5c0e");
 	f.c.slots[1].handover[0] = 0;
 	co_queue_slot(&f.c, 1, 3, "lost");
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	g_assert_null(f.c.map.slots[1].handover);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /* A node's control connection, and what the coordinator sent on it. */
@@ -879,7 +792,7 @@
 	struct control_conn w;
 	uint64_t rev;
 
-	setup(&f);
+	fixture_setup(&f);
 	f.c.doc_rev = 5;
 	rev = f.c.map.rev;
 	sync_member_over_conn(&f, &w, 5, rev);
@@ -903,7 +816,7 @@
 	sync_member_over_conn(&f, &w, 5, rev + 1);
 	g_assert_cmpuint(w.full_maps, ==, 1);
 	g_assert_cmpuint(w.deltas, ==, 0);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 static void note_offered(struct doc *doc, struct doc_sections *sections,
@@ -927,7 +840,7 @@
 	struct fixture f;
 	Wire__DocPush p;
 
-	setup(&f);
+	fixture_setup(&f);
 	f.c.doc_rev = 5;
 	f.c.config.offer_document = note_offered;
 	f.c.config.document_priv = &offered;
@@ -949,7 +862,7 @@
 	g_assert_cmpuint(offered, ==, 6);
 	doc_push_finish(&p);
 	doc_sections_finish(&sections);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -964,11 +877,11 @@
 	struct co_member *m;
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	for (uint32_t slot = 0; slot < 4; slot++)
 		co_queue_slot(&f.c, slot, 2, "unowned");
 	co_queue_slot(&f.c, 5, 3, "unowned");
-	apply_queued_changes(&f);
+	fixture_apply_queued(&f);
 	f.c.slots[1].releasing = 1;
 	f.c.slots[2].released = 1;
 	f.c.slots[3].changing = 1;
@@ -980,7 +893,7 @@
 	g_assert_cmpuint(w.cancels, ==, 1);
 	g_assert_cmpuint(w.releases, ==, 1);
 	m->info->target = NULL;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /* Guards against standbys with less bandwidth than other nodes have. */
@@ -990,7 +903,7 @@
 	struct co_conn conn = { 0 };
 	struct fixture f;
 
-	setup(&f);
+	fixture_setup(&f);
 	g_snprintf(f.settings.name, sizeof(f.settings.name), "n9");
 	for (uint32_t id = 1; id <= 3; id++) {
 		struct co_member *m = co_member_find(&f.c, id);
@@ -1006,7 +919,7 @@
 	g_assert_cmpuint(co_member_find(&f.c, 1)->standby_rank, ==, 0);
 	for (uint32_t id = 1; id <= 3; id++)
 		co_member_find(&f.c, id)->conn = NULL;
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -1020,21 +933,21 @@
 	struct fixture f;
 	struct map newer;
 
-	setup(&f);
+	fixture_setup(&f);
 	/* Since the copy, node 4 has joined and got slot 0, node 2 has left. */
 	map_init(&newer);
 	d = map_snapshot(&f.c.map);
 	g_assert_cmpint(map_apply(&newer, d), ==, ERR_OK);
 	map_delta_free(d);
-	add_member(&f, 4);
+	fixture_add_member(&f, 4);
 	co_queue_slot(&f.c, 0, 4, "join");
 	co_member_find(&f.c, 4)->dirty = 1;
 	co_member_find(&f.c, 2)->removing = 1;
 	co_build_delta(&f.c);
 	g_assert_cmpint(map_apply(&newer, f.c.write.delta), ==, ERR_OK);
-	teardown(&f);
+	fixture_teardown(&f);
 
-	setup(&f);
+	fixture_setup(&f);
 	co_recover(&f.c);
 	g_assert_true(co_is_recovering(&f.c));
 	co_queue_slot(&f.c, 1, 2, "target");
@@ -1054,7 +967,7 @@
 	g_assert_cmpuint(HASH_COUNT(f.c.members), ==, 3);
 	map_delta_free(d);
 	map_finish(&newer);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 int main(int argc, char **argv)
--- a/test/unit/test_coord_roster.c
+++ b/test/unit/test_coord_roster.c
@@ -1,77 +1,11 @@
-#include "membership/coord_place_priv.h"
+#include "test/unit/coord_fixture.h"
 
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
-#include <sys/socket.h>
 
 /* Which nodes the coordinator counts and marks when the roster changes. */
 
-struct fixture {
-	struct settings settings;
-	struct cnt cnt;
-	struct coord c;
-};
-
-static void add_member(struct fixture *f, uint32_t id)
-{
-	Wire__Node n = WIRE__NODE__INIT;
-	struct co_member *m;
-	char name[16];
-
-	g_snprintf(name, sizeof(name), "n%u", id);
-	n.id = id;
-	n.name = name;
-	n.address = "127.0.0.1";
-	n.peer_port = 8000 + id;
-	n.incarnation = id;
-	m = co_member_add(&f->c, &n);
-	g_assert_nonnull(m);
-	m->join = CO_JOIN_DONE;
-	m->dirty = 1;
-	own_coord_add_inherited(&f->c.own, id, id, 0, 0);
-}
-
-/* Applies the changed members to the map. */
-static void apply_members(struct fixture *f, struct map *map)
-{
-	co_build_delta(&f->c);
-	g_assert_cmpint(map_apply(map, f->c.write.delta), ==, ERR_OK);
-	co_write_finish(&f->c);
-}
-
-static void setup(struct fixture *f)
-{
-	memset(f, 0, sizeof(*f));
-	cnt_init(&f->cnt);
-	f->c.config.settings = &f->settings;
-	f->c.config.cnt = &f->cnt;
-	f->c.record.term = 2;
-	map_init(&f->c.map);
-	own_coord_init(&f->c.own, 2, 0, 0);
-	for (uint32_t id = 1; id <= 3; id++)
-		add_member(f, id);
-	apply_members(f, &f->c.map);
-}
-
-static void teardown(struct fixture *f)
-{
-	struct co_member *m, *tmp;
-
-	co_place_finish(&f->c);
-	co_recent_finish(&f->c);
-	co_write_finish(&f->c);
-	HASH_ITER(hh, f->c.members, m, tmp) {
-		co_member_remove(&f->c, m);
-	}
-	own_coord_finish(&f->c.own);
-	map_finish(&f->c.map);
-	doc_finish(&f->c.doc);
-	free(f->c.slots);
-	cnt_finish(&f->cnt);
-}
-
 /*
  * Guards against a roster that is written for a join, while a hold is resolved,
  * without the marks of the silent nodes: the next coordinator would take the
@@ -85,7 +19,7 @@
 	uint8_t *bytes;
 	size_t len;
 
-	setup(&f);
+	fixture_setup(&f);
 	g_assert_cmpint(f.c.own.phase, ==, OWN_RESOLVING);
 	own_coord_begin_add(&f.c.own, 1, 11, 0);
 	bytes = co_encode_roster(&f.c, &len);
@@ -97,7 +31,7 @@
 				 (r->entries[i]->node->id == 1 ? 0 : 3));
 	wire__roster__free_unpacked(r, NULL);
 	free(bytes);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 /*
@@ -112,17 +46,19 @@
 	struct fixture f;
 
 	/* Since the copy, node 2 has left and node 4 has joined. */
-	setup(&f);
+	fixture_setup(&f);
 	map_init(&newer);
 	d = map_snapshot(&f.c.map);
 	g_assert_cmpint(map_apply(&newer, d), ==, ERR_OK);
 	map_delta_free(d);
-	add_member(&f, 4);
+	fixture_add_member(&f, 4);
+	co_member_find(&f.c, 4)->dirty = 1;
 	co_member_find(&f.c, 2)->removing = 1;
-	apply_members(&f, &newer);
-	teardown(&f);
+	co_build_delta(&f.c);
+	g_assert_cmpint(map_apply(&newer, f.c.write.delta), ==, ERR_OK);
+	fixture_teardown(&f);
 
-	setup(&f);
+	fixture_setup(&f);
 	co_recover(&f.c);
 	memset(&conn, 0, sizeof(conn));
 	co_member_find(&f.c, 2)->conn = &conn;
@@ -135,7 +71,7 @@
 	co_member_find(&f.c, 2)->conn = NULL;
 	map_delta_free(d);
 	map_finish(&newer);
-	teardown(&f);
+	fixture_teardown(&f);
 }
 
 int main(int argc, char **argv)
