test_successor: one function for the two cases that differ in a number

new_process_unmarked ends after a bounded time if holds are never resolved; it would not have ended.

--- a/test/unit/test_successor.c
+++ b/test/unit/test_successor.c
@@ -177,28 +177,22 @@
  */
 #define LOST_WITHIN_MS (OWN_HOLD_QUORUM_MS + HOLD_MS + 600)
 
+/* The nodes from 0 to this one restart, the others but the silent one stay. */
+static const int most = 2, all_others = 3;
+
 /*
  * Guards against a node in a hold whose slots go to others because new
- * processes of most nodes, which know of no hold, count as a majority without
- * a record (review/11).
+ * processes of most nodes, or of all others, which know of no hold, count as a
+ * majority without a record (review/11).
  */
-static void test_majority_restarted(struct fleet *f, gconstpointer data)
+static void test_restarted(struct fleet *f, gconstpointer data)
 {
-	(void)data;
-	enter_hold(f);
-	elect(f);
-	follow(f, 3, 3);
-	restart_and_join(f, 0, 2);
-	run_until_lost(f, 4, LOST_WITHIN_MS);
-}
+	const int *last = data;
 
-/* The same with all processes that knew of the hold gone but the silent one. */
-static void test_all_others_restarted(struct fleet *f, gconstpointer data)
-{
-	(void)data;
 	enter_hold(f);
 	elect(f);
-	restart_and_join(f, 0, 3);
+	follow(f, *last + 1, SILENT - 1);
+	restart_and_join(f, 0, *last);
 	run_until_lost(f, 4, LOST_WITHIN_MS);
 }
 
@@ -302,8 +296,10 @@
 	elect(f);
 	follow(f, 3, 3);
 	restart_and_join(f, 0, 2);
-	while (f->c.phase == OWN_RESOLVING)
+	for (int64_t end_ms = f->now_ms + 2 * OWN_AUTHORITY_MS;
+	     f->c.phase == OWN_RESOLVING && f->now_ms < end_ms;)
 		run(f, 4, TICK_MS);
+	g_assert_cmpint(f->c.phase, ==, OWN_NORMAL);
 	g_assert_cmpuint(f->roster[SILENT].mark, !=, 0);
 	g_assert_cmpuint(f->roster[3].mark, !=, 0);
 	for (uint32_t i = 0; i < 3; i++) {
@@ -404,14 +400,15 @@
 	recover(f, 4);
 }
 
-#define ADD(name, fn) \
-	g_test_add("/successor/" name, struct fleet, NULL, setup, fn, teardown)
+#define ADD_DATA(name, data, fn) \
+	g_test_add("/successor/" name, struct fleet, data, setup, fn, teardown)
+#define ADD(name, fn) ADD_DATA(name, NULL, fn)
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	ADD("majority_restarted", test_majority_restarted);
-	ADD("all_others_restarted", test_all_others_restarted);
+	ADD_DATA("majority_restarted", &most, test_restarted);
+	ADD_DATA("all_others_restarted", &all_others, test_restarted);
 	ADD("restarted_in_two_groups", test_restarted_in_two_groups);
 	ADD("restarted_in_two_terms", test_restarted_in_two_terms);
 	ADD("second_successor", test_second_successor);
