own: tell members of the phase that follows the marks

Cause: members are prompted to ask when the phase of the holds changes in a tick, as own_coord_tick's contract says. The change that finish_marks makes was not told, so members stayed in the hold, and marked, until they renewed by themselves, up to 1.8 s with the platform's settings, and twice that until the mark was cleared. The end of a hold in one term goes that way, too.

own_coord_tick now tells of any change since its last call.

test_successor phase_change_after_marks fails without the change.

--- a/membership/coord_members.c
+++ b/membership/coord_members.c
@@ -343,7 +343,7 @@
 	}
 }
 
-void co_log_phase(const struct coord *c, int64_t now_ms)
+static void log_phase(const struct coord *c, int64_t now_ms)
 {
 	struct own_roster_counts n;
 
@@ -360,7 +360,7 @@
 {
 	co_conns_reap(c);
 	if (own_coord_tick(&c->own, now_ms)) {
-		co_log_phase(c, now_ms);
+		log_phase(c, now_ms);
 		request_asks(c);
 	}
 	if (own_coord_needs_marks(&c->own, now_ms) && !c->queue.marks_due &&
--- a/membership/coord_priv.h
+++ b/membership/coord_priv.h
@@ -399,8 +399,6 @@
 void co_member_remove(struct coord *c, struct co_member *m);
 /* Runs the periodic work on members, such as detecting lost ones. */
 void co_member_tick(struct coord *c, int64_t now_ms);
-/* Logs the phase of the holds and what is known of the roster taken over. */
-void co_log_phase(const struct coord *c, int64_t now_ms);
 /* Sends a change of the map to all members. */
 void co_push_map(struct coord *c, const Wire__MapDelta *delta);
 /*
--- a/membership/coord_write.c
+++ b/membership/coord_write.c
@@ -201,10 +201,8 @@
 		remove_written(&c->queue, w->delta->n_slots, w->delta->n_pins);
 		free(old_owners);
 	}
-	if (w->has_marks) {
+	if (w->has_marks)
 		own_coord_finish_marks(&c->own);
-		co_log_phase(c, now_ms);
-	}
 	finish_members(c);
 	c->placement_due = 1;
 	clear_write(w);
--- a/ownership/coord.c
+++ b/ownership/coord.c
@@ -487,7 +487,7 @@
 	return 0;
 }
 
-static int tick_phase(struct own_coord *c, int64_t now_ms)
+static void tick_phase(struct own_coord *c, int64_t now_ms)
 {
 	int64_t age_ms = now_ms - c->confirmed_ms;
 	int confirmed = age_ms < c->times.hold_end_ms;
@@ -496,45 +496,47 @@
 	case OWN_RESOLVING:
 		if (c->recovering ? !silent_holds_ended(c, now_ms)
 				  : !majority_unrecorded(c))
-			return 0;
+			return;
 		c->phase = OWN_NORMAL;
-		return 1;
+		break;
 	case OWN_NORMAL:
 		if (age_ms < c->times.hold_after_ms || !guard_on(GUARD_HOLD))
-			return 0;
+			return;
 		/* Members would serve by maps that may differ. */
 		if (c->recovering)
-			return 0;
+			return;
 		start_preparing(c);
-		return 1;
+		break;
 	case OWN_PREPARING:
 		/* No commit was sent, so no member is in the hold. */
 		if (confirmed)
 			c->phase = OWN_NORMAL;
 		else if (majority_recorded(c))
 			c->phase = OWN_HOLDING;
-		else
-			return 0;
-		return 1;
+		break;
 	case OWN_HOLDING:
-		if (!confirmed)
-			return 0;
-		c->phase = any_commit_sent(c) ? OWN_RELEASING : OWN_NORMAL;
-		return 1;
+		if (confirmed)
+			c->phase =
+				any_commit_sent(c) ? OWN_RELEASING : OWN_NORMAL;
+		break;
 	case OWN_RELEASING:
 		break;
 	}
-	return 0;
 }
 
 int own_coord_tick(struct own_coord *c, int64_t now_ms)
 {
+	int changed;
+
 	if (now_ms - c->last_tick_ms > OWN_PAUSE_MS)
 		c->lost_after_ms = now_ms + OWN_PAUSE_MS;
 	c->last_tick_ms = now_ms;
 	if (!c->promised_ms && majority_promised(c))
 		c->promised_ms = now_ms;
-	return tick_phase(c, now_ms);
+	tick_phase(c, now_ms);
+	changed = c->phase != c->last_tick_phase;
+	c->last_tick_phase = c->phase;
+	return changed;
 }
 
 int own_coord_may_change(const struct own_coord *c)
--- a/ownership/own.h
+++ b/ownership/own.h
@@ -303,8 +303,9 @@
 	uint64_t term;
 	int64_t takeover_ms; /* when this coordinator took office */
 	int64_t authority_end_ms;
-	int64_t confirmed_ms;  /* when the last confirming call was sent */
-	int64_t last_tick_ms;  /* time of the last own_coord_tick */
+	int64_t confirmed_ms; /* when the last confirming call was sent */
+	int64_t last_tick_ms; /* time of the last own_coord_tick */
+	enum own_phase last_tick_phase; /* phase at its end */
 	int64_t lost_after_ms; /* no member is declared lost before this */
 	/*
 	 * When it was first known that any earlier coordinator has at most
@@ -396,9 +397,10 @@
 					 struct own_reply *reply);
 
 /*
- * Advances the phase; to be called periodically. Returns 1 if the phase
- * changed. The caller then prompts the members to send an ask (a reply with
- * seq 0), so that they learn of the new phase at once.
+ * Advances the phase; to be called periodically. Returns 1 if the phase is not
+ * that of the last call, also if other calls changed it. The caller then
+ * prompts the members to send an ask (a reply with seq 0), so that they learn
+ * of the new phase at once.
  */
 int own_coord_tick(struct own_coord *c, int64_t now_ms);
 /*
--- a/test/unit/test_successor.c
+++ b/test/unit/test_successor.c
@@ -400,6 +400,32 @@
 	recover(f, 4);
 }
 
+/*
+ * Guards against members that are not told to ask when the marks are written,
+ * and so stay in the hold and are marked until they renew by themselves.
+ */
+static void test_phase_change_after_marks(struct fleet *f, gconstpointer data)
+{
+	int changed;
+
+	(void)data;
+	enter_hold(f);
+	elect(f);
+	follow(f, 0, 3);
+	for (int i = 0; i < 4; i++)
+		exchange(f, i);
+	f->now_ms += 2 * OWN_AUTHORITY_MS;
+	own_coord_extend_authority(&f->c, f->now_ms);
+	changed = own_coord_tick(&f->c, f->now_ms);
+	g_assert_false(changed);
+	g_assert_true(own_coord_needs_marks(&f->c, f->now_ms));
+	own_coord_finish_marks(&f->c);
+	changed = own_coord_tick(&f->c, f->now_ms);
+	g_assert_true(changed);
+	changed = own_coord_tick(&f->c, f->now_ms);
+	g_assert_false(changed);
+}
+
 #define ADD_DATA(name, data, fn) \
 	g_test_add("/successor/" name, struct fleet, data, setup, fn, teardown)
 #define ADD(name, fn) ADD_DATA(name, NULL, fn)
@@ -416,6 +442,7 @@
 	ADD("silent_returns", test_silent_returns);
 	ADD("new_process_unmarked", test_new_process_unmarked);
 	ADD("left_while_resolving", test_left_while_resolving);
+	ADD("phase_change_after_marks", test_phase_change_after_marks);
 	ADD("told_to_wait", test_told_to_wait);
 	ADD("not_in_newest_roster", test_not_in_newest_roster);
 	return g_test_run();
